--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission of requests: limits, budgets and the fair queue.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agatetrack binary: commands, settings, logs and start-up.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the `agatetrack` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/intern.rs
@@ -0,0 +1,45 @@
+//! Assignment of dense identifiers to names.
+
+use {indexmap::IndexSet, std::sync::Arc};
+
+/// Append-only table of names; a name keeps its index for the life of the table.
+#[derive(Clone, Debug, Default)]
+pub struct Interner {
+    names: IndexSet<Arc<str>>,
+}
+
+impl Interner {
+    /// Returns an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the index of `name`, assigning the next free one on first use.
+    pub fn intern(&mut self, name: &str) -> u32 {
+        if let Some(i) = self.names.get_index_of(name) {
+            return i as u32;
+        }
+        let (i, _) = self.names.insert_full(Arc::from(name));
+        u32::try_from(i).expect("fewer than 2^32 names are interned")
+    }
+
+    /// Returns the index of `name`, or `None` if it was never interned.
+    pub fn get(&self, name: &str) -> Option<u32> {
+        self.names.get_index_of(name).map(|i| i as u32)
+    }
+
+    /// Returns the name at `id`, or `None` if that index was never assigned.
+    pub fn name(&self, id: u32) -> Option<&Arc<str>> {
+        self.names.get_index(id as usize)
+    }
+
+    /// Number of names assigned so far.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Whether no name has been assigned.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/flow/src/lib.rs
@@ -0,0 +1,1 @@
+//! One request from accept to its last byte.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements in virtual time: workloads, baselines, figures and plots.
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authority through leases with fencing tokens held in the platform's store.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of instances: probes, suspicion, leaving, and the UDP adapter.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of endpoint: prefix affinity, predicted delay, health, retries.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,9 @@
+//! Port of the platform's key-value service, and the one client that all callers share.
+//!
+//! [`port::Store`] is the only way the rest of the system reaches the service. It is a plain value
+//! around one closure over a typed [`port::Call`], so metering, call budgets, faults and adapters
+//! are functions from `Store` to `Store`.
+
+pub mod port;
+
+pub use port::{Call, Error, Purpose, Record, Reply, Result, Revision, Store};
--- /dev/null
+++ b/crates/store/src/port.rs
@@ -0,0 +1,250 @@
+//! The typed interface towards the key-value service.
+//!
+//! Invariants of the service that callers rely on: a revision grows with each change of a key and
+//! is never reused; compare-and-swap is atomic for one key; a record attached to a lease
+//! disappears when the lease ends. A call may fail with [`Error::Ambiguous`], after which it may or
+//! may not have taken effect.
+
+use {
+    futures_util::future::BoxFuture,
+    serde::{Deserialize, Serialize},
+    std::{fmt, sync::Arc, time::Duration},
+};
+
+/// Revision of one key; zero stands for "absent" in a compare-and-swap.
+pub type Revision = u64;
+/// Identifier of a lease in the service.
+pub type LeaseId = u64;
+
+/// Value of a key with its revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Revision at which the value was written.
+    pub revision: Revision,
+    /// The value, at most one megabyte.
+    pub value: Vec<u8>,
+}
+
+/// What a call is for; decides its priority and its label in metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Purpose {
+    /// Acquiring and renewing authority.
+    Lease,
+    /// Reading and changing the configuration.
+    Config,
+    /// Claims of non-idempotent calls.
+    Claim,
+    /// Records of controllers.
+    Record,
+    /// Sealing of usage windows.
+    Report,
+}
+
+impl Purpose {
+    /// Every purpose, highest priority first.
+    pub const ALL: [Purpose; 5] =
+        [Purpose::Lease, Purpose::Config, Purpose::Claim, Purpose::Record, Purpose::Report];
+
+    /// Label in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Purpose::Lease => "lease",
+            Purpose::Config => "config",
+            Purpose::Claim => "claim",
+            Purpose::Record => "record",
+            Purpose::Report => "report",
+        }
+    }
+}
+
+/// One call to the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Reads one key.
+    Get {
+        /// Key to read.
+        key: String,
+    },
+    /// Lists the keys under a prefix, without values.
+    List {
+        /// Prefix of the keys.
+        prefix: String,
+    },
+    /// Writes `value` if the key's revision is `expect` (zero: if the key is absent).
+    Swap {
+        /// Key to write.
+        key: String,
+        /// Revision that the key must have.
+        expect: Revision,
+        /// New value; `None` deletes the key.
+        value: Option<Vec<u8>>,
+        /// Lease that the record shall end with.
+        lease: Option<LeaseId>,
+    },
+    /// Waits until the key's revision is above `after`, or until `wait` has passed.
+    Watch {
+        /// Key to watch.
+        key: String,
+        /// Revision already known.
+        after: Revision,
+        /// Longest wait.
+        wait: Duration,
+    },
+    /// Creates a lease.
+    Grant {
+        /// Time after which the lease lapses unless renewed.
+        ttl: Duration,
+    },
+    /// Renews a lease for its whole time to live.
+    Renew {
+        /// Lease to renew.
+        lease: LeaseId,
+    },
+    /// Ends a lease and deletes the records attached to it.
+    Revoke {
+        /// Lease to end.
+        lease: LeaseId,
+    },
+}
+
+impl Call {
+    /// Whether the call changes the service's state.
+    pub fn is_write(&self) -> bool {
+        !matches!(self, Call::Get { .. } | Call::List { .. } | Call::Watch { .. })
+    }
+}
+
+/// Answer of the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Result of `Get` and `Watch`; `None` if the key is absent (for `Watch`: or nothing changed).
+    Value(Option<Record>),
+    /// Result of `List`, in key order.
+    Keys(Vec<String>),
+    /// A `Swap` took effect at this revision.
+    Swapped(Revision),
+    /// A `Swap` found another revision; the record now present is returned.
+    Conflict(Option<Record>),
+    /// A lease was granted.
+    Granted(LeaseId),
+    /// A lease was renewed or revoked.
+    Done,
+    /// The lease of a `Renew`, `Revoke` or `Swap` no longer exists.
+    LeaseGone,
+}
+
+/// Why a call failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The service was not reached, or refused the call before any effect.
+    #[error("{step} at the store {peer}: not carried out: {cause}")]
+    Unavailable {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the service.
+        peer: String,
+        /// Detail for the log.
+        cause: String,
+    },
+    /// The call may or may not have taken effect.
+    #[error("{step} at the store {peer}: outcome unknown: {cause}")]
+    Ambiguous {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the service.
+        peer: String,
+        /// Detail for the log.
+        cause: String,
+    },
+    /// The service, or this client's own call budget, limits the rate of calls.
+    #[error("{step} at the store {peer}: rate limited")]
+    Limited {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the service, or `local` for this client's own budget.
+        peer: String,
+    },
+    /// The service's answer was not understood.
+    #[error("{step} at the store {peer}: unexpected answer: {cause}")]
+    Malformed {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the service.
+        peer: String,
+        /// Detail for the log.
+        cause: String,
+    },
+}
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+type CallFn = dyn Fn(Purpose, Call) -> BoxFuture<'static, Result<Reply>> + Send + Sync;
+
+/// Handle of the key-value service.
+#[derive(Clone)]
+pub struct Store {
+    call: Arc<CallFn>,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Store")
+    }
+}
+
+impl Store {
+    /// Makes a handle whose calls are carried out by `call`.
+    pub fn new(
+        call: impl Fn(Purpose, Call) -> BoxFuture<'static, Result<Reply>> + Send + Sync + 'static,
+    ) -> Self {
+        Self { call: Arc::new(call) }
+    }
+
+    /// Carries out one call.
+    pub async fn call(&self, purpose: Purpose, call: Call) -> Result<Reply> {
+        (self.call)(purpose, call).await
+    }
+
+    /// Reads `key`; `None` if it is absent.
+    pub async fn get(&self, purpose: Purpose, key: impl Into<String>) -> Result<Option<Record>> {
+        match self.call(purpose, Call::Get { key: key.into() }).await? {
+            Reply::Value(v) => Ok(v),
+            other => Err(unexpected("get", other)),
+        }
+    }
+
+    /// Writes `key` if its revision is `expect`; on conflict returns the present record as `Err`.
+    pub async fn swap(
+        &self,
+        purpose: Purpose,
+        key: impl Into<String>,
+        expect: Revision,
+        value: Vec<u8>,
+    ) -> Result<std::result::Result<Revision, Option<Record>>> {
+        let call = Call::Swap { key: key.into(), expect, value: Some(value), lease: None };
+        match self.call(purpose, call).await? {
+            Reply::Swapped(r) => Ok(Ok(r)),
+            Reply::Conflict(r) => Ok(Err(r)),
+            other => Err(unexpected("swap", other)),
+        }
+    }
+
+    /// Waits for a revision of `key` above `after`; `None` if nothing changed within `wait`.
+    pub async fn watch(
+        &self,
+        purpose: Purpose,
+        key: impl Into<String>,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Option<Record>> {
+        match self.call(purpose, Call::Watch { key: key.into(), after, wait }).await? {
+            Reply::Value(v) => Ok(v),
+            other => Err(unexpected("watch", other)),
+        }
+    }
+}
+
+fn unexpected(step: &'static str, reply: Reply) -> Error {
+    Error::Malformed { step, peer: "store".into(), cause: format!("unexpected reply {reply:?}") }
+}
--- /dev/null
+++ b/crates/usage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Usage counters, their replication, and windows sealed and reported once.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Postcard messages between instances, their framing and their authentication.
