Add the key-value service in memory, with a meter and fault switches

Tests of every crate that reaches the store need a service whose clock, faults and call counts they control. The semantics are a plain state machine (model); the handle around it adds waiting, metering and faults.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,8 +2,15 @@
 //!
 //! [`port::Store`] is the only way the rest of the system reaches the service. It is a plain value
 //! around one closure over a typed [`port::Call`], so metering, call budgets, faults and adapters
-//! are functions from `Store` to `Store`.
+//! are functions from `Store` to `Store`. [`memory::Memory`] is the service in memory, over the
+//! plain state machine in [`model`].
 
+pub mod memory;
+pub mod meter;
+pub mod model;
 pub mod port;
 
-pub use port::{Call, Error, Purpose, Record, Reply, Result, Revision, Store};
+pub use {
+    memory::Memory,
+    port::{Call, Error, Purpose, Record, Reply, Result, Revision, Store},
+};
