Read, verify and compile the operators' document

Requests need one immutable view of the configuration, and operators need every fault of a document at once with its place.

parse reads YAML with bounds on bytes, nodes and nesting and refuses unknown and duplicate keys. verify reports all faults with the path of keys. A key match carries its digest, since an identifier may be given to another key: the old key then no longer holds.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,5 +1,18 @@
 //! The operators' document: schema, verification, sections in the store, and the snapshot in force.
 //!
 //! [`doc`] is the schema as operators write it, in sections that belong to different teams.
+//! [`mod@parse`] reads it from YAML, [`mod@verify`] checks every cross reference, and [`snapshot`]
+//! compiles a verified document into the dense tables that requests read. The verifier shares no
+//! code with the compiler, so a fault in one shows in the other.
 
 pub mod doc;
+pub mod hash;
+pub mod parse;
+pub mod snapshot;
+pub mod verify;
+
+pub use {
+    doc::Document,
+    parse::{Problem, parse},
+    verify::verify,
+};
--- /dev/null
+++ b/crates/config/src/verify/fleet.rs
@@ -0,0 +1,95 @@
+//! Checks of availability zones, pools and endpoints.
+
+use {
+    super::{Faults, bounds},
+    crate::doc::{Document, Endpoint, PoolKind, Role, Zone},
+    indexmap::IndexMap,
+    std::net::SocketAddr,
+};
+
+pub fn zones(doc: &Document, faults: &mut Faults) {
+    let zones = &doc.fleet.zones;
+    faults.count("fleet.zones", zones.len(), bounds::ZONES);
+    for (i, (name, zone)) in zones.iter().enumerate() {
+        faults.name("fleet.zones", name);
+        if let Err(e) = super::text::name(&zone.region) {
+            faults.add(format!("fleet.zones.{name}.region"), e);
+        }
+        delays(name, zone, doc, faults);
+        for (other, far) in zones.iter().skip(i + 1) {
+            faults.check(
+                zone.delays.contains_key(other) || far.delays.contains_key(name),
+                || format!("fleet.zones.{name}.delays"),
+                || format!("the delay to zone {other:?} is missing"),
+            );
+        }
+    }
+}
+
+fn delays(name: &str, zone: &Zone, doc: &Document, faults: &mut Faults) {
+    for (other, delay) in &zone.delays {
+        let place = || format!("fleet.zones.{name}.delays.{other}");
+        faults.check(other != name, place, || "a zone has no delay to itself".into());
+        let known = doc.fleet.zones.contains_key(other);
+        faults.check(known, place, || format!("no availability zone {other:?}"));
+        let bound = bounds::DELAY;
+        faults.check(*delay <= bound, place, || format!("{delay:?} is above {bound:?}"));
+    }
+}
+
+pub fn pools(doc: &Document, faults: &mut Faults) {
+    faults.count("fleet.pools", doc.fleet.pools.len(), bounds::POOLS);
+    for (name, pool) in &doc.fleet.pools {
+        faults.name("fleet.pools", name);
+        faults.check(
+            (1..=bounds::SLOTS).contains(&pool.slots),
+            || format!("fleet.pools.{name}.slots"),
+            || format!("{} is not between 1 and {}", pool.slots, bounds::SLOTS),
+        );
+        faults.check(
+            pool.kind == PoolKind::Engine || !pool.fenced,
+            || format!("fleet.pools.{name}.fenced"),
+            || "services take no orders, so they check no fencing token".into(),
+        );
+    }
+}
+
+pub fn endpoints(doc: &Document, faults: &mut Faults) {
+    faults.count("fleet.endpoints", doc.fleet.endpoints.len(), bounds::ENDPOINTS);
+    let mut seen = IndexMap::<SocketAddr, &str>::new();
+    for (name, endpoint) in &doc.fleet.endpoints {
+        faults.name("fleet.endpoints", name);
+        references(name, endpoint, doc, faults);
+        let place = || format!("fleet.endpoints.{name}.address");
+        let address = endpoint.address;
+        let ip = address.ip();
+        faults.check(
+            address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast(),
+            place,
+            || format!("{address} cannot be connected to"),
+        );
+        if let Some(other) = seen.insert(address, name) {
+            faults.add(place(), format!("{address} is also the address of {other:?}"));
+        }
+    }
+}
+
+fn references(name: &str, endpoint: &Endpoint, doc: &Document, faults: &mut Faults) {
+    let pool = doc.fleet.pools.get(&endpoint.pool);
+    faults.check(
+        pool.is_some(),
+        || format!("fleet.endpoints.{name}.pool"),
+        || format!("no pool {:?}", endpoint.pool),
+    );
+    faults.check(
+        doc.fleet.zones.contains_key(&endpoint.zone),
+        || format!("fleet.endpoints.{name}.zone"),
+        || format!("no availability zone {:?}", endpoint.zone),
+    );
+    let service = pool.is_some_and(|p| p.kind == PoolKind::Service);
+    faults.check(
+        !service || endpoint.role == Role::Both,
+        || format!("fleet.endpoints.{name}.role"),
+        || "only engines have a role".into(),
+    );
+}
