Add admission and endpoint choice

The request path needs its decisions as pure functions: whether a request may run, when, and where.

Admission gets a weighted fair queue by token cost with deadlines and early refusal, an adaptive bound per endpoint, and budgets whose slices come out of reservations in the store. Routing gets a table of endpoints with live counters that survive a rebuild, a choice by rendezvous ranking and predicted time to first token, a failure detector with early return, and retry rules with a budget.

Conclusion: the functions hold their invariants under random schedules; their figures under load are still to be measured.

--- /dev/null
+++ b/crates/admit/src/rate.rs
@@ -0,0 +1,45 @@
+//! Measured rate of service while work was waiting.
+
+use {agate_core::Mono, std::time::Duration};
+
+/// Length of one sample.
+const SAMPLE: Duration = Duration::from_millis(250);
+/// Weight of a new sample.
+const WEIGHT: f64 = 0.2;
+
+/// Running mean of the cost served in a second of backlog.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Rate {
+    mean: Option<f64>,
+    since: Mono,
+    served: f64,
+}
+
+impl Rate {
+    /// Starts a sample: work has just begun to wait.
+    pub fn begin(&mut self, now: Mono) {
+        self.since = now;
+        self.served = 0.0;
+    }
+
+    /// Adds cost served during backlog.
+    pub fn serve(&mut self, cost: f64) {
+        self.served += cost;
+    }
+
+    /// Closes the sample if it is long enough.
+    pub fn tick(&mut self, now: Mono) {
+        let length = now.saturating_sub(self.since);
+        if length < SAMPLE {
+            return;
+        }
+        let rate = self.served / length.as_secs_f64();
+        self.mean = Some(self.mean.map_or(rate, |m| m + (rate - m) * WEIGHT));
+        self.begin(now);
+    }
+
+    /// Cost served in a second, or `None` while unknown.
+    pub fn get(&self) -> Option<f64> {
+        self.mean.filter(|m| *m > 0.0)
+    }
+}
--- /dev/null
+++ b/crates/admit/tests/fair_queue.rs
@@ -0,0 +1,182 @@
+//! Fair queue: shares, deadlines, early refusal, state of idle organisations.
+
+use {
+    agate_admit::{
+        Event, Queue,
+        queue::{MEMORY, ORG_BOUND},
+    },
+    agate_core::Refusal,
+    proptest::{prelude::*, test_runner::RngSeed},
+    rstest::rstest,
+    std::{collections::BTreeSet, time::Duration},
+};
+
+const FAR: Duration = Duration::from_secs(3600);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Cost granted to each of two organisations that always wait, over `grants` grants.
+fn shares(weights: [u32; 2], costs: [u32; 2], grants: usize) -> [u64; 2] {
+    let mut queue = Queue::new();
+    let mut owner = std::collections::BTreeMap::new();
+    let mut served = [0; 2];
+    for org in [0, 1] {
+        for _ in 0..8 {
+            let ticket = queue.push(org, weights[org as usize], costs[org as usize], FAR, ms(0));
+            owner.insert(ticket.expect("room"), org);
+        }
+    }
+    for i in 0..grants {
+        let now = ms(i as u64);
+        for event in queue.pop(now, 1) {
+            let Event::Granted(ticket) = event else { panic!("nothing expires") };
+            let org = owner.remove(&ticket).expect("granted once");
+            let i = org as usize;
+            served[i] += u64::from(costs[i]);
+            owner.insert(queue.push(org, weights[i], costs[i], FAR, now).expect("room"), org);
+        }
+    }
+    served
+}
+
+#[rstest]
+#[case([1, 1], [100, 100], 1.0)]
+#[case([1, 1], [100, 5_000], 1.0)]
+#[case([3, 1], [700, 200], 3.0)]
+fn cost_follows_weight(#[case] weights: [u32; 2], #[case] costs: [u32; 2], #[case] ratio: f64) {
+    let served = shares(weights, costs, 4000);
+    let seen = served[0] as f64 / served[1] as f64;
+    assert!((seen / ratio - 1.0).abs() < 0.05, "{served:?}");
+}
+
+#[test]
+fn earliest_deadline_first() {
+    let mut queue = Queue::new();
+    let late = queue.push(0, 1, 5000, ms(9000), ms(0)).expect("room");
+    let soon = queue.push(0, 1, 10, ms(800), ms(1)).expect("room");
+    assert_eq!(queue.pop(ms(2), 2), [Event::Granted(soon), Event::Granted(late)]);
+}
+
+#[test]
+fn passed_deadline_expires() {
+    let mut queue = Queue::new();
+    let ticket = queue.push(0, 1, 10, ms(100), ms(0)).expect("room");
+    assert_eq!(queue.pop(ms(101), 1), [Event::Expired(ticket)]);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn unmeetable_refused() {
+    let mut queue = Queue::new();
+    for i in 0..20 {
+        queue.push(0, 1, 1000, FAR, ms(i)).expect("room");
+    }
+    // One request of 1,000 tokens a second.
+    for i in 0..5 {
+        queue.pop(ms(1000 * (i + 1)), 1);
+    }
+    let refused = queue.push(0, 1, 1000, FAR, ms(5000));
+    assert!(refused.is_ok(), "a far deadline is met");
+    let near = queue.push(0, 1, 10, ms(5500), ms(5000));
+    assert!(near.is_ok(), "an earlier deadline goes first within its organisation");
+    queue.push(0, 1, 60_000, ms(5600), ms(5000)).expect("nothing lies ahead of it but ten tokens");
+    let refused = queue.push(0, 1, 10, ms(5700), ms(5000)).expect_err("a minute lies ahead of it");
+    assert_eq!(refused.reason, Refusal::DeadlineUnmet);
+    assert!(refused.after > ms(10_000));
+}
+
+#[test]
+fn full_refused_alone() {
+    let mut queue = Queue::new();
+    for _ in 0..ORG_BOUND {
+        queue.push(0, 1, 1, FAR, ms(0)).expect("room");
+    }
+    let refused = queue.push(0, 1, 1, FAR, ms(0)).expect_err("full");
+    assert_eq!(refused.reason, Refusal::QueueFull);
+    assert!(queue.push(1, 1, 1, FAR, ms(0)).is_ok());
+}
+
+#[test]
+fn idle_holds_nothing() {
+    let mut queue = Queue::new();
+    for org in 0..1000 {
+        queue.push(org, 1, 10, FAR, ms(0)).expect("room");
+    }
+    queue.pop(ms(1), 1000);
+    assert_eq!(queue.orgs(), 1000);
+    queue.pop(ms(2) + MEMORY, 0);
+    assert_eq!(queue.orgs(), 0);
+}
+
+#[test]
+fn settlement_charges() {
+    let mut queue = Queue::new();
+    let first = queue.push(0, 1, 10, FAR, ms(0)).expect("room");
+    assert_eq!(queue.pop(ms(0), 1), [Event::Granted(first)]);
+    queue.settle(0, 10, 1000);
+    queue.push(0, 1, 10, FAR, ms(1)).expect("room");
+    let others: Vec<_> = (0..50).map(|_| queue.push(1, 1, 10, FAR, ms(1)).expect("room")).collect();
+    let granted: Vec<_> = others.into_iter().map(Event::Granted).collect();
+    assert_eq!(queue.pop(ms(2), 50), granted, "the underestimated one waits for its turn");
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Push(u32, u32, u64),
+    Pop(usize),
+    Cancel(usize),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..6u32, 1..5000u32, 0..4000u64).prop_map(|(o, c, d)| Step::Push(o, c, d)),
+        3 => (0..4usize).prop_map(Step::Pop),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        2 => (0..1500u64).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::with_cases(256)
+    })]
+
+    #[test]
+    fn tickets_end_once(steps in proptest::collection::vec(step(), 1..200)) {
+        let mut queue = Queue::new();
+        let mut open = BTreeSet::new();
+        let mut now = ms(0);
+        for step in steps {
+            match step {
+                Step::Push(org, cost, wait) => {
+                    if let Ok(t) = queue.push(org, org + 1, cost, now + ms(wait), now) {
+                        prop_assert!(open.insert(t));
+                    }
+                }
+                Step::Pop(free) => {
+                    for event in queue.pop(now, free) {
+                        let (Event::Granted(t) | Event::Expired(t)) = event;
+                        prop_assert!(open.remove(&t));
+                    }
+                }
+                Step::Cancel(i) => {
+                    let ticket = open.iter().nth(i % open.len().max(1)).copied();
+                    if let Some(t) = ticket {
+                        prop_assert!(queue.cancel(t, now));
+                        prop_assert!(!queue.cancel(t, now));
+                        open.remove(&t);
+                    }
+                }
+                Step::Wait(time) => now += ms(time),
+            }
+            prop_assert_eq!(queue.len(), open.len());
+        }
+        let rest = queue.pop(now, usize::MAX);
+        prop_assert_eq!(rest.len(), open.len(), "work-conserving: all that waits can be had");
+    }
+}
--- /dev/null
+++ b/crates/route/src/choose.rs
@@ -0,0 +1,151 @@
+//! Choice of the endpoint for one request.
+//!
+//! Candidates come from two sources: the rendezvous ranking of the prompt's prefix blocks at
+//! growing depths, on which all instances agree, and a rotating sample of the pool. The candidate
+//! with the least predicted time to first token wins: time in the queue, prefill of what is
+//! presumably not cached, and the distance of its availability zone. A candidate without a free
+//! slot is over its bound and only taken if no other is left. The cost does not depend on the
+//! number of endpoints, unless all the sampled ones are unusable.
+
+use {
+    crate::{
+        health,
+        prefix::BLOCK_TOKENS,
+        ranking::mix,
+        table::{Pool, Table},
+    },
+    agate_core::{EndpointId, Mono, PoolId, ZoneId},
+    std::{sync::atomic::Ordering::Relaxed, time::Duration},
+    thiserror::Error,
+};
+
+/// Endpoints sampled beside those of the ranking.
+pub const SAMPLE: usize = 2;
+/// Endpoints scanned for a free slot when the ranked and the sampled ones have none.
+pub const SCAN: usize = 64;
+/// Fraction of the hold time by which a full batch delays a first token, as a divisor.
+pub const CONTENTION: u32 = 16;
+/// Depths of the prefix that are looked up at most.
+pub const MAX_DEPTHS: usize = 8;
+
+/// One request to place.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Pool that serves it.
+    pub pool: PoolId,
+    /// Availability zone that distances are counted from.
+    pub zone: ZoneId,
+    /// Hashes of the prompt's blocks, salted with the organisation.
+    pub prefix: &'a [u64],
+    /// Estimated tokens of the prompt.
+    pub tokens: u32,
+    /// Endpoints that were tried before.
+    pub avoid: &'a [EndpointId],
+}
+
+/// Why no endpoint was chosen.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum NoEndpoint {
+    /// The pool has no members.
+    #[error("choosing an endpoint: pool {0} has no members")]
+    Empty(PoolId),
+    /// Every member is offline, leaving or was tried before.
+    #[error("choosing an endpoint: no member of pool {0} is usable")]
+    Unusable(PoolId),
+}
+
+/// Best candidate so far: whether it is over its bound, and its predicted delay.
+type Best = Option<(bool, Duration, EndpointId)>;
+
+/// Chooses the endpoint for `ask`.
+pub fn choose(table: &Table, ask: &Ask<'_>, now: Mono) -> Result<EndpointId, NoEndpoint> {
+    let pool = table.pools.get(ask.pool as usize).ok_or(NoEndpoint::Empty(ask.pool))?;
+    if pool.near.is_empty() && pool.far.is_empty() {
+        return Err(NoEndpoint::Empty(ask.pool));
+    }
+    let mut best: Best = None;
+    by_prefix(table, pool, ask, now, &mut best);
+    by_sample(table, pool, ask, now, &mut best);
+    if best.is_none_or(|(over, ..)| over) {
+        by_scan(table, pool, ask, now, &mut best);
+    }
+    best.map(|(_, _, id)| id).ok_or(NoEndpoint::Unusable(ask.pool))
+}
+
+/// Considers the ranked endpoints of the prefix at depths 1, 2, 4 and so on.
+fn by_prefix(table: &Table, pool: &Pool, ask: &Ask<'_>, now: Mono, best: &mut Best) {
+    let mut depth = ask.prefix.len().checked_ilog2().map_or(0, |log| 1 << log);
+    for _ in 0..MAX_DEPTHS {
+        if depth == 0 {
+            break;
+        }
+        let cached = (depth as u32 * BLOCK_TOKENS).min(ask.tokens);
+        for id in pool.ranking.get(ask.prefix[depth - 1]) {
+            consider(table, ask, id, cached, now, best);
+        }
+        depth /= 2;
+    }
+}
+
+/// Considers a rotating sample of the near endpoints.
+fn by_sample(table: &Table, pool: &Pool, ask: &Ask<'_>, now: Mono, best: &mut Best) {
+    if pool.near.is_empty() {
+        return;
+    }
+    let turn = table.turn.fetch_add(SAMPLE as u32, Relaxed);
+    for i in 0..SAMPLE as u32 {
+        let draw = mix(table.seed, u64::from(turn.wrapping_add(i)));
+        let id = pool.near[draw as usize % pool.near.len()];
+        consider(table, ask, id, 0, now, best);
+    }
+}
+
+/// Considers further endpoints from a rotating position until one has a free slot.
+///
+/// Looks at [`SCAN`] endpoints if one over its bound is in hand, else at all of them, far ones
+/// last.
+fn by_scan(table: &Table, pool: &Pool, ask: &Ask<'_>, now: Mono, best: &mut Best) {
+    let start = table.turn.fetch_add(1, Relaxed) as usize;
+    let count = pool.near.len();
+    let near = (0..count).map(|i| pool.near[(start + i) % count]);
+    for (i, id) in near.chain(pool.far.iter().copied()).enumerate() {
+        let full = best.is_none_or(|(over, ..)| over);
+        if !full || (best.is_some() && i >= SCAN) {
+            return;
+        }
+        consider(table, ask, id, 0, now, best);
+    }
+}
+
+fn consider(table: &Table, ask: &Ask<'_>, id: EndpointId, cached: u32, now: Mono, best: &mut Best) {
+    let endpoint = &table.endpoints[id as usize];
+    let live = &endpoint.live;
+    if live.leaving.load(Relaxed) || ask.avoid.contains(&id) || !health::usable(&live.health, now) {
+        return;
+    }
+    let slots = live.slots(endpoint.slots);
+    let inflight = live.inflight(now);
+    let over = inflight >= slots;
+    let entry = (over, delay(table, ask, id, cached, inflight, slots), id);
+    if best.is_none_or(|b| (entry.0, entry.1) < (b.0, b.1)) {
+        *best = Some(entry);
+    }
+}
+
+/// Predicted time from sending the request to its first token.
+fn delay(
+    table: &Table,
+    ask: &Ask<'_>,
+    id: EndpointId,
+    cached: u32,
+    inflight: u32,
+    slots: u32,
+) -> Duration {
+    let live = &table.endpoints[id as usize].live;
+    let ahead = (inflight + 1).saturating_sub(slots);
+    let queue = live.hold() * ahead / slots;
+    let contention = live.hold() * inflight.min(slots) / slots / CONTENTION;
+    let uncached = u64::from(ask.tokens.saturating_sub(cached));
+    let prefill = Duration::from_micros(uncached * 1_000_000 / u64::from(live.prefill()));
+    queue + contention + prefill + table.distance(ask.zone, id) * 2
+}
--- /dev/null
+++ b/crates/route/src/health.rs
@@ -0,0 +1,162 @@
+//! Failure detector of one endpoint.
+//!
+//! Two signs take an endpoint offline: a run of consecutive failures, and a failure rate over a
+//! sliding window that holds a minimum number of requests. The offline period doubles with each
+//! relapse. When it ends the endpoint is on probation: one failure takes it offline again, a run
+//! of successes ends the probation. If too few endpoints of a pool are left, those nearest to the
+//! end of their period return early.
+//!
+//! Reading the state costs one atomic load; results take a mutex of the endpoint.
+
+use {
+    agate_core::Mono,
+    std::{
+        sync::{
+            Mutex,
+            atomic::{AtomicU64, Ordering::Relaxed},
+        },
+        time::Duration,
+    },
+};
+
+/// Consecutive failures that take an endpoint offline.
+pub const CONSECUTIVE: u32 = 3;
+/// Failure rate that takes an endpoint offline, in percent.
+pub const RATE_PERCENT: u32 = 50;
+/// Requests that the window must hold before its rate counts.
+pub const MIN_REQUESTS: u32 = 10;
+/// Length of one bucket of the window.
+pub const BUCKET: Duration = Duration::from_secs(2);
+/// Buckets in the window.
+pub const BUCKETS: usize = 5;
+/// First offline period.
+pub const OFFLINE_MIN: Duration = Duration::from_secs(1);
+/// Longest offline period.
+pub const OFFLINE_MAX: Duration = Duration::from_secs(30);
+/// Successes that end the probation.
+pub const PROBATION: u32 = 3;
+/// Share of a pool that stays usable whatever the detectors say, in percent.
+pub const USABLE_PERCENT: usize = 34;
+
+/// Result of one exchange with an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The endpoint answered.
+    Success,
+    /// The endpoint refused for lack of capacity; it works.
+    Busy,
+    /// The connection failed, the answer was invalid or did not arrive in time.
+    Failure,
+    /// The exchange ended for reasons of the caller and says nothing about the endpoint.
+    Neutral,
+}
+
+/// State of the detector.
+#[derive(Debug, Default)]
+pub struct Health {
+    // End of the offline period in microseconds; zero means online.
+    until: AtomicU64,
+    window: Mutex<Window>,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    buckets: [Bucket; BUCKETS],
+    // Number of the newest bucket since the origin.
+    newest: u64,
+    consecutive: u32,
+    successes: u32,
+    // Offline periods since the last ended probation.
+    trips: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    requests: u32,
+    failures: u32,
+}
+
+/// Whether the endpoint may be used.
+pub fn usable(health: &Health, now: Mono) -> bool {
+    health.until.load(Relaxed) <= micros(now)
+}
+
+/// Time left of the offline period; zero if the endpoint is usable.
+pub fn offline_left(health: &Health, now: Mono) -> Duration {
+    Duration::from_micros(health.until.load(Relaxed).saturating_sub(micros(now)))
+}
+
+/// Records a result; returns whether it took the endpoint offline.
+pub fn on_result(health: &Health, kind: Kind, now: Mono) -> bool {
+    let mut w = health.window.lock().expect("detector mutex is never poisoned");
+    match kind {
+        Kind::Neutral => false,
+        Kind::Success | Kind::Busy => {
+            on_success(&mut w, now);
+            false
+        }
+        Kind::Failure => {
+            let trip = on_failure(&mut w, now) && usable(health, now);
+            if trip {
+                let period = (OFFLINE_MIN * (1 << w.trips.min(10))).min(OFFLINE_MAX);
+                w.trips += 1;
+                w.consecutive = 0;
+                w.successes = 0;
+                w.buckets = Default::default();
+                health.until.store(micros(now + period), Relaxed);
+            }
+            trip
+        }
+    }
+}
+
+/// Brings the endpoints nearest to the end of their offline period back while fewer than
+/// [`USABLE_PERCENT`] of `pool` are usable.
+pub fn return_early(pool: &[&Health], now: Mono) {
+    let least = (pool.len() * USABLE_PERCENT).div_ceil(100);
+    let mut offline: Vec<_> = pool.iter().filter(|h| !usable(h, now)).collect();
+    let usable = pool.len() - offline.len();
+    offline.sort_by_key(|h| h.until.load(Relaxed));
+    for health in offline.into_iter().take(least.saturating_sub(usable)) {
+        health.until.store(0, Relaxed);
+    }
+}
+
+fn on_success(w: &mut Window, now: Mono) {
+    w.advance(now).requests += 1;
+    w.consecutive = 0;
+    w.successes += 1;
+    if w.successes >= PROBATION {
+        w.trips = 0;
+    }
+}
+
+/// Counts a failure; returns whether the endpoint should be offline.
+fn on_failure(w: &mut Window, now: Mono) -> bool {
+    let bucket = w.advance(now);
+    bucket.requests += 1;
+    bucket.failures += 1;
+    w.consecutive += 1;
+    w.successes = 0;
+    let requests: u32 = w.buckets.iter().map(|b| b.requests).sum();
+    let failures: u32 = w.buckets.iter().map(|b| b.failures).sum();
+    let rate = requests >= MIN_REQUESTS && failures * 100 >= requests * RATE_PERCENT;
+    w.trips > 0 || w.consecutive >= CONSECUTIVE || rate
+}
+
+impl Window {
+    /// Moves the window to `now` and returns its newest bucket.
+    fn advance(&mut self, now: Mono) -> &mut Bucket {
+        let number = (now.as_micros() / BUCKET.as_micros()) as u64;
+        let passed = number.saturating_sub(self.newest).min(BUCKETS as u64);
+        for i in 0..passed {
+            self.buckets[((number - i) % BUCKETS as u64) as usize] = Bucket::default();
+        }
+        self.newest = self.newest.max(number);
+        &mut self.buckets[(self.newest % BUCKETS as u64) as usize]
+    }
+}
+
+fn micros(time: Mono) -> u64 {
+    time.as_micros() as u64
+}
--- /dev/null
+++ b/crates/route/src/table.rs
@@ -0,0 +1,234 @@
+//! Dense table of endpoints.
+//!
+//! Endpoints are kept by identifier; each pool lists its members and the rendezvous ranking of
+//! those near the home availability zone. A table is immutable but for the shared [`Live`]
+//! figures: [`Table::rebuild`] makes the next one and carries these over by identifier, so counts
+//! of requests in flight survive a change of the configuration.
+
+use {
+    crate::{
+        health::{self, Kind},
+        live::Live,
+        ranking::{Ranking, name_hash},
+    },
+    agate_core::{EndpointId, Mono, PoolId, ZoneId},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering::Relaxed},
+        },
+        time::Duration,
+    },
+};
+
+/// Distance up to which an availability zone counts as near.
+pub const NEAR: Duration = Duration::from_millis(10);
+
+/// What an engine does for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    /// Prefill and decode.
+    #[default]
+    Whole,
+    /// Prefill of long prompts only.
+    Prefill,
+    /// Decode, and short prompts as a whole.
+    Decode,
+}
+
+/// One endpoint as the configuration describes it.
+#[derive(Clone, Debug)]
+pub struct Spec<'a> {
+    /// Identifier in this process.
+    pub id: EndpointId,
+    /// Name, the same on every instance.
+    pub name: &'a str,
+    /// Pool it belongs to.
+    pub pool: PoolId,
+    /// Availability zone it runs in.
+    pub zone: ZoneId,
+    /// Requests it takes at once, until it reports its own number.
+    pub slots: u32,
+    /// Its role.
+    pub role: Role,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Pool it belongs to.
+    pub pool: PoolId,
+    /// Availability zone it runs in.
+    pub zone: ZoneId,
+    /// Configured slots.
+    pub slots: u32,
+    /// Its role.
+    pub role: Role,
+    /// Live figures.
+    pub live: Arc<Live>,
+}
+
+/// One-way delays between availability zones.
+#[derive(Clone, Debug, Default)]
+pub struct Distances {
+    rows: Vec<Vec<Duration>>,
+}
+
+impl Distances {
+    /// Delay assumed between two zones of which nothing is known.
+    pub const DEFAULT: Duration = Duration::from_micros(1_500);
+
+    /// Sets the delay between two zones, both ways.
+    pub fn set(&mut self, a: ZoneId, b: ZoneId, delay: Duration) {
+        for (from, to) in [(a as usize, b as usize), (b as usize, a as usize)] {
+            if self.rows.len() <= from {
+                self.rows.resize(from + 1, Vec::new());
+            }
+            let row = &mut self.rows[from];
+            if row.len() <= to {
+                row.resize(to + 1, Self::DEFAULT);
+            }
+            row[to] = delay;
+        }
+    }
+
+    /// Delay between two zones.
+    pub fn get(&self, a: ZoneId, b: ZoneId) -> Duration {
+        if a == b {
+            return Duration::ZERO;
+        }
+        let row = self.rows.get(a as usize);
+        row.and_then(|r| r.get(b as usize)).copied().unwrap_or(Self::DEFAULT)
+    }
+}
+
+/// Members of one pool.
+#[derive(Clone, Debug)]
+pub(crate) struct Pool {
+    /// Members that take new requests and lie near the home zone.
+    pub near: Vec<EndpointId>,
+    /// The other members that take new requests, nearest first.
+    pub far: Vec<EndpointId>,
+    /// Ranking of the near members.
+    pub ranking: Arc<Ranking>,
+}
+
+/// State of every endpoint that this instance knows.
+#[derive(Debug)]
+pub struct Table {
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) distances: Distances,
+    pub(crate) turn: AtomicU32,
+    pub(crate) seed: u64,
+    home: ZoneId,
+}
+
+impl Table {
+    /// Returns a table without endpoints for an instance in zone `home`; `seed` varies the sampling
+    /// between instances.
+    pub fn new(home: ZoneId, distances: Distances, seed: u64) -> Self {
+        let turn = AtomicU32::new(0);
+        Self { endpoints: Vec::new(), pools: Vec::new(), distances, turn, seed, home }
+    }
+
+    /// Builds the next table from the whole new list of endpoints.
+    ///
+    /// Live figures are carried over by identifier. An endpoint that is no longer listed keeps its
+    /// entry, so that its requests in flight can finish, but belongs to no pool.
+    pub fn rebuild<'a>(old: &Table, specs: impl IntoIterator<Item = Spec<'a>>) -> Self {
+        let mut next = Self::new(old.home, old.distances.clone(), old.seed);
+        next.turn = AtomicU32::new(old.turn.load(Relaxed));
+        next.endpoints = old.endpoints.clone();
+        let mut members: Vec<Vec<(EndpointId, u64)>> = vec![Vec::new(); old.pools.len()];
+        for spec in specs {
+            next.put(&spec);
+            let pool = spec.pool as usize;
+            if members.len() <= pool {
+                members.resize(pool + 1, Vec::new());
+            }
+            if spec.role != Role::Prefill {
+                members[pool].push((spec.id, name_hash(spec.name)));
+            }
+        }
+        for (i, list) in members.into_iter().enumerate() {
+            let pool = next.pool(list, old.pools.get(i));
+            next.pools.push(pool);
+        }
+        next
+    }
+
+    fn put(&mut self, spec: &Spec<'_>) {
+        let i = spec.id as usize;
+        while self.endpoints.len() <= i {
+            let live = Arc::new(Live::default());
+            let empty = Endpoint { pool: 0, zone: 0, slots: 0, role: Role::Whole, live };
+            self.endpoints.push(empty);
+        }
+        let live = self.endpoints[i].live.clone();
+        live.leaving.store(spec.leaving, Relaxed);
+        let (pool, zone, slots, role) = (spec.pool, spec.zone, spec.slots, spec.role);
+        self.endpoints[i] = Endpoint { pool, zone, slots, role, live };
+    }
+
+    fn pool(&self, mut members: Vec<(EndpointId, u64)>, old: Option<&Pool>) -> Pool {
+        members.sort_by_key(|(_, hash)| *hash);
+        let delay = |id: EndpointId| self.distance(self.home, id);
+        let (near, mut far): (Vec<_>, Vec<_>) =
+            members.into_iter().partition(|(id, _)| delay(*id) <= NEAR);
+        far.sort_by_key(|(id, hash)| (delay(*id), *hash));
+        let ranking = match old {
+            Some(p) if p.ranking.same(&near) => p.ranking.clone(),
+            _ => Arc::new(Ranking::build(near.clone())),
+        };
+        let ids = |list: Vec<(EndpointId, u64)>| list.into_iter().map(|(id, _)| id).collect();
+        Pool { near: ids(near), far: ids(far), ranking }
+    }
+
+    /// Delay from zone `from` to an endpoint.
+    pub fn distance(&self, from: ZoneId, id: EndpointId) -> Duration {
+        self.distances.get(from, self.endpoints[id as usize].zone)
+    }
+
+    /// The entry of an endpoint.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the identifier was never listed.
+    pub fn endpoint(&self, id: EndpointId) -> &Endpoint {
+        &self.endpoints[id as usize]
+    }
+
+    /// Members of a pool that take new requests, near ones first.
+    pub fn members(&self, pool: PoolId) -> impl Iterator<Item = EndpointId> + '_ {
+        let pool = self.pools.get(pool as usize);
+        pool.into_iter().flat_map(|p| p.near.iter().chain(&p.far)).copied()
+    }
+
+    /// Counts a request as sent to an endpoint.
+    pub fn start(&self, id: EndpointId) {
+        self.endpoint(id).live.outstanding.fetch_add(1, Relaxed);
+    }
+
+    /// Counts a request as ended, and records its result and the time that it held its slot.
+    pub fn finish(&self, id: EndpointId, kind: Kind, held: Duration, now: Mono) {
+        let live = &self.endpoint(id).live;
+        let before = live.outstanding.fetch_sub(1, Relaxed);
+        debug_assert!(before > 0, "a request ended that was never started");
+        if kind == Kind::Success {
+            live.note_hold(held);
+        }
+        if health::on_result(&live.health, kind, now) {
+            self.return_early(self.endpoint(id).pool, now);
+        }
+    }
+
+    /// Brings endpoints back before their time if too few of a pool are left.
+    fn return_early(&self, pool: PoolId, now: Mono) {
+        let members: Vec<_> = self.members(pool).collect();
+        let list: Vec<_> = members.iter().map(|id| &self.endpoint(*id).live.health).collect();
+        health::return_early(&list, now);
+    }
+}
--- /dev/null
+++ b/crates/route/tests/endpoint_choice.rs
@@ -0,0 +1,116 @@
+//! Choice of endpoints from a table.
+
+use {
+    agate_route::{
+        Ask, Distances, LoadReport, NoEndpoint, Role, Spec, Table, choose,
+        health::Kind,
+        ranking::{Ranking, name_hash},
+    },
+    std::{sync::atomic::Ordering::Relaxed, time::Duration},
+};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn table(count: u32) -> Table {
+    let names: Vec<_> = (0..count).map(|i| format!("worker-{i}")).collect();
+    rebuilt(&Table::new(0, Distances::default(), 7), &names)
+}
+
+fn rebuilt(old: &Table, names: &[String]) -> Table {
+    let specs = names.iter().map(|name| {
+        let id: u32 = name.rsplit('-').next().and_then(|n| n.parse().ok()).expect("number");
+        Spec { id, name, pool: 0, zone: id % 4, slots: 4, role: Role::Whole, leaving: false }
+    });
+    Table::rebuild(old, specs.collect::<Vec<_>>())
+}
+
+fn ask<'a>(prefix: &'a [u64], avoid: &'a [u32]) -> Ask<'a> {
+    Ask { pool: 0, zone: 0, prefix, tokens: prefix.len() as u32 * 64 + 20, avoid }
+}
+
+fn chain(seed: u64, len: u64) -> Vec<u64> {
+    (0..len).map(|i| (seed * 1000 + i + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect()
+}
+
+#[test]
+fn instances_agree() {
+    let (a, b) = (table(64), {
+        let mut names: Vec<_> = (0..64).map(|i| format!("worker-{i}")).collect();
+        names.reverse();
+        rebuilt(&Table::new(0, Distances::default(), 99), &names)
+    });
+    for seed in 0..50 {
+        let prefix = chain(seed, 64);
+        let ask = ask(&prefix, &[]);
+        assert_eq!(choose(&a, &ask, NOW), choose(&b, &ask, NOW));
+    }
+}
+
+#[test]
+fn busy_spills() {
+    let t = table(8);
+    let prefix = chain(1, 64);
+    let first = choose(&t, &ask(&prefix, &[]), NOW).expect("endpoint");
+    for _ in 0..4 {
+        t.start(first);
+    }
+    let second = choose(&t, &ask(&prefix, &[]), NOW).expect("endpoint");
+    assert_ne!(first, second);
+}
+
+#[test]
+fn tried_avoided() {
+    let t = table(3);
+    let prefix = chain(1, 8);
+    let mut tried = Vec::new();
+    for _ in 0..3 {
+        let id = choose(&t, &ask(&prefix, &tried), NOW).expect("endpoint");
+        assert!(!tried.contains(&id));
+        tried.push(id);
+    }
+    assert_eq!(choose(&t, &ask(&prefix, &tried), NOW), Err(NoEndpoint::Unusable(0)));
+}
+
+#[test]
+fn leaving_avoided() {
+    let t = table(2);
+    t.endpoint(0).live.leaving.store(true, Relaxed);
+    for seed in 0..20 {
+        assert_eq!(choose(&t, &ask(&chain(seed, 4), &[]), NOW), Ok(1));
+    }
+}
+
+#[test]
+fn counters_survive_rebuild() {
+    let old = table(4);
+    old.start(2);
+    let names = ["worker-2".to_owned(), "worker-5".to_owned()];
+    let new = rebuilt(&old, &names);
+    assert_eq!(new.endpoint(2).live.inflight(NOW), 1);
+    old.finish(2, Kind::Success, Duration::from_secs(1), NOW);
+    assert_eq!(new.endpoint(2).live.inflight(NOW), 0);
+    assert_eq!(new.members(0).count(), 2);
+    assert!((0..20).all(|s| matches!(choose(&new, &ask(&chain(s, 4), &[]), NOW), Ok(2 | 5))));
+}
+
+#[test]
+fn report_adds_own_starts() {
+    let t = table(1);
+    let live = &t.endpoint(0).live;
+    t.start(0);
+    live.set_load(LoadReport { running: 3, waiting: 1, slots: 8, at: NOW });
+    t.start(0);
+    assert_eq!(live.inflight(NOW), 5);
+    assert_eq!(live.inflight(NOW + Duration::from_secs(60)), 2, "an old report is ignored");
+}
+
+#[test]
+fn removal_moves_only_its_own() {
+    let members: Vec<_> = (0..32).map(|i| (i, name_hash(&format!("worker-{i}")))).collect();
+    let (all, less) = (Ranking::build(members.clone()), Ranking::build(members[..31].to_vec()));
+    for key in 0..2000 {
+        let kept: Vec<_> = all.get(key).filter(|id| *id != 31).collect();
+        let after: Vec<_> = less.get(key).collect();
+        assert!(after.starts_with(&kept), "{kept:?} moved to {after:?}");
+    }
+}
--- /dev/null
+++ b/crates/route/tests/retry_rules.rs
@@ -0,0 +1,57 @@
+//! Rules and budget of retries.
+
+use {
+    agate_core::Retry,
+    agate_route::{Budget, Failure, may_retry, retry},
+    rstest::rstest,
+    std::time::Duration,
+};
+
+const LEFT: Duration = Duration::from_secs(5);
+
+#[rstest]
+#[case(false, false, false, Some(Retry::Unsent))]
+#[case(true, true, false, Some(Retry::DeclaredUnrun))]
+#[case(true, false, true, Some(Retry::Idempotent))]
+#[case(true, false, false, None)]
+fn reason_decides(
+    #[case] sent: bool,
+    #[case] declared_unrun: bool,
+    #[case] idempotent: bool,
+    #[case] expected: Option<Retry>,
+) {
+    let failure = Failure { sent, declared_unrun };
+    assert_eq!(may_retry(failure, idempotent, 1, LEFT, &Budget::default()), expected);
+}
+
+#[test]
+fn bounds_refuse() {
+    let unsent = Failure { sent: false, declared_unrun: false };
+    let budget = Budget::default();
+    assert_eq!(may_retry(unsent, true, retry::MAX_ATTEMPTS, LEFT, &budget), None);
+    assert_eq!(may_retry(unsent, true, 1, Duration::from_millis(1), &budget), None);
+    while budget.take() {}
+    assert_eq!(may_retry(unsent, true, 1, LEFT, &budget), None);
+}
+
+#[test]
+fn amplification_bounded() {
+    let budget = Budget::default();
+    let requests = 10_000;
+    let mut retries = 0;
+    for _ in 0..requests {
+        budget.on_request();
+        retries += usize::from(budget.take());
+    }
+    assert!(retries * 10 <= requests, "{retries} retries of {requests} requests");
+}
+
+#[test]
+fn delay_bounded() {
+    for seed in 0..100 {
+        for attempts in 1..40 {
+            assert!(retry::delay(attempts, LEFT, seed) <= retry::DELAY_MAX);
+            assert!(retry::delay(attempts, Duration::from_millis(8), seed).as_millis() <= 4);
+        }
+    }
+}
