--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -144,11 +144,11 @@
         };
         state.counts.record(purpose, kind, now);
         if faults.outage {
-            return Err(unavailable(step(kind), "outage"));
+            return Err(unavailable(kind.label(), "outage"));
         }
         if max.is_some_and(|m| rate >= m) {
             state.counts.limited += 1;
-            return Err(Error::Limited { step: step(kind), peer: PEER.into() });
+            return Err(Error::Limited { step: kind.label(), peer: PEER.into() });
         }
         Ok(faults)
     }
@@ -157,17 +157,17 @@
         let now = (self.clock)();
         let mut state = self.lock();
         if kind.is_write() && take_one(&mut state.faults.lost_calls) {
-            return Err(ambiguous(step(kind)));
+            return Err(ambiguous(kind.label()));
         }
         let reply = state
             .model
             .apply(call, now)
-            .map_err(|large| unavailable(step(kind), &large.to_string()))?;
+            .map_err(|large| unavailable(kind.label(), &large.to_string()))?;
         let lost = kind.is_write() && take_one(&mut state.faults.lost_answers);
         drop(state);
         self.announce();
         if lost {
-            return Err(ambiguous(step(kind)));
+            return Err(ambiguous(kind.label()));
         }
         Ok(reply)
     }
@@ -224,18 +224,6 @@
     some
 }
 
-fn step(kind: Kind) -> &'static str {
-    match kind {
-        Kind::Get => "get",
-        Kind::List => "list",
-        Kind::Swap => "swap",
-        Kind::Watch => "watch",
-        Kind::Grant => "grant",
-        Kind::Renew => "renew",
-        Kind::Revoke => "revoke",
-    }
-}
-
 fn unavailable(step: &'static str, cause: &str) -> Error {
     Error::Unavailable { step, peer: PEER.into(), cause: cause.into() }
 }
--- a/crates/store/src/meter.rs
+++ b/crates/store/src/meter.rs
@@ -43,6 +43,19 @@
         }
     }
 
+    /// Name of the kind in errors and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Kind::Get => "get",
+            Kind::List => "list",
+            Kind::Swap => "swap",
+            Kind::Watch => "watch",
+            Kind::Grant => "grant",
+            Kind::Renew => "renew",
+            Kind::Revoke => "revoke",
+        }
+    }
+
     /// Whether calls of this kind change the service's state.
     pub fn is_write(self) -> bool {
         !matches!(self, Kind::Get | Kind::List | Kind::Watch)
--- /dev/null
+++ b/crates/store/tests/shared_client.rs
@@ -0,0 +1,177 @@
+//! The client repeats only what had no effect, joins reads, and settles lost answers by reading.
+
+use {
+    agate_store::{
+        Call, Client, Error, Memory, Purpose, Reply, Store, Swap, Write, breaker, client::Settings,
+        meter::Kind, swap_resolved, tally::Event,
+    },
+    rstest::rstest,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::Semaphore,
+};
+
+const P: Purpose = Purpose::Record;
+
+fn settings() -> Settings {
+    Settings {
+        base_delay: Duration::from_micros(1),
+        max_delay: Duration::from_micros(10),
+        breaker: breaker::Settings {
+            failures: 100,
+            base: Duration::from_secs(3600),
+            max: Duration::from_secs(3600),
+        },
+        ..Settings::for_fleet(1)
+    }
+}
+
+fn open(settings: Settings) -> (Memory, Client) {
+    let memory = Memory::open(|| Duration::ZERO);
+    let client = Client::open(memory.store(), settings, 1);
+    (memory, client)
+}
+
+#[tokio::test]
+async fn ambiguous_not_repeated() {
+    let (memory, client) = open(settings());
+    memory.set_faults(|f| f.lost_answers = 1);
+    let e = client.store().swap(P, "a", 0, vec![1]).await.unwrap_err();
+    assert!(matches!(e, Error::Ambiguous { .. }));
+    assert_eq!(memory.counts().kind(Kind::Swap), 1);
+    assert_eq!(client.tally().get(P, Event::Ambiguous), 1);
+}
+
+#[tokio::test]
+async fn refused_is_repeated() {
+    let (memory, client) = open(settings());
+    memory.set_faults(|f| f.outage = true);
+    assert!(client.store().swap(P, "a", 0, vec![1]).await.is_err());
+    assert_eq!(memory.counts().kind(Kind::Swap), u64::from(settings().attempts));
+    assert_eq!(client.tally().get(P, Event::Retried), u64::from(settings().attempts) - 1);
+}
+
+#[rstest]
+#[case::write(true)]
+#[case::read(false)]
+#[tokio::test]
+async fn silence_meets_deadline(#[case] write: bool) {
+    let (memory, client) = open(Settings { deadline: Duration::from_millis(5), ..settings() });
+    memory.set_faults(|f| f.silent = true);
+    let s = client.store();
+    let e = match write {
+        true => s.swap(P, "a", 0, vec![1]).await.unwrap_err(),
+        false => s.get(P, "a").await.unwrap_err(),
+    };
+    assert_eq!(matches!(e, Error::Ambiguous { .. }), write, "{e}");
+}
+
+#[tokio::test]
+async fn open_circuit_spares() {
+    let breaker = breaker::Settings { failures: 3, ..settings().breaker };
+    let (memory, client) = open(Settings { breaker, ..settings() });
+    memory.set_faults(|f| f.outage = true);
+    for _ in 0..5 {
+        assert!(client.store().get(P, "a").await.is_err());
+    }
+    assert_eq!(memory.counts().reads(), 3);
+    assert!(client.tally().get(P, Event::CircuitOpen) > 0);
+}
+
+#[tokio::test]
+async fn budget_refuses_locally() {
+    let settings = Settings { deadline: Duration::from_millis(1), ..Settings::for_fleet(1_900) };
+    let (memory, client) = open(settings);
+    let mut refused = 0;
+    for i in 0..50 {
+        let e = client.store().swap(Purpose::Claim, i.to_string(), 0, vec![]).await;
+        refused += u64::from(matches!(e, Err(Error::Limited { peer, .. }) if peer == "local"));
+    }
+    assert_eq!(memory.counts().writes() + refused, 50);
+    assert!(refused >= 20 && client.tally().get(Purpose::Claim, Event::OverBudget) == refused);
+    assert!(client.store().swap(Purpose::Lease, "l", 0, vec![]).await.is_ok());
+}
+
+/// Reads that wait are joined; one that is under way is not, since it may miss a later change.
+#[tokio::test]
+async fn waiting_reads_join() {
+    let memory = Memory::open(|| Duration::ZERO);
+    let (inner, pass, sent) =
+        (memory.store(), Arc::new(Semaphore::new(0)), Arc::new(AtomicU32::new(0)));
+    let (gate, count) = (pass.clone(), sent.clone());
+    // Each read looks at the key first and is held back afterwards, so its answer may be old.
+    let slow = Store::new(move |p, call| {
+        let (inner, gate, count) = (inner.clone(), gate.clone(), count.clone());
+        Box::pin(async move {
+            let reply = inner.call(p, call).await;
+            count.fetch_add(1, Ordering::SeqCst);
+            gate.acquire().await.expect("the gate stays open").forget();
+            reply
+        })
+    });
+    let client = Client::open(slow, settings(), 1);
+    let read = |s: Store| tokio::spawn(async move { s.get(P, "a").await.unwrap() });
+    let first = read(client.store());
+    while sent.load(Ordering::SeqCst) == 0 {
+        tokio::task::yield_now().await;
+    }
+    memory.store().swap(P, "a", 0, vec![9]).await.unwrap().unwrap();
+    let later: Vec<_> = (0..20).map(|_| read(client.store())).collect();
+    while client.tally().get(P, Event::Coalesced) < 19 {
+        tokio::task::yield_now().await;
+    }
+    pass.add_permits(2);
+    assert_eq!(first.await.unwrap(), None);
+    for l in later {
+        assert_eq!(l.await.unwrap().unwrap().value, vec![9]);
+    }
+    assert_eq!(memory.counts().kind(Kind::Get), 2);
+}
+
+#[rstest]
+#[case::clean(0, 0, 1)]
+#[case::lost_answer(1, 0, 1)]
+#[case::lost_call(0, 1, 2)]
+#[case::lost_both(1, 1, 2)]
+#[tokio::test]
+async fn lost_swap_resolves(#[case] answers: u32, #[case] calls: u32, #[case] writes: u64) {
+    let (memory, client) = open(settings());
+    memory.set_faults(|f| (f.lost_answers, f.lost_calls) = (answers, calls));
+    let write = Write { key: "a".into(), expect: 0, value: vec![5] };
+    let done = swap_resolved(&client.store(), P, &write, 3, |r| r.value == [5]).await.unwrap();
+    assert!(matches!(done, Swap::Done(_)), "{done:?}");
+    assert_eq!(memory.counts().kind(Kind::Swap), writes);
+}
+
+/// Another writes between the lost call and the reading: the outcome stays honest.
+#[rstest]
+#[case::overtaken(true)]
+#[case::conflict(false)]
+#[tokio::test]
+async fn other_writer_shows(#[case] lost: bool) {
+    let memory = Memory::open(|| Duration::ZERO);
+    let inner = memory.store();
+    let other = Store::new(move |p, call| {
+        let inner = inner.clone();
+        Box::pin(async move {
+            if !matches!(call, Call::Swap { .. }) {
+                return inner.call(p, call).await;
+            }
+            let theirs = inner.swap(p, "a", 0, vec![6]).await?;
+            if lost {
+                let cause = "test".into();
+                return Err(Error::Ambiguous { step: "swap", peer: "test".into(), cause });
+            }
+            Ok(Reply::Conflict(theirs.err().flatten()))
+        })
+    });
+    let write = Write { key: "a".into(), expect: 0, value: vec![5] };
+    let done = swap_resolved(&other, P, &write, 3, |r| r.value == [5]).await.unwrap();
+    assert_eq!(matches!(done, Swap::Overtaken(_)), lost);
+    assert_eq!(matches!(done, Swap::Conflict(_)), !lost);
+}
