Add stand-ins of engine, service and platform

Cause: the request path and the invariant checks need outside systems that keep a log of what really ran and that fail on demand.

Change: an engine with slots, prefix cache, orders, deterministic text and HTTP faults; a service that counts bookings; a platform with key-value service, fleet, usage and instance list; a byte forwarder for the failures below HTTP, whose port stays bound while connections are refused.

Conclusion: each fault is shown by a test to change a reply or a log.

--- /dev/null
+++ b/crates/standin/src/platform/store.rs
@@ -0,0 +1,101 @@
+//! The key-value service over HTTP; each call is passed on to a [`Store`](agate_store::Store).
+
+use {
+    super::Shared,
+    crate::server::{self, Call},
+    agate_store::{Call as StoreCall, Purpose, Record, Reply, Revision, port::LeaseId},
+    base64::{Engine as _, engine::general_purpose::STANDARD},
+    http::StatusCode,
+    serde::Deserialize,
+    serde_json::{Value, json},
+    std::time::Duration,
+    volo_http::response::Response,
+};
+
+#[derive(Deserialize)]
+struct Swap {
+    key: String,
+    expect: Revision,
+    value: Option<String>,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Deserialize)]
+struct Ttl {
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Lease {
+    lease: LeaseId,
+}
+
+/// Answers one call under `/store/v1`.
+pub(super) async fn answer(shared: &Shared, call: &Call) -> Response {
+    let wanted = match parse(call) {
+        Ok(w) => w,
+        Err(status) => return server::empty(status),
+    };
+    let watched = matches!(wanted, StoreCall::Watch { .. });
+    match shared.store.call(Purpose::Record, wanted).await {
+        Ok(reply) => render(reply, watched),
+        Err(e) => {
+            log::warn!("stand-in store: {e}");
+            server::empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn parse(call: &Call) -> Result<StoreCall, StatusCode> {
+    let bad = StatusCode::BAD_REQUEST;
+    let text = |name: &str| call.param(name).ok_or(bad);
+    let number = |name: &str| text(name)?.parse::<u64>().map_err(|_| bad);
+    match (call.method.as_str(), call.path.as_str()) {
+        ("GET", "/store/v1/key") => Ok(StoreCall::Get { key: text("key")? }),
+        ("GET", "/store/v1/list") => Ok(StoreCall::List { prefix: text("prefix")? }),
+        ("GET", "/store/v1/watch") => Ok(StoreCall::Watch {
+            key: text("key")?,
+            after: number("after")?,
+            wait: Duration::from_millis(number("wait_ms")?),
+        }),
+        ("POST", "/store/v1/swap") => swap(call.json()?),
+        ("POST", "/store/v1/lease") => {
+            let t: Ttl = call.json()?;
+            Ok(StoreCall::Grant { ttl: Duration::from_millis(t.ttl_ms) })
+        }
+        ("POST", "/store/v1/renew") => {
+            let l: Lease = call.json()?;
+            Ok(StoreCall::Renew { lease: l.lease })
+        }
+        ("POST", "/store/v1/revoke") => {
+            let l: Lease = call.json()?;
+            Ok(StoreCall::Revoke { lease: l.lease })
+        }
+        _ => Err(StatusCode::NOT_FOUND),
+    }
+}
+
+fn swap(s: Swap) -> Result<StoreCall, StatusCode> {
+    let value = s.value.map(|v| STANDARD.decode(v)).transpose();
+    let value = value.map_err(|_| StatusCode::BAD_REQUEST)?;
+    Ok(StoreCall::Swap { key: s.key, expect: s.expect, value, lease: s.lease })
+}
+
+fn record(r: &Record) -> Value {
+    json!({ "revision": r.revision, "value": STANDARD.encode(&r.value) })
+}
+
+fn render(reply: Reply, watched: bool) -> Response {
+    match reply {
+        Reply::Value(Some(r)) => server::json(StatusCode::OK, &record(&r)),
+        Reply::Value(None) if watched => server::empty(StatusCode::NO_CONTENT),
+        Reply::Value(None) => server::empty(StatusCode::NOT_FOUND),
+        Reply::Keys(keys) => server::json(StatusCode::OK, &json!({ "keys": keys })),
+        Reply::Swapped(r) => server::json(StatusCode::OK, &json!({ "revision": r })),
+        Reply::Conflict(Some(r)) => server::json(StatusCode::CONFLICT, &record(&r)),
+        Reply::Conflict(None) => server::json(StatusCode::CONFLICT, &json!({})),
+        Reply::Granted(l) => server::json(StatusCode::OK, &json!({ "lease": l })),
+        Reply::Done => server::empty(StatusCode::NO_CONTENT),
+        Reply::LeaseGone => server::empty(StatusCode::GONE),
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/engine_faults.rs
@@ -0,0 +1,130 @@
+//! Every fault of an engine shows in its replies or its log.
+
+mod common;
+
+use {
+    agate_standin::{
+        Engine, EngineFaults, EngineSettings,
+        engine::{OrderKind, RunState},
+    },
+    common::{any, call, chat, read, send, until},
+    rstest::rstest,
+    std::time::Duration,
+    tokio::net::TcpStream,
+};
+
+const CHAT: &str = "POST /v1/chat/completions";
+
+async fn engine() -> Engine {
+    Engine::bind(any(), EngineSettings::default()).await.unwrap()
+}
+
+#[rstest]
+#[case::cut(|f: &mut EngineFaults| f.cut_after = Some(2))]
+#[case::short(|f: &mut EngineFaults| f.short_end = Some(2))]
+#[tokio::test]
+async fn broken_stream(#[case] fault: fn(&mut EngineFaults)) {
+    let engine = engine().await;
+    engine.set(fault);
+    engine.set(|f| f.shots = 1);
+    let reply = call(engine.address(), CHAT, "", &chat("a", 8, 0)).await;
+    assert!(!reply.contains("[DONE]"));
+    assert_eq!((engine.log()[0].tokens, engine.log()[0].state), (2, RunState::Dropped));
+    let reply = call(engine.address(), CHAT, "", &chat("a", 8, 0)).await;
+    assert!(reply.contains("[DONE]"));
+}
+
+#[rstest]
+#[case::long(5)]
+#[case::short(-5)]
+#[tokio::test]
+async fn wrong_length(#[case] error: i64) {
+    let engine = engine().await;
+    engine.set(|f| f.length_error = error);
+    let body = chat("a", 2, 0).replace("true", "false");
+    let reply = call(engine.address(), CHAT, "", &body).await;
+    let (head, body) = reply.split_once("\r\n\r\n").unwrap();
+    let declared = head.lines().find_map(|l| l.strip_prefix("content-length: ")).unwrap();
+    let whole = serde_json::from_str::<serde_json::Value>(body).is_ok();
+    assert!(declared.parse::<usize>().unwrap() != body.len() || !whole);
+}
+
+#[tokio::test]
+async fn marked_crash() {
+    let engine = engine().await;
+    engine.set(|f| f.crash_mark = Some("boom".into()));
+    let neighbour = send(engine.address(), CHAT, "", &chat("calm", 10_000, 0)).await;
+    until(|| engine.load().running == 1).await;
+    assert!(call(engine.address(), CHAT, "", &chat("boom", 1, 0)).await.is_empty());
+    assert!(!read(neighbour).await.contains("[DONE]"));
+    assert!(engine.log().iter().all(|e| e.state == RunState::Crashed));
+    assert!(TcpStream::connect(engine.address()).await.is_err());
+    engine.restart();
+    until(|| std::net::TcpStream::connect(engine.address()).is_ok()).await;
+    assert!(call(engine.address(), CHAT, "", &chat("calm", 1, 0)).await.contains("[DONE]"));
+}
+
+#[tokio::test]
+async fn declared_unrun() {
+    let engine = engine().await;
+    engine.set(|f| f.not_run = true);
+    let reply = call(engine.address(), CHAT, "", &chat("a", 1, 0)).await;
+    assert!(reply.starts_with("HTTP/1.1 503") && reply.contains("x-not-run: true"));
+    assert!(engine.log().is_empty());
+}
+
+#[tokio::test]
+async fn crossed_id() {
+    let engine = engine().await;
+    engine.set(|f| f.wrong_id = true);
+    let reply = call(engine.address(), CHAT, "x-request-id: r1\r\n", &chat("a", 1, 0)).await;
+    assert!(reply.contains("x-request-id: crossed-r1"));
+}
+
+#[tokio::test]
+async fn lagging_load() {
+    let engine = engine().await;
+    engine.set(|f| f.load_lag = Duration::from_secs(3600));
+    let _conn = send(engine.address(), CHAT, "", &chat("a", 10_000, 0)).await;
+    until(|| engine.load().running == 1).await;
+    assert!(call(engine.address(), "GET /load", "", "").await.contains("\"running\":0"));
+}
+
+#[tokio::test]
+async fn lost_events() {
+    let engine = engine().await;
+    engine.set(|f| f.lose_events = 2);
+    for i in 0..4 {
+        call(engine.address(), CHAT, "", &chat(&format!("{i}").repeat(200), 1, 0)).await;
+    }
+    let events = call(engine.address(), "GET /cache/events?after=0", "", "").await;
+    assert!(events.contains("\"sequence\":3") && !events.contains("\"sequence\":2"));
+}
+
+#[rstest]
+#[case::fenced(true, false, "409")]
+#[case::ignoring(true, true, "200")]
+#[case::unfenced(false, false, "200")]
+#[tokio::test]
+async fn old_fence(#[case] fenced: bool, #[case] ignore: bool, #[case] status: &str) {
+    let settings = EngineSettings { fenced, ..Default::default() };
+    let engine = Engine::bind(any(), settings).await.unwrap();
+    engine.set(|f| f.ignore_fence = ignore);
+    let line = "POST /admin/order";
+    let new = call(engine.address(), line, "", r#"{"fence":7,"id":"a","kind":"drain"}"#).await;
+    assert!(new.starts_with("HTTP/1.1 200"));
+    let old = call(engine.address(), line, "", r#"{"fence":6,"id":"b","kind":"undrain"}"#).await;
+    assert!(old.starts_with(&format!("HTTP/1.1 {status}")));
+    let orders = engine.orders();
+    assert_eq!((orders[1].seen, orders[1].kind), (7, OrderKind::Undrain));
+}
+
+#[tokio::test]
+async fn order_crash() {
+    let engine = engine().await;
+    engine.set(|f| f.crash_order = true);
+    let body = r#"{"fence":1,"id":"a","kind":"role","role":"decode"}"#;
+    let reply = call(engine.address(), "POST /admin/order", "", body).await;
+    assert!(reply.is_empty());
+    assert_eq!((engine.orders()[0].done, engine.crashes()), (false, 1));
+}
--- /dev/null
+++ b/crates/standin/tests/engine_stream.rs
@@ -0,0 +1,82 @@
+//! Streams of the engine: text, resumption, slots and load.
+
+mod common;
+
+use {
+    agate_standin::{
+        Engine, EngineSettings,
+        engine::{RunState, text},
+    },
+    common::{any, call, chat, content, read, send, until},
+    std::time::Duration,
+};
+
+const CHAT: &str = "POST /v1/chat/completions";
+
+fn expected(content: &str, count: u32) -> String {
+    text::answer(&text::line("user", content), count)
+}
+
+fn slow() -> EngineSettings {
+    EngineSettings { slots: 1, gap: Duration::from_millis(20), ..Default::default() }
+}
+
+#[tokio::test]
+async fn whole_stream() {
+    let engine = Engine::bind(any(), EngineSettings::default()).await.unwrap();
+    let reply = call(engine.address(), CHAT, "x-request-id: r1\r\n", &chat("hello", 8, 0)).await;
+    assert_eq!(content(&reply), expected("hello", 8));
+    assert!(reply.contains("data: [DONE]") && reply.contains("\"completion_tokens\":8"));
+    assert!(reply.contains("x-request-id: r1") && reply.contains("x-load: running="));
+    let log = engine.log();
+    assert_eq!((log[0].state, log[0].tokens, log[0].key_seen), (RunState::Finished, 8, false));
+}
+
+#[tokio::test]
+async fn resumed_stream() {
+    let one = Engine::bind(any(), EngineSettings::default()).await.unwrap();
+    let two = Engine::bind(any(), EngineSettings::default()).await.unwrap();
+    one.set(|f| f.cut_after = Some(3));
+    let head = call(one.address(), CHAT, "", &chat("hello", 8, 0)).await;
+    assert!(!head.contains("[DONE]"));
+    let tail = call(two.address(), CHAT, "", &chat("hello", 8, 3)).await;
+    assert_eq!(content(&head) + &content(&tail), expected("hello", 8));
+}
+
+#[tokio::test]
+async fn caller_leaves() {
+    let engine = Engine::bind(any(), slow()).await.unwrap();
+    let conn = send(engine.address(), CHAT, "x-request-id: r1\r\n", &chat("a", 10_000, 0)).await;
+    until(|| engine.log().first().is_some_and(|e| e.tokens > 1)).await;
+    drop(conn);
+    until(|| engine.load().running == 0).await;
+    assert_eq!(engine.log()[0].state, RunState::Dropped);
+}
+
+#[tokio::test]
+async fn cancel_frees() {
+    let engine = Engine::bind(any(), slow()).await.unwrap();
+    let first = send(engine.address(), CHAT, "x-request-id: r1\r\n", &chat("a", 10_000, 0)).await;
+    until(|| engine.load().running == 1).await;
+    let second = send(engine.address(), CHAT, "x-request-id: r2\r\n", &chat("b", 2, 0)).await;
+    until(|| engine.load().waiting == 1).await;
+    let done = call(engine.address(), "POST /v1/cancel", "", r#"{"id":"r1"}"#).await;
+    assert!(done.starts_with("HTTP/1.1 204"));
+    assert_eq!(content(&read(second).await), expected("b", 2));
+    assert!(read(first).await.contains("cancelled"));
+    assert_eq!(engine.log()[0].state, RunState::Cancelled);
+}
+
+#[tokio::test]
+async fn cached_prefix() {
+    let engine = Engine::bind(any(), EngineSettings::default()).await.unwrap();
+    let long = "word ".repeat(100);
+    for _ in 0..2 {
+        call(engine.address(), CHAT, "", &chat(&long, 1, 0)).await;
+    }
+    let log = engine.log();
+    assert_eq!(log[0].cached, 0);
+    assert!(log[1].cached >= log[1].prompt - text::BLOCK_TOKENS);
+    let events = call(engine.address(), "GET /cache/events?after=0", "", "").await;
+    assert!(events.contains("\"sequence\":1"));
+}
--- /dev/null
+++ b/crates/standin/tests/tap_faults.rs
@@ -0,0 +1,63 @@
+//! Faults below HTTP.
+
+mod common;
+
+use {
+    agate_standin::{Service, Tap},
+    common::{any, call, send, until},
+    rstest::rstest,
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+    },
+};
+
+#[tokio::test]
+async fn silent_connection() {
+    let service = Service::bind(any(), "desk").await.unwrap();
+    let mut old = TcpStream::connect(service.address()).await.unwrap();
+    until(|| service.tap().accepted() == 1).await;
+    service.tap().silence();
+    old.write_all(b"GET /old HTTP/1.1\r\nhost: x\r\n\r\n").await.unwrap();
+    assert!(call(service.address(), "GET /new", "", "").await.contains("/new"));
+    assert!(service.log().iter().all(|e| e.path == "/new"));
+    let mut byte = [0];
+    let read = tokio::time::timeout(Duration::from_millis(50), old.read(&mut byte)).await;
+    assert!(read.is_err(), "nothing arrives, not even the end");
+}
+
+#[rstest]
+#[case::cut(|t: &Tap| t.set(|f| f.cut_after = Some(20)), "HTTP/1.1 200 OK\r\ncon")]
+#[case::append(|t: &Tap| t.set(|f| f.append = b"HTTP/9".to_vec()), "}HTTP/9")]
+#[tokio::test]
+async fn altered_bytes(#[case] fault: fn(&Tap), #[case] tail: &str) {
+    let service = Service::bind(any(), "desk").await.unwrap();
+    fault(service.tap());
+    let reply = call(service.address(), "GET /a", "", "").await;
+    assert!(reply.ends_with(tail), "{reply}");
+}
+
+#[tokio::test]
+async fn refused_connection() {
+    let service = Service::bind(any(), "desk").await.unwrap();
+    let conn = send(service.address(), "GET /a", "", "").await;
+    service.tap().refuse();
+    drop(common::read(conn).await);
+    until(|| std::net::TcpStream::connect(service.address()).is_err()).await;
+    let taken = TcpListener::bind(service.address()).await;
+    assert!(taken.is_err(), "the port stays reserved");
+    service.tap().admit();
+    until(|| std::net::TcpStream::connect(service.address()).is_ok()).await;
+}
+
+#[tokio::test]
+async fn stalled_bytes() {
+    let service = Service::bind(any(), "desk").await.unwrap();
+    service.tap().set(|f| f.stall = true);
+    let conn = send(service.address(), "GET /a", "", "").await;
+    until(|| service.tap().accepted() == 1).await;
+    assert!(service.log().is_empty());
+    service.tap().set(|f| f.stall = false);
+    assert!(common::read(conn).await.contains("/a"));
+}
