Publish the document as chunks under one head

Teams change their own section while others change theirs; the whole must stay sound, have one order, and survive lost answers.

A section is split into chunks that end by the hash of an entry's name, so one changed entry changes one chunk. apply verifies the whole resulting document, writes the chunks that the store lacks and the copy of the old head, and replaces the head by compare-and-swap. A race on another section starts over on the newer head, one on the same section is refused with the author and generation that changed it. Damaged records and heads of another version are refused with their key, and such a head is never overwritten.

Changing one organisation costs three writes: a chunk, the copy of the old head, the head.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,15 +4,24 @@
 //! [`mod@parse`] reads it from YAML, [`mod@verify`] checks every cross reference, and [`snapshot`]
 //! compiles a verified document into the dense tables that requests read. The verifier shares no
 //! code with the compiler, so a fault in one shows in the other.
+//!
+//! In the store the document is a set of content-addressed chunks ([`section`]) under one [`head`]
+//! that is replaced by compare-and-swap ([`publish`]).
 
 pub mod doc;
 pub mod hash;
+pub mod head;
 pub mod parse;
+pub mod publish;
+pub mod section;
 pub mod snapshot;
 pub mod verify;
 
 pub use {
     doc::Document,
+    head::Head,
     parse::{Problem, parse},
+    publish::{apply, load},
+    section::Section,
     verify::verify,
 };
--- /dev/null
+++ b/crates/config/src/publish/read.rs
@@ -0,0 +1,52 @@
+//! Reading heads, chunks and documents.
+
+use {
+    super::Result,
+    crate::{
+        doc::Document,
+        head::{BadRecord, HEAD_KEY, Head, check_chunk, chunk_key, history_key},
+        section::ChunkId,
+    },
+    agate_core::Generation,
+    agate_store::{Purpose, Revision, Store},
+    indexmap::IndexMap,
+};
+
+/// Chunks read or written so far, by digest.
+pub(super) type Chunks = IndexMap<ChunkId, Vec<u8>>;
+
+/// Reads the head and its revision; `None` before the first apply.
+pub async fn newest(store: &Store) -> Result<Option<(Revision, Head)>> {
+    let Some(record) = store.get(Purpose::Config, HEAD_KEY).await? else { return Ok(None) };
+    Ok(Some((record.revision, Head::decode(HEAD_KEY, &record.value)?)))
+}
+
+/// Reads the head that `generation` had, among those that have been replaced.
+pub async fn archived(store: &Store, generation: Generation) -> Result<Option<Head>> {
+    let key = history_key(generation);
+    let Some(record) = store.get(Purpose::Config, key.clone()).await? else { return Ok(None) };
+    Ok(Some(Head::decode(&key, &record.value)?))
+}
+
+/// Reads the head and its document; `None` before the first apply.
+///
+/// The document is not verified again: it was before it was accepted, and a build whose bounds are
+/// stricter must still serve it.
+pub async fn load(store: &Store) -> Result<Option<(Head, Document)>> {
+    let Some((_, head)) = newest(store).await? else { return Ok(None) };
+    let mut chunks = Chunks::new();
+    let doc = document(store, &head, &mut chunks).await?;
+    Ok(Some((head, doc)))
+}
+
+/// Reads the chunks of `head` that `chunks` lacks and puts the document together.
+pub(super) async fn document(store: &Store, head: &Head, chunks: &mut Chunks) -> Result<Document> {
+    for id in head.missing(|id| chunks.contains_key(id)) {
+        let key = chunk_key(&id);
+        let record = store.get(Purpose::Config, key.clone()).await?;
+        let bytes = record.ok_or(BadRecord::Absent { key })?.value;
+        check_chunk(&id, &bytes)?;
+        chunks.insert(id, bytes);
+    }
+    Ok(head.assemble(|id| chunks.get(id).map(Vec::as_slice))?)
+}
--- a/crates/config/src/verify/mod.rs
+++ b/crates/config/src/verify/mod.rs
@@ -26,7 +26,7 @@
     /// Most versions of one model.
     pub const VERSIONS: usize = 64;
     /// Most shared prefixes of one model.
-    pub const PREFIXES: usize = 64;
+    pub const PREFIXES: usize = 16;
     /// Most availability zones.
     pub const ZONES: usize = 64;
     /// Most pools.
@@ -42,7 +42,7 @@
     /// Longest path of a route, in bytes.
     pub const PATH: usize = 512;
     /// Longest shared prefix, in bytes.
-    pub const PREFIX: usize = 4_096;
+    pub const PREFIX: usize = 2_048;
     /// Largest weight of an organisation.
     pub const WEIGHT: u32 = 1_000_000;
     /// Most concurrent requests of one endpoint.
