--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -13,7 +13,7 @@
 /// Largest chunk, in bytes.
 pub const MAX_CHUNK: usize = 256 << 10;
 /// Mean number of entries in a chunk.
-const MEAN_ENTRIES: u32 = 32;
+pub const MEAN_ENTRIES: u32 = 32;
 
 /// Hexadecimal BLAKE3 digest of a chunk.
 pub type ChunkId = String;
