--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -136,8 +136,8 @@
     Probe {
         /// Number that the acknowledgement repeats.
         number: u64,
-        /// Sender's place, when the receiver may not know it.
-        place: Option<Place>,
+        /// Sender's place.
+        place: Place,
         /// Content that rides along.
         gossip: Gossip,
     },
