Wait for the crashed engine's listener to close in its test

Cause: the check after a crash raced with the closing of the listener and failed once in three runs. Change: wait on the condition; the condition itself is unchanged.

--- a/crates/standin/tests/engine_faults.rs
+++ b/crates/standin/tests/engine_faults.rs
@@ -10,7 +10,6 @@
     common::{any, call, chat, read, send, until},
     rstest::rstest,
     std::time::Duration,
-    tokio::net::TcpStream,
 };
 
 const CHAT: &str = "POST /v1/chat/completions";
@@ -58,7 +57,7 @@
     assert!(call(engine.address(), CHAT, "", &chat("boom", 1, 0)).await.is_empty());
     assert!(!read(neighbour).await.contains("[DONE]"));
     assert!(engine.log().iter().all(|e| e.state == RunState::Crashed));
-    assert!(TcpStream::connect(engine.address()).await.is_err());
+    until(|| std::net::TcpStream::connect(engine.address()).is_err()).await;
     engine.restart();
     until(|| std::net::TcpStream::connect(engine.address()).is_ok()).await;
     assert!(call(engine.address(), CHAT, "", &chat("calm", 1, 0)).await.contains("[DONE]"));
