Serve the platform's key-value calls from the shared in-memory service

Cause: the stand-in had its own map until the shared one existed. Change: use the shared one and tick its lease expiry; remove the duplicate.

--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -5,25 +5,27 @@
 //! has its effect and is answered with 500.
 
 mod fleet;
-mod map;
 mod store;
 
 pub use fleet::{FleetEndpoint, FleetOrder, Instance, UsageEntry};
 
 use {
     crate::server::{self, Call},
-    agate_store::Store,
+    agate_store::{Store, memory::Memory},
     fleet::Fleet,
     http::StatusCode,
     indexmap::IndexMap,
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{Arc, Mutex, MutexGuard, Weak},
         time::{Duration, Instant},
     },
     volo_http::response::Response,
 };
 
+/// Time between two looks for lapsed leases.
+const EXPIRY_TICK: Duration = Duration::from_millis(20);
+
 /// Faults of the platform.
 #[derive(Clone, Debug, Default)]
 pub struct PlatformFaults {
@@ -45,6 +47,7 @@
 
 pub(crate) struct Shared {
     store: Store,
+    memory: Memory,
     fleet: Mutex<Fleet>,
     faults: Mutex<PlatformFaults>,
     counts: Mutex<IndexMap<String, u64>>,
@@ -95,13 +98,17 @@
 impl Platform {
     /// Starts a platform on `address`, port 0 for an ephemeral one.
     pub async fn bind(address: SocketAddr) -> crate::Result<Platform> {
+        let start = Instant::now();
+        let memory = Memory::open(move || start.elapsed());
         let shared = Arc::new(Shared {
-            store: map::open(),
+            store: memory.store(),
+            memory,
             fleet: Mutex::default(),
             faults: Mutex::default(),
             counts: Mutex::default(),
             second: Mutex::new((Instant::now(), 0)),
         });
+        tokio::spawn(expire_leases(Arc::downgrade(&shared)));
         let for_calls = shared.clone();
         let server = server::serve(address, move |call| answer(for_calls.clone(), call)).await?;
         Ok(Platform { shared, server: Arc::new(server) })
@@ -158,6 +165,15 @@
     }
 }
 
+/// Ends lapsed leases until the platform is gone, so that waiting watches learn of it.
+async fn expire_leases(shared: Weak<Shared>) {
+    while let Some(s) = shared.upgrade() {
+        s.memory.expire();
+        drop(s);
+        tokio::time::sleep(EXPIRY_TICK).await;
+    }
+}
+
 async fn answer(shared: Arc<Shared>, call: Call) -> Response {
     let faults = shared.faults();
     *shared.counts.lock().expect("no panic while locked").entry(call.path.clone()).or_insert(0) +=
