Measure admission and choice in virtual time

The fair queue and the choice of endpoint had no figures under load.

The lab runs the production functions over a model of continuous batching.

Load reports older than 2 s are no longer used.

--- /dev/null
+++ b/crates/lab/examples/policy.rs
@@ -0,0 +1,27 @@
+//! Prints the measurements of the policies: `policy -- NAME`.
+
+use {
+    agate_lab::study::{affinity, deadline, fairness, overload},
+    std::time::Duration,
+};
+
+const SEED: u64 = 20;
+
+fn main() {
+    let name = std::env::args().nth(1).unwrap_or_default();
+    let secs = Duration::from_secs;
+    match name.as_str() {
+        "fairness" => println!("{}", fairness::table(&[4, 8, 32], secs(120), SEED)),
+        "deadline" => println!("{}", deadline::table(8, &[0.6, 0.8, 0.95], secs(120), SEED)),
+        "overload" => println!("{}", overload::goodput(8, &[0.8, 1.0, 1.5, 3.0], secs(120), SEED)),
+        "herding" => {
+            let lags = [100, 1000, 5000].map(Duration::from_millis);
+            println!("{}", overload::herding(&lags, secs(60), SEED));
+        }
+        "affinity" => {
+            let sizes = [(8, secs(120)), (64, secs(60)), (1000, secs(20))];
+            println!("{}", affinity::table(&sizes, SEED));
+        }
+        _ => eprintln!("usage: policy -- fairness|deadline|overload|herding|affinity"),
+    }
+}
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -89,13 +89,13 @@
 
 /// Considers a rotating sample of the near endpoints.
 fn by_sample(table: &Table, pool: &Pool, ask: &Ask<'_>, now: Mono, best: &mut Best) {
-    if pool.near.is_empty() {
+    if pool.local.is_empty() {
         return;
     }
     let turn = table.turn.fetch_add(SAMPLE as u32, Relaxed);
     for i in 0..SAMPLE as u32 {
         let draw = mix(table.seed, u64::from(turn.wrapping_add(i)));
-        let id = pool.near[draw as usize % pool.near.len()];
+        let id = pool.local[draw as usize % pool.local.len()];
         consider(table, ask, id, 0, now, best);
     }
 }
@@ -106,9 +106,10 @@
 /// last.
 fn by_scan(table: &Table, pool: &Pool, ask: &Ask<'_>, now: Mono, best: &mut Best) {
     let start = table.turn.fetch_add(1, Relaxed) as usize;
-    let count = pool.near.len();
-    let near = (0..count).map(|i| pool.near[(start + i) % count]);
-    for (i, id) in near.chain(pool.far.iter().copied()).enumerate() {
+    let count = pool.local.len();
+    let local = (0..count).map(|i| pool.local[(start + i) % count]);
+    let rest = pool.near.iter().chain(&pool.far).copied();
+    for (i, id) in local.chain(rest).enumerate() {
         let full = best.is_none_or(|(over, ..)| over);
         if !full || (best.is_some() && i >= SCAN) {
             return;
--- a/crates/route/src/live.rs
+++ b/crates/route/src/live.rs
@@ -18,7 +18,7 @@
 /// Time that a request holds its slot, assumed before the first answer.
 pub const HOLD_TIME: Duration = Duration::from_secs(2);
 /// Age beyond which a load report is ignored.
-pub const REPORT_AGE: Duration = Duration::from_secs(15);
+pub const REPORT_AGE: Duration = Duration::from_secs(2);
 
 /// Weight of a new sample in the running means, as a right shift.
 const MEAN_SHIFT: u32 = 3;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -9,7 +9,7 @@
     crate::{
         health::{self, Kind},
         live::Live,
-        ranking::{Ranking, name_hash},
+        ranking::{Ranking, mix, name_hash},
     },
     agate_core::{EndpointId, Mono, PoolId, ZoneId},
     std::{
@@ -21,6 +21,8 @@
     },
 };
 
+/// Near endpoints of a pool that one instance samples and counts at most.
+pub const SUBSET: usize = 128;
 /// Distance up to which an availability zone counts as near.
 pub const NEAR: Duration = Duration::from_millis(10);
 
@@ -111,6 +113,8 @@
     pub near: Vec<EndpointId>,
     /// The other members that take new requests, nearest first.
     pub far: Vec<EndpointId>,
+    /// Part of `near` that this instance samples; instances differ in it.
+    pub local: Vec<EndpointId>,
     /// Ranking of the near members.
     pub ranking: Arc<Ranking>,
 }
@@ -183,8 +187,35 @@
             Some(p) if p.ranking.same(&near) => p.ranking.clone(),
             _ => Arc::new(Ranking::build(near.clone())),
         };
+        let local = subset(&near, self.seed);
         let ids = |list: Vec<(EndpointId, u64)>| list.into_iter().map(|(id, _)| id).collect();
-        Pool { near: ids(near), far: ids(far), ranking }
+        Pool { near: ids(near), far: ids(far), local, ranking }
+    }
+
+    /// Counts free slots of a pool as this instance sees them, up to `limit`.
+    ///
+    /// Looks at no more than [`SUBSET`] endpoints, beginning at a rotating one.
+    pub fn free_slots(&self, pool: PoolId, limit: u32, now: Mono) -> u32 {
+        let Some(pool) = self.pools.get(pool as usize) else { return 0 };
+        let start = self.turn.fetch_add(1, Relaxed) as usize;
+        let count = pool.local.len();
+        let mut free = 0;
+        for i in 0..count {
+            free += self.free_of(pool.local[(start + i) % count], now);
+            if free >= limit {
+                return limit;
+            }
+        }
+        free
+    }
+
+    fn free_of(&self, id: EndpointId, now: Mono) -> u32 {
+        let endpoint = &self.endpoints[id as usize];
+        let live = &endpoint.live;
+        if live.leaving.load(Relaxed) || !health::usable(&live.health, now) {
+            return 0;
+        }
+        live.slots(endpoint.slots).saturating_sub(live.inflight(now))
     }
 
     /// Delay from zone `from` to an endpoint.
@@ -232,3 +263,11 @@
         health::return_early(&list, now);
     }
 }
+
+/// The [`SUBSET`] members with the highest rendezvous hash for the instance of this seed.
+fn subset(members: &[(EndpointId, u64)], seed: u64) -> Vec<EndpointId> {
+    let mut ranked: Vec<_> = members.iter().map(|(id, hash)| (mix(*hash, seed), *id)).collect();
+    ranked.sort_unstable();
+    ranked.truncate(SUBSET);
+    ranked.into_iter().map(|(_, id)| id).collect()
+}
--- a/crates/route/tests/endpoint_choice.rs
+++ b/crates/route/tests/endpoint_choice.rs
@@ -114,3 +114,13 @@
         assert!(after.starts_with(&kept), "{kept:?} moved to {after:?}");
     }
 }
+
+#[test]
+fn free_slots_counted() {
+    let t = table(3);
+    assert_eq!(t.free_slots(0, 100, NOW), 12);
+    assert_eq!(t.free_slots(0, 5, NOW), 5);
+    t.start(0);
+    t.endpoint(1).live.leaving.store(true, Relaxed);
+    assert_eq!(t.free_slots(0, 100, NOW), 7);
+}
