Add adapters to the platform over HTTP

Cause: instances and commands reach the store and the instance list of the platform only through HTTP and JSON, and the store port had no adapter for it. The client never repeats a call.

--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,167 @@
+//! The key-value service over HTTP.
+//!
+//! A read that fails had no effect. A write that fails without a clear answer is ambiguous, since
+//! the client cannot tell whether it was carried out.
+
+use {
+    crate::http::{Answer, Http},
+    ::http::StatusCode,
+    agate_store::{Call, Error, Purpose, Record, Reply, Result, Store},
+    base64::{Engine as _, engine::general_purpose::STANDARD},
+    futures_util::FutureExt,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Longest wait for an answer beyond the time that a watch itself asks for.
+const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+
+#[derive(Deserialize)]
+struct WireRecord {
+    revision: Option<u64>,
+    value: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct WireKeys {
+    keys: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct WireSwap<'a> {
+    key: &'a str,
+    expect: u64,
+    value: Option<String>,
+    lease: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct WireGrant {
+    ttl_ms: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct WireLease {
+    lease: u64,
+}
+
+/// Opens the store of the platform at `peer`; nothing is sent yet.
+pub fn open(peer: SocketAddr) -> Store {
+    let http = Http::open(peer);
+    Store::new(move |_purpose: Purpose, call: Call| {
+        let http = http.clone();
+        async move { carry_out(&http, call).await }.boxed()
+    })
+}
+
+async fn carry_out(http: &Http, call: Call) -> Result<Reply> {
+    let step = step_name(&call);
+    let write = call.is_write();
+    let peer = http.peer().to_string();
+    let (status, body) = match send(http, &call).await {
+        Ok(answer) => answer,
+        Err(e) if write => return Err(Error::Ambiguous { step, peer, cause: e.cause }),
+        Err(e) => return Err(Error::Unavailable { step, peer, cause: e.cause }),
+    };
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => Err(Error::Limited { step, peer }),
+        s if s.is_server_error() && write => {
+            Err(Error::Ambiguous { step, peer, cause: format!("status {s}") })
+        }
+        s if s.is_server_error() => {
+            Err(Error::Unavailable { step, peer, cause: format!("status {s}") })
+        }
+        status => {
+            read_reply(&call, status, &body).map_err(|cause| Error::Malformed { step, peer, cause })
+        }
+    }
+}
+
+async fn send(http: &Http, call: &Call) -> std::result::Result<Answer, crate::http::Error> {
+    match call {
+        Call::Get { key } => {
+            http.get(&format!("/store/v1/key?key={}", escape(key)), ANSWER_LIMIT).await
+        }
+        Call::List { prefix } => {
+            http.get(&format!("/store/v1/list?prefix={}", escape(prefix)), ANSWER_LIMIT).await
+        }
+        Call::Watch { key, after, wait } => {
+            let (key, wait_ms) = (escape(key), wait.as_millis());
+            let path = format!("/store/v1/watch?key={key}&after={after}&wait_ms={wait_ms}");
+            http.get(&path, *wait + ANSWER_LIMIT).await
+        }
+        Call::Swap { key, expect, value, lease } => {
+            let value = value.as_ref().map(|v| STANDARD.encode(v));
+            let body = WireSwap { key, expect: *expect, value, lease: *lease };
+            http.post("/store/v1/swap", &body, ANSWER_LIMIT).await
+        }
+        Call::Grant { ttl } => {
+            let body = WireGrant { ttl_ms: ttl.as_millis() as u64 };
+            http.post("/store/v1/lease", &body, ANSWER_LIMIT).await
+        }
+        Call::Renew { lease } => {
+            http.post("/store/v1/renew", &WireLease { lease: *lease }, ANSWER_LIMIT).await
+        }
+        Call::Revoke { lease } => {
+            http.post("/store/v1/revoke", &WireLease { lease: *lease }, ANSWER_LIMIT).await
+        }
+    }
+}
+
+fn read_reply(call: &Call, status: StatusCode, body: &[u8]) -> std::result::Result<Reply, String> {
+    match (call, status) {
+        (Call::Get { .. } | Call::Watch { .. }, StatusCode::OK) => {
+            Ok(Reply::Value(read_record(body)?))
+        }
+        (Call::Get { .. }, StatusCode::NOT_FOUND) => Ok(Reply::Value(None)),
+        (Call::Watch { .. }, StatusCode::NOT_FOUND | StatusCode::NO_CONTENT) => {
+            Ok(Reply::Value(None))
+        }
+        (Call::List { .. }, StatusCode::OK) => Ok(Reply::Keys(read::<WireKeys>(body)?.keys)),
+        (Call::Swap { .. }, StatusCode::OK) => {
+            let record = read::<WireRecord>(body)?;
+            Ok(Reply::Swapped(record.revision.ok_or("an answer without a revision")?))
+        }
+        (Call::Swap { .. }, StatusCode::CONFLICT) => Ok(Reply::Conflict(read_record(body)?)),
+        (Call::Grant { .. }, StatusCode::OK) => Ok(Reply::Granted(read::<WireLease>(body)?.lease)),
+        (Call::Renew { .. } | Call::Revoke { .. }, StatusCode::NO_CONTENT) => Ok(Reply::Done),
+        (_, StatusCode::GONE) if call.is_write() => Ok(Reply::LeaseGone),
+        (_, status) => Err(format!("status {status}")),
+    }
+}
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> std::result::Result<T, String> {
+    serde_json::from_slice(body).map_err(|e| e.to_string())
+}
+
+fn read_record(body: &[u8]) -> std::result::Result<Option<Record>, String> {
+    let wire = read::<WireRecord>(body)?;
+    let (Some(revision), Some(value)) = (wire.revision, wire.value) else { return Ok(None) };
+    let value = STANDARD.decode(value).map_err(|e| e.to_string())?;
+    Ok(Some(Record { revision, value }))
+}
+
+fn step_name(call: &Call) -> &'static str {
+    match call {
+        Call::Get { .. } => "get",
+        Call::List { .. } => "list",
+        Call::Swap { .. } => "swap",
+        Call::Watch { .. } => "watch",
+        Call::Grant { .. } => "grant",
+        Call::Renew { .. } => "renew",
+        Call::Revoke { .. } => "revoke",
+    }
+}
+
+/// Escapes a key for use in a query; keys are letters, digits and `/-._` apart from rare others.
+fn escape(key: &str) -> String {
+    key.bytes().fold(String::with_capacity(key.len()), |mut out, b| {
+        match b {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'/' | b'-' | b'.' | b'_' => {
+                out.push(b as char);
+            }
+            _ => out.push_str(&format!("%{b:02X}")),
+        }
+        out
+    })
+}
