Serve a request from accept to its last byte

Cause: the path between a caller and an endpoint did not exist. Change: route, key, body, admission through the fair queue, choice of endpoint, exchange over own connections, streams with resumption, and replies. 'Not run' needs a proof value that a dispatch consumes and gets back only while the connection's byte count stands still. Connections to endpoints use hyper's connection interface because the volo-http client sets no socket options and cannot tell whether a byte left.

--- /dev/null
+++ b/crates/flow/src/caller.rs
@@ -0,0 +1,68 @@
+//! Who sent a request, and whether they may still be served.
+
+use {
+    crate::{
+        header,
+        reply::{Refused, Result},
+        truth::Untouched,
+    },
+    agate_config::snapshot::{Current, RouteEntry, Snapshot},
+    agate_core::{OrgId, Refusal},
+    http::HeaderMap,
+    std::sync::Arc,
+};
+
+/// Sender of a request.
+#[derive(Clone, Debug)]
+pub enum Caller {
+    /// No key is needed on the route.
+    Open,
+    /// An organisation, through one of its keys.
+    Keyed {
+        /// The organisation.
+        org: OrgId,
+        /// Public identifier of the key.
+        id: Arc<str>,
+    },
+}
+
+impl Caller {
+    /// Finds the sender of a request on `route`.
+    pub fn identify(
+        snapshot: &Snapshot,
+        route: &RouteEntry,
+        headers: &HeaderMap,
+        proof: Untouched,
+    ) -> Result<(Self, Untouched)> {
+        if route.open {
+            return Ok((Caller::Open, proof));
+        }
+        let Some(key) = header::find_key(headers) else {
+            let text = "send a key as `Authorization: Bearer KEY` or `x-api-key: KEY`";
+            return Err(Refused::not_run(Refusal::KeyMissing, text, proof));
+        };
+        match snapshot.find_key(key) {
+            Some(found) => Ok((Caller::Keyed { org: found.org, id: found.id }, proof)),
+            None => {
+                let text = "the key is not known or was withdrawn";
+                Err(Refused::not_run(Refusal::KeyInvalid, text, proof))
+            }
+        }
+    }
+
+    /// Organisation of the sender; `None` on open routes.
+    pub fn org(&self) -> Option<OrgId> {
+        match self {
+            Caller::Open => None,
+            Caller::Keyed { org, .. } => Some(*org),
+        }
+    }
+
+    /// Whether the sender's key is in force in the newest configuration.
+    pub fn in_force(&self, current: &Current) -> bool {
+        match self {
+            Caller::Open => true,
+            Caller::Keyed { org, id } => current.load().holds_key(*org, id),
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/flight.rs
@@ -0,0 +1,65 @@
+//! Count of requests in progress, for graceful shutdown.
+
+use {
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    tokio::sync::Notify,
+};
+
+#[derive(Default)]
+struct State {
+    open: AtomicUsize,
+    closed: AtomicBool,
+    empty: Notify,
+}
+
+/// Requests in progress on this instance.
+#[derive(Clone, Default)]
+pub struct Flight {
+    state: Arc<State>,
+}
+
+/// Presence of one request; it lasts until the last byte of the answer was handed over.
+pub struct Guard {
+    state: Arc<State>,
+}
+
+impl Flight {
+    /// Admits a request, unless the instance has stopped taking new ones.
+    pub fn enter(&self) -> Option<Guard> {
+        self.state.open.fetch_add(1, Ordering::SeqCst);
+        let guard = Guard { state: self.state.clone() };
+        (!self.state.closed.load(Ordering::SeqCst)).then_some(guard)
+    }
+
+    /// Stops taking new requests.
+    pub fn close(&self) {
+        self.state.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Number of requests in progress.
+    pub fn open(&self) -> usize {
+        self.state.open.load(Ordering::SeqCst)
+    }
+
+    /// Waits until no request is in progress.
+    pub async fn drained(&self) {
+        loop {
+            let waiting = self.state.empty.notified();
+            if self.open() == 0 {
+                return;
+            }
+            waiting.await;
+        }
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if self.state.open.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.state.empty.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/gate.rs
@@ -0,0 +1,239 @@
+//! State that all requests of one instance share.
+//!
+//! The configuration and the table of endpoints are immutable values behind read-copy-update; a
+//! request loads each once for every decision. Counts that outlive a change of the configuration
+//! are carried over when the tables are rebuilt.
+
+use {
+    crate::{
+        desk::{Clock, Desk},
+        flight::Flight,
+        link::Pool,
+        meter::Meter,
+    },
+    agate_config::{
+        doc,
+        snapshot::{Current, EndpointEntry, Snapshot},
+    },
+    agate_core::{EndpointId, Mono, PoolId, ZoneId},
+    agate_route::{
+        health::Kind,
+        table::{Distances, Role, Spec, Table},
+    },
+    arc_swap::ArcSwap,
+    std::{
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+};
+
+/// Bounds that an instance keeps regardless of the configuration.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Largest body of a request, in bytes.
+    pub body: usize,
+    /// Longest time in which a request's body must arrive.
+    pub upload: Duration,
+    /// Largest answer of a plain service, in bytes.
+    pub answer: usize,
+    /// Longest silence before the first token of a stream.
+    pub first: Duration,
+    /// Longest silence between two tokens of a stream.
+    pub between: Duration,
+    /// Longest time of a probe that decides whether new connections work.
+    pub probe: Duration,
+    /// Most endpoints tried for one request.
+    pub attempts: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body: 8 << 20,
+            upload: Duration::from_secs(20),
+            answer: 16 << 20,
+            first: Duration::from_secs(20),
+            between: Duration::from_secs(2),
+            probe: Duration::from_millis(500),
+            attempts: 3,
+        }
+    }
+}
+
+/// Connections by endpoint.
+type Links = Vec<Option<Arc<Pool>>>;
+
+/// Shared state of one instance.
+pub struct Gate {
+    /// Configuration in force.
+    pub current: Arc<Current>,
+    /// Bounds of this instance.
+    pub limits: Limits,
+    /// Metrics.
+    pub meter: Meter,
+    /// Requests in progress.
+    pub flight: Flight,
+    /// Endpoints with their load and health.
+    pub table: ArcSwap<Table>,
+    zone: String,
+    links: ArcSwap<Links>,
+    desks: ArcSwap<Vec<Arc<Desk>>>,
+    clock: Clock,
+    /// Held while the tables are rebuilt.
+    rebuild: Mutex<()>,
+}
+
+impl Gate {
+    /// Makes the state of an instance in the availability zone named `zone`.
+    pub fn open(current: Arc<Current>, zone: &str, limits: Limits) -> Arc<Self> {
+        let origin = Instant::now();
+        let seed = rand::random();
+        let gate = Self {
+            current,
+            limits,
+            meter: Meter::open(),
+            flight: Flight::default(),
+            table: ArcSwap::from_pointee(Table::new(0, Distances::default(), seed)),
+            zone: zone.to_owned(),
+            links: ArcSwap::default(),
+            desks: ArcSwap::default(),
+            clock: Arc::new(move || origin.elapsed()),
+            rebuild: Mutex::default(),
+        };
+        gate.refresh();
+        Arc::new(gate)
+    }
+
+    /// Monotonic time since this instance started.
+    pub fn now(&self) -> Mono {
+        (self.clock)()
+    }
+
+    /// Takes over the configuration in force: rebuilds the tables and ends the waiting work of
+    /// keys that were withdrawn.
+    pub fn refresh(&self) {
+        let _held = self.rebuild.lock().expect("no panic while rebuilding");
+        let snapshot = self.current.load_full();
+        let specs = snapshot.endpoints().map(|(id, e)| spec(&snapshot, id, e));
+        let (home, distances) = (self.home(&snapshot), distances(&snapshot));
+        let old = self.table.load().relocate(home, distances);
+        self.table.store(Arc::new(Table::rebuild(&old, specs)));
+        self.links.store(Arc::new(links(&snapshot, &self.links.load())));
+        self.desks.store(Arc::new(self.rebuild_desks(&snapshot)));
+        for desk in self.desks.load().iter() {
+            desk.withdraw(&self.current);
+        }
+        self.meter.generation.set(snapshot.generation as i64);
+    }
+
+    fn rebuild_desks(&self, snapshot: &Snapshot) -> Vec<Arc<Desk>> {
+        let mut desks = self.desks.load().to_vec();
+        for (id, pool) in snapshot.pools() {
+            while desks.len() <= id as usize {
+                desks.push(Desk::open(self.clock.clone()));
+            }
+            let members = pool.endpoints.iter().filter_map(|e| snapshot.endpoint(*e));
+            let members = members.filter(|e| !e.leaving).count();
+            desks[id as usize].set_capacity(members * pool.slots as usize);
+        }
+        desks
+    }
+
+    /// Availability zone of this instance; distances fall back to their default if the
+    /// configuration does not name it.
+    fn home(&self, snapshot: &Snapshot) -> ZoneId {
+        let found = snapshot.zones().find(|(_, z)| *z.name == *self.zone);
+        found.map_or(ZoneId::MAX, |(id, _)| id)
+    }
+
+    /// Identifier of this instance's availability zone.
+    pub fn zone(&self) -> ZoneId {
+        self.home(&self.current.load())
+    }
+
+    /// Connections to an endpoint.
+    pub fn links(&self, id: EndpointId) -> Option<Arc<Pool>> {
+        self.links.load().get(id as usize).cloned().flatten()
+    }
+
+    /// Admission to a pool.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no configuration in force since the start named the pool.
+    pub fn desk(&self, pool: PoolId) -> Arc<Desk> {
+        self.desks.load()[pool as usize].clone()
+    }
+}
+
+fn spec<'a>(snapshot: &Snapshot, id: EndpointId, endpoint: &'a EndpointEntry) -> Spec<'a> {
+    Spec {
+        id,
+        name: &endpoint.name,
+        pool: endpoint.pool,
+        zone: endpoint.zone,
+        slots: snapshot.pool(endpoint.pool).map_or(1, |p| p.slots),
+        role: match endpoint.role {
+            doc::Role::Both => Role::Whole,
+            doc::Role::Prefill => Role::Prefill,
+            doc::Role::Decode => Role::Decode,
+        },
+        leaving: endpoint.leaving,
+    }
+}
+
+fn distances(snapshot: &Snapshot) -> Distances {
+    let mut out = Distances::default();
+    for (a, _) in snapshot.zones() {
+        for (b, _) in snapshot.zones().filter(|(b, _)| *b > a) {
+            out.set(a, b, snapshot.delay(a, b));
+        }
+    }
+    out
+}
+
+/// Connections of the endpoints in `snapshot`; those of an unchanged address are kept.
+fn links(snapshot: &Snapshot, old: &Links) -> Links {
+    let mut out = Links::new();
+    for (id, endpoint) in snapshot.endpoints() {
+        let slot = id as usize;
+        if out.len() <= slot {
+            out.resize(slot + 1, None);
+        }
+        let kept = old.get(slot).cloned().flatten();
+        let kept = kept.filter(|p| p.address() == endpoint.address);
+        out[slot] = Some(kept.unwrap_or_else(|| Arc::new(Pool::new(endpoint.address))));
+    }
+    out
+}
+
+/// One exchange at an endpoint, counted until it ends.
+pub struct Stay {
+    gate: Arc<Gate>,
+    table: Arc<Table>,
+    id: EndpointId,
+    begin: Mono,
+    result: Kind,
+}
+
+impl Stay {
+    /// Counts an exchange; unless it is given a result it says nothing about the endpoint.
+    pub fn begin(gate: &Arc<Gate>, id: EndpointId) -> Self {
+        let table = gate.table.load_full();
+        table.start(id);
+        Self { gate: gate.clone(), table, id, begin: gate.now(), result: Kind::Neutral }
+    }
+
+    /// Ends the exchange with a result.
+    pub fn end(mut self, result: Kind) {
+        self.result = result;
+    }
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        let now = self.gate.now();
+        let held = now.saturating_sub(self.begin);
+        self.table.finish(self.id, self.result, held, now);
+    }
+}
--- /dev/null
+++ b/crates/flow/src/header.rs
@@ -0,0 +1,105 @@
+//! Names of headers, and the passes that clean them between callers and endpoints.
+
+use http::{
+    HeaderMap, HeaderName,
+    header::{self, HeaderValue},
+};
+
+/// Identifier of a request, echoed by endpoints that support it.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// States that nothing of the request ran.
+pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+/// Load of an endpoint, carried on its answers.
+pub const LOAD: HeaderName = HeaderName::from_static("x-load");
+/// Key of a caller, as an alternative to `authorization`.
+pub const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
+/// Makes a non-idempotent call run at most once.
+pub const BOOKING: HeaderName = HeaderName::from_static("idempotency-key");
+/// Organisation that an endpoint may attribute the request to.
+pub const ORGANISATION: HeaderName = HeaderName::from_static("x-organisation");
+
+/// Headers that concern one connection only.
+const HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Headers that carry a caller's key or that only this system may set.
+const OWNED: [HeaderName; 6] = [
+    header::AUTHORIZATION,
+    header::COOKIE,
+    API_KEY,
+    REQUEST_ID,
+    ORGANISATION,
+    HeaderName::from_static("x-priority"),
+];
+
+/// Returns the caller's key: a bearer token, or the key header.
+pub fn find_key(headers: &HeaderMap) -> Option<&str> {
+    let bearer = headers.get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let bearer = bearer.and_then(|v| {
+        let (scheme, key) = v.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then_some(key.trim())
+    });
+    bearer.or_else(|| headers.get(API_KEY).and_then(|v| v.to_str().ok()))
+}
+
+/// Returns the headers of a request as an endpoint may see them: no key, no hop-by-hop header, no
+/// value of the key under any other name.
+pub fn for_endpoint(headers: &HeaderMap, key: Option<&str>, id: &str) -> HeaderMap {
+    let mut out = strip(headers);
+    for name in &OWNED {
+        out.remove(name);
+    }
+    out.remove(header::HOST);
+    out.remove(header::CONTENT_LENGTH);
+    out.remove(header::EXPECT);
+    if let Some(key) = key {
+        remove_value(&mut out, key);
+    }
+    let id = HeaderValue::from_str(id).expect("request ids are printable");
+    out.insert(REQUEST_ID, id);
+    out
+}
+
+/// Returns the headers of an endpoint's answer as a caller may see them.
+pub fn for_caller(headers: &HeaderMap, id: &str) -> HeaderMap {
+    let mut out = strip(headers);
+    out.remove(LOAD);
+    out.remove(NOT_RUN);
+    out.remove(header::CONTENT_LENGTH);
+    out.insert(REQUEST_ID, HeaderValue::from_str(id).expect("request ids are printable"));
+    out
+}
+
+fn strip(headers: &HeaderMap) -> HeaderMap {
+    let mut out = headers.clone();
+    for value in headers.get_all(header::CONNECTION) {
+        let names = value.to_str().unwrap_or_default().split(',');
+        for name in names.map(str::trim).filter(|n| !n.is_empty()) {
+            out.remove(name);
+        }
+    }
+    for name in &HOP {
+        out.remove(name);
+    }
+    out
+}
+
+fn remove_value(headers: &mut HeaderMap, key: &str) {
+    let holders: Vec<HeaderName> = headers
+        .iter()
+        .filter(|(_, v)| v.as_bytes().windows(key.len().max(1)).any(|w| w == key.as_bytes()))
+        .map(|(n, _)| n.clone())
+        .collect();
+    for name in holders {
+        headers.remove(name);
+    }
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -1,1 +1,30 @@
 //! One request from accept to its last byte.
+//!
+//! [`server::Front`] accepts connections and hands each request to [`serve::handle`]. A request
+//! matches a route, its caller is identified, its body read, and it goes the way of [`model`] or
+//! [`service`]. Both send it through [`exchange`] over a [`link`] to one endpoint after another
+//! until there is an answer or nothing may be tried any more.
+//!
+//! Invariants: a reply says "not run" only with a [`truth::Untouched`] in hand; no endpoint sees
+//! a caller's key ([`header::for_endpoint`] is the only way to build its headers); a model stream
+//! ends cleanly only if it is whole ([`token`]).
+
+pub mod caller;
+pub mod desk;
+pub mod dispatch;
+pub mod exchange;
+pub mod flight;
+pub mod gate;
+pub mod header;
+pub mod link;
+pub mod meter;
+pub mod model;
+pub mod prompt;
+pub mod reply;
+pub mod serve;
+pub mod server;
+pub mod service;
+pub mod sse;
+mod tally;
+pub mod token;
+pub mod truth;
--- /dev/null
+++ b/crates/flow/src/meter.rs
@@ -0,0 +1,112 @@
+//! Counters and histograms of the request path.
+
+use {
+    agate_core::{Refusal, Retry},
+    prometheus::{
+        Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+        TextEncoder,
+    },
+    std::time::Duration,
+};
+
+/// Bucket bounds of delays, in seconds.
+const DELAYS: [f64; 14] =
+    [0.001, 0.005, 0.01, 0.02, 0.041, 0.08, 0.15, 0.3, 0.5, 0.78, 1.5, 3.0, 10.0, 30.0];
+
+/// Metrics of one instance.
+pub struct Meter {
+    /// Registry that the operator address serves.
+    pub registry: Registry,
+    /// Requests accepted.
+    pub requests: IntCounter,
+    /// Requests answered whole.
+    pub answers: IntCounter,
+    /// Requests refused, by reason.
+    pub refusals: IntCounterVec,
+    /// Attempts repeated, by reason.
+    pub retries: IntCounterVec,
+    /// Callers that left before their answer was whole.
+    pub abandoned: IntCounter,
+    /// Connections retired because they went silent.
+    pub silent: IntCounter,
+    /// Requests in progress.
+    pub open: IntGauge,
+    /// Generation of the configuration in force.
+    pub generation: IntGauge,
+    /// Time from accept to the first token, in seconds.
+    pub first: Histogram,
+    /// Time between two tokens, in seconds.
+    pub between: Histogram,
+    /// Time spent in the admission queue, in seconds.
+    pub queued: Histogram,
+}
+
+impl Meter {
+    /// Registers every metric in a new registry; each reason starts at zero so that rates are
+    /// defined from the first scrape.
+    pub fn open() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| {
+            register(&registry, IntCounter::new(name, help).expect("metric names are valid"))
+        };
+        let gauge = |name: &str, help: &str| {
+            register(&registry, IntGauge::new(name, help).expect("metric names are valid"))
+        };
+        let by_reason = |name: &str, help: &str| {
+            let vec = IntCounterVec::new(Opts::new(name, help), &["reason"]);
+            register(&registry, vec.expect("metric names are valid"))
+        };
+        let delay = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(DELAYS.to_vec());
+            register(&registry, Histogram::with_opts(opts).expect("metric names are valid"))
+        };
+        let meter = Self {
+            requests: counter("agatetrack_requests_total", "Requests accepted"),
+            answers: counter("agatetrack_answers_total", "Requests answered whole"),
+            refusals: by_reason("agatetrack_refusals_total", "Requests refused, by reason"),
+            retries: by_reason("agatetrack_retries_total", "Attempts repeated, by reason"),
+            abandoned: counter("agatetrack_abandoned_total", "Callers that left early"),
+            silent: counter("agatetrack_silent_connections_total", "Silent connections retired"),
+            open: gauge("agatetrack_requests_open", "Requests in progress"),
+            generation: gauge("agatetrack_config_generation", "Configuration in force"),
+            first: delay("agatetrack_first_token_seconds", "Time to the first token"),
+            between: delay("agatetrack_token_gap_seconds", "Time between two tokens"),
+            queued: delay("agatetrack_queue_seconds", "Time in the admission queue"),
+            registry: registry.clone(),
+        };
+        for reason in Refusal::ALL {
+            meter.refusals.with_label_values(&[reason.code()]);
+        }
+        for reason in Retry::ALL {
+            meter.retries.with_label_values(&[reason.code()]);
+        }
+        meter
+    }
+
+    /// Counts a refusal.
+    pub fn refuse(&self, reason: Refusal) {
+        self.refusals.with_label_values(&[reason.code()]).inc();
+    }
+
+    /// Counts a repeated attempt.
+    pub fn retry(&self, reason: Retry) {
+        self.retries.with_label_values(&[reason.code()]).inc();
+    }
+
+    /// Records a delay.
+    pub fn observe(histogram: &Histogram, delay: Duration) {
+        histogram.observe(delay.as_secs_f64());
+    }
+
+    /// Text of all metrics in the Prometheus exposition format.
+    pub fn text(&self) -> String {
+        let mut out = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut out).expect("metrics encode");
+        String::from_utf8(out).expect("the exposition format is UTF-8")
+    }
+}
+
+fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: M) -> M {
+    registry.register(Box::new(metric.clone())).expect("metric names are distinct");
+    metric
+}
--- /dev/null
+++ b/crates/flow/src/model.rs
@@ -0,0 +1,232 @@
+//! Requests to models.
+//!
+//! Engines are always asked for a stream. A stream that breaks is resumed on another engine after
+//! the last token delivered; if that is no longer possible it ends as an error and never as a
+//! clean end. A caller that wants one JSON answer gets it after the stream was whole.
+
+use {
+    crate::{
+        desk::Slot,
+        dispatch::{self, Shape, Target, admit, blame, check_key, exhausted, pick},
+        exchange::{self, Failure},
+        gate::Gate,
+        meter::Meter,
+        prompt::{self, Ask},
+        reply::{Refused, Result},
+        serve::Job,
+        service::endpoint_headers,
+        sse,
+        token::{Event, Tokens, Usage},
+        truth::{Grant, Repeatable, Untouched},
+    },
+    agate_core::{EndpointId, ModelId, Mono, PoolId, Refusal},
+    agate_route::{health::Kind, prefix},
+    bytes::Bytes,
+    http::{HeaderValue, Method, Request, Response, header::CONTENT_TYPE},
+    http_body_util::Full,
+    std::{sync::Arc, time::Duration},
+    volo_http::body::Body,
+};
+
+/// Path of model requests on an engine.
+const ENGINE_PATH: &str = "/v1/chat/completions";
+
+/// A model request on its way to an engine.
+pub struct Run {
+    /// Shared state of the instance.
+    pub gate: Arc<Gate>,
+    /// The request.
+    pub job: Job,
+    /// What it asks for.
+    pub ask: Ask,
+    /// Pool of the model's engines.
+    pub pool: PoolId,
+    /// Tokens handed to the caller or kept for it.
+    pub delivered: u32,
+    /// Counts reported by the engine that finished.
+    pub usage: Usage,
+    shape: Shape,
+    tried: Vec<EndpointId>,
+    last: Mono,
+    _slot: Slot,
+}
+
+/// Runs a request on a model route.
+pub async fn run(gate: &Arc<Gate>, job: Job, proof: Untouched) -> Result<Response<Body>> {
+    let (ask, proof) = prompt::parse(&job.body, proof)?;
+    let (pool, proof) = authorise(&job, &ask, proof)?;
+    let shape = shape(&job, &ask);
+    let (slot, proof) = admit(gate, &job, pool, shape.cost, proof).await?;
+    let mut run = Run {
+        gate: gate.clone(),
+        last: job.start,
+        job,
+        ask,
+        pool,
+        delivered: 0,
+        usage: Usage::default(),
+        shape,
+        tried: Vec::new(),
+        _slot: slot,
+    };
+    let stream = run.start(Grant::First(proof)).await?;
+    if run.ask.stream { Ok(sse::stream(run, stream)) } else { whole(run, stream).await }
+}
+
+/// Size of a request; its prefix blocks are salted so that organisations never share them unless
+/// the model declares the prefix as shared.
+fn shape(job: &Job, ask: &Ask) -> Shape {
+    let org = job.caller.org().and_then(|o| job.snapshot.org(o));
+    let salt = prefix::salt(org.map_or("", |o| &o.name));
+    let model = job.snapshot.find_model(&ask.model);
+    let shared: Vec<&str> =
+        model.map(|(_, m)| m.shared.iter().map(|s| &**s).collect()).unwrap_or_default();
+    let prompt = ask.prompt_tokens();
+    let cost = prompt.saturating_add(ask.output);
+    Shape { prefix: prefix::blocks(salt, &shared, &ask.text), prompt, cost }
+}
+
+fn authorise(job: &Job, ask: &Ask, proof: Untouched) -> Result<(PoolId, Untouched)> {
+    let Some((id, model)) = job.snapshot.find_model(&ask.model) else {
+        let text = format!("no model named {:?}", ask.model);
+        return Err(Refused::not_run(Refusal::ModelUnknown, text, proof));
+    };
+    if !may_use(job, id) {
+        let text = format!("the organisation has no access to model {:?}", ask.model);
+        return Err(Refused::not_run(Refusal::Forbidden, text, proof));
+    }
+    if ask.output > model.output || ask.output == 0 {
+        let text = format!("max_tokens must be between 1 and {}", model.output);
+        return Err(Refused::not_run(Refusal::BodyMalformed, text, proof));
+    }
+    Ok((model.pool, proof))
+}
+
+fn may_use(job: &Job, model: ModelId) -> bool {
+    let Some(org) = job.caller.org() else { return true };
+    job.snapshot.org(org).is_some_and(|o| o.models.contains(&model))
+}
+
+/// A stream with the exchange that it comes from.
+pub struct Source {
+    tokens: Tokens,
+    target: Target,
+}
+
+impl Run {
+    /// Sends the request until an engine answers with a stream.
+    async fn start(&mut self, mut grant: Grant) -> Result<Source> {
+        loop {
+            grant = check_key(&self.gate, &self.job, grant)?;
+            let left = self.left();
+            let target = if left.is_zero() { None } else { self.pick() };
+            let Some(target) = target else { return Err(exhausted(grant.untouched(), left)) };
+            self.tried.push(target.id);
+            let limit = left.min(self.gate.limits.first);
+            let request = self.request();
+            let sent = exchange::send(&target.links, request, &self.job.id, grant, limit).await;
+            let failure = match sent {
+                Ok(answer) if answer.head.status.is_success() => {
+                    let between = self.gate.limits.between;
+                    let tokens = Tokens::open(answer, self.delivered, limit, between);
+                    return Ok(Source { tokens, target });
+                }
+                Ok(answer) => return Err(self.rejected(answer).await),
+                Err(failure) => failure,
+            };
+            grant = self.recover(target, *failure).await?;
+        }
+    }
+
+    /// Reads the next event, resuming the stream on another engine when it breaks.
+    pub async fn next(&mut self, mut source: Source) -> Result<(Event, Source)> {
+        loop {
+            let failure = match source.tokens.next().await {
+                Ok(event) => return Ok((self.accept(event, &source), source)),
+                Err(failure) => failure,
+            };
+            let grant = self.recover(source.target, *failure).await?;
+            source = self.start(grant).await?;
+        }
+    }
+
+    /// Decides after a failure whether the request may go on from the last token delivered.
+    async fn recover(&self, target: Target, failure: Failure) -> Result<Grant> {
+        log::info!("request {}: {failure}; {} tokens delivered", self.job.id, self.delivered);
+        blame(&self.gate, target, &failure).await;
+        let (again, attempts) = (Some(Repeatable::generation()), self.tried.len() as u32);
+        dispatch::repeat(&self.gate, &self.job, self.pool, failure, again, attempts)
+    }
+
+    fn pick(&self) -> Option<Target> {
+        pick(&self.gate, self.pool, &self.shape, &self.tried)
+    }
+
+    fn accept(&mut self, event: Event, source: &Source) -> Event {
+        match &event {
+            Event::Token(_) => self.observe_token(source.tokens.delivered()),
+            Event::Usage(usage) => self.usage = *usage,
+            Event::Finish(_) | Event::End => {}
+        }
+        event
+    }
+
+    /// Ends a request whose stream was whole.
+    pub fn finish(&self, source: Source) {
+        source.target.stay.end(Kind::Success);
+        self.gate.meter.answers.inc();
+        let actual = self.usage.prompt_tokens.saturating_add(self.usage.completion_tokens);
+        self.gate.desk(self.pool).settle(&self.job.caller, self.shape.cost, actual);
+    }
+
+    fn observe_token(&mut self, delivered: u32) {
+        let now = self.gate.now();
+        let meter = &self.gate.meter;
+        let histogram = if self.delivered == 0 { &meter.first } else { &meter.between };
+        Meter::observe(histogram, now.saturating_sub(self.last));
+        self.last = now;
+        self.delivered = delivered;
+    }
+
+    fn left(&self) -> Duration {
+        dispatch::left(&self.gate, &self.job)
+    }
+
+    async fn rejected(&self, answer: exchange::Answer) -> Refused {
+        let status = answer.head.status;
+        let text = format!("the engine answered with status {status}");
+        let _ = answer.collect(self.gate.limits.answer, self.gate.limits.between).await;
+        Refused::unknown(Refusal::AnswerInvalid, text)
+    }
+
+    fn request(&self) -> Request<Full<Bytes>> {
+        let body = self.ask.for_engine(self.delivered);
+        let mut out = Request::new(Full::new(body));
+        *out.method_mut() = Method::POST;
+        *out.uri_mut() = http::Uri::from_static(ENGINE_PATH);
+        *out.headers_mut() = endpoint_headers(&self.job);
+        let json = HeaderValue::from_static("application/json");
+        out.headers_mut().insert(CONTENT_TYPE, json);
+        out
+    }
+}
+
+/// Collects the whole stream into one JSON answer.
+async fn whole(mut run: Run, mut source: Source) -> Result<Response<Body>> {
+    let mut text = String::new();
+    let mut reason = String::new();
+    loop {
+        let (event, rest) = run.next(source).await?;
+        match event {
+            Event::Token(token) => text.push_str(&token),
+            Event::Finish(why) => reason = why,
+            Event::Usage(_) => {}
+            Event::End => {
+                run.finish(rest);
+                break;
+            }
+        }
+        source = rest;
+    }
+    Ok(sse::whole(&run, &text, &reason))
+}
--- /dev/null
+++ b/crates/flow/src/reply.rs
@@ -0,0 +1,103 @@
+//! Refusals and the error bodies that callers see.
+
+use {
+    crate::{header, truth::Untouched},
+    agate_core::{Outcome, Refusal},
+    http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE},
+    serde::Serialize,
+    std::time::Duration,
+    volo_http::body::Body,
+};
+
+/// A request that ends without its answer.
+#[derive(Debug)]
+pub struct Refused {
+    reason: Refusal,
+    run: Outcome,
+    message: String,
+    after: Option<Duration>,
+}
+
+/// Result of a step of a request.
+pub type Result<T> = std::result::Result<T, Refused>;
+
+impl Refused {
+    /// Refuses a request that nothing ran; the proof is consumed.
+    pub fn not_run(reason: Refusal, message: impl Into<String>, _proof: Untouched) -> Self {
+        Self { reason, run: Outcome::NotRun, message: message.into(), after: None }
+    }
+
+    /// Ends a request that may have run.
+    pub fn unknown(reason: Refusal, message: impl Into<String>) -> Self {
+        Self { reason, run: Outcome::Unknown, message: message.into(), after: None }
+    }
+
+    /// Ends a request, as not run if the proof is still there.
+    pub fn either(reason: Refusal, message: impl Into<String>, proof: Option<Untouched>) -> Self {
+        match proof {
+            Some(proof) => Self::not_run(reason, message, proof),
+            None => Self::unknown(reason, message),
+        }
+    }
+
+    /// Tells the caller when to come back.
+    pub fn retry_after(mut self, after: Duration) -> Self {
+        self.after = Some(after);
+        self
+    }
+
+    /// Reason of the refusal.
+    pub fn reason(&self) -> Refusal {
+        self.reason
+    }
+
+    /// What is known about the execution of the request.
+    pub fn outcome(&self) -> Outcome {
+        self.run
+    }
+
+    /// Builds the reply of the request `id`.
+    pub fn reply(&self, id: &str) -> Response<Body> {
+        let mut out = Response::new(Body::from(self.body(id)));
+        *out.status_mut() =
+            StatusCode::from_u16(self.reason.status()).expect("reasons carry valid statuses");
+        let headers = out.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(header::REQUEST_ID, HeaderValue::from_str(id).expect("ids are printable"));
+        if self.run == Outcome::NotRun {
+            headers.insert(header::NOT_RUN, HeaderValue::from_static("true"));
+        }
+        if let Some(after) = self.after {
+            let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+            headers.insert(http::header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        out
+    }
+
+    /// JSON text of the error, also sent as the last event of a broken stream.
+    pub fn body(&self, id: &str) -> String {
+        let error = ErrorBody {
+            code: self.reason.code(),
+            message: &self.message,
+            request_id: id,
+            run: self.run,
+            retry_after_ms: self.after.map(|a| a.as_millis() as u64),
+        };
+        serde_json::to_string(&Envelope { error }).expect("error bodies serialise")
+    }
+}
+
+#[derive(Serialize)]
+struct Envelope<'a> {
+    error: ErrorBody<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    code: &'static str,
+    message: &'a str,
+    request_id: &'a str,
+    run: Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/flow/src/serve.rs
@@ -0,0 +1,142 @@
+//! The way of one request: route, caller, body, then the model or service path.
+
+use {
+    crate::{
+        caller::Caller,
+        flight::Guard,
+        gate::Gate,
+        model,
+        reply::{Refused, Result},
+        service,
+        truth::Untouched,
+    },
+    agate_config::{
+        doc::RouteKind,
+        snapshot::{RouteEntry, Snapshot},
+    },
+    agate_core::{Mono, Refusal, RouteId},
+    bytes::{Bytes, BytesMut},
+    http::{Request, Response, request::Parts},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    std::sync::Arc,
+    tokio::time::timeout,
+    volo_http::body::Body,
+};
+
+/// A request after its caller was identified and its body read.
+pub struct Job {
+    /// Identifier in logs, headers and error bodies.
+    pub id: String,
+    /// Configuration that the request keeps to its end.
+    pub snapshot: Arc<Snapshot>,
+    /// Route that it matched.
+    pub route: RouteId,
+    /// Who sent it.
+    pub caller: Caller,
+    /// Method, target and headers.
+    pub head: Parts,
+    /// The whole body.
+    pub body: Bytes,
+    /// When it was accepted.
+    pub start: Mono,
+    /// When its answer is of no more use.
+    pub deadline: Mono,
+    /// Presence among the requests in progress.
+    pub guard: Guard,
+}
+
+impl Job {
+    /// Route that the request matched.
+    pub fn entry(&self) -> &RouteEntry {
+        self.snapshot.route(self.route).expect("a matched route is in its snapshot")
+    }
+}
+
+/// Serves one request; every outcome is a response.
+pub async fn handle(gate: Arc<Gate>, request: Request<Body>) -> Response<Body> {
+    let id = new_id();
+    gate.meter.requests.inc();
+    match serve(&gate, &id, request).await {
+        Ok(response) => response,
+        Err(refused) => {
+            gate.meter.refuse(refused.reason());
+            log::info!(
+                "request {id} refused: {} ({:?})",
+                refused.reason().code(),
+                refused.outcome()
+            );
+            refused.reply(&id)
+        }
+    }
+}
+
+async fn serve(gate: &Arc<Gate>, id: &str, request: Request<Body>) -> Result<Response<Body>> {
+    let proof = Untouched::accept();
+    let start = gate.now();
+    let Some(guard) = gate.flight.enter() else {
+        return Err(Refused::not_run(Refusal::Stopping, "this instance is stopping", proof));
+    };
+    let snapshot = gate.current.load_full();
+    let (head, body) = request.into_parts();
+    let (route, proof) = find_route(&snapshot, &head, proof)?;
+    let entry = snapshot.route(route).expect("a matched route is in its snapshot");
+    let kind = entry.kind;
+    let deadline = start + entry.deadline;
+    let (caller, proof) = Caller::identify(&snapshot, entry, &head.headers, proof)?;
+    let (body, proof) = read_body(gate, body, proof).await?;
+    let id = id.to_owned();
+    let job = Job { id, snapshot, route, caller, head, body, start, deadline, guard };
+    match kind {
+        RouteKind::Model => model::run(gate, job, proof).await,
+        RouteKind::Service => service::run(gate, job, proof).await,
+    }
+}
+
+fn find_route(snapshot: &Snapshot, head: &Parts, proof: Untouched) -> Result<(RouteId, Untouched)> {
+    let path = head.uri.path();
+    let Some((id, route)) = snapshot.find_route(path) else {
+        let text = format!("no route for path {path}");
+        return Err(Refused::not_run(Refusal::RouteUnknown, text, proof));
+    };
+    if !route.methods.iter().any(|m| **m == *head.method.as_str()) {
+        let text = format!("{path} takes {}", route.methods.join(", "));
+        return Err(Refused::not_run(Refusal::MethodRejected, text, proof));
+    }
+    Ok((id, proof))
+}
+
+async fn read_body(gate: &Gate, body: Body, proof: Untouched) -> Result<(Bytes, Untouched)> {
+    let most = gate.limits.body;
+    let read = timeout(gate.limits.upload, collect(Limited::new(body, most))).await;
+    match read {
+        Ok(Ok(bytes)) => Ok((bytes, proof)),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            let text = format!("the body is larger than {most} bytes");
+            Err(Refused::not_run(Refusal::BodyLarge, text, proof))
+        }
+        Ok(Err(e)) => {
+            Err(Refused::not_run(Refusal::FramingInvalid, format!("reading the body: {e}"), proof))
+        }
+        Err(_) => {
+            let text = "the body did not arrive in time";
+            Err(Refused::not_run(Refusal::RequestSlow, text, proof))
+        }
+    }
+}
+
+async fn collect(
+    mut body: Limited<Body>,
+) -> std::result::Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+    let mut out = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            out.extend_from_slice(&data);
+        }
+    }
+    Ok(out.freeze())
+}
+
+/// Makes a request identifier: 32 hexadecimal digits.
+fn new_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
--- /dev/null
+++ b/crates/flow/src/service.rs
@@ -0,0 +1,114 @@
+//! Requests to plain services.
+//!
+//! An idempotent call may be sent to another endpoint after a failure; any other call is sent
+//! again only while nothing of it was written or the endpoint stated that it ran nothing.
+
+use {
+    crate::{
+        dispatch::{Shape, Target, admit, blame, check_key, exhausted, left, pick, repeat},
+        exchange,
+        gate::Gate,
+        header,
+        reply::{Refused, Result},
+        serve::Job,
+        truth::{Grant, Repeatable, Untouched},
+    },
+    agate_core::{EndpointId, PoolId, Refusal},
+    agate_route::health::Kind,
+    bytes::Bytes,
+    http::{Request, Response, request::Parts},
+    http_body_util::Full,
+    std::{sync::Arc, time::Duration},
+    volo_http::body::Body,
+};
+
+/// Runs a request on a service route.
+pub async fn run(gate: &Arc<Gate>, job: Job, proof: Untouched) -> Result<Response<Body>> {
+    let pool = job.entry().pool.expect("a verified service route names its pool");
+    let proof = authorise(&job, pool, proof)?;
+    let (head, body) = attempt(gate, &job, pool, proof).await?;
+    gate.meter.answers.inc();
+    let mut out = Response::new(Body::from(body));
+    *out.status_mut() = head.status;
+    *out.headers_mut() = header::for_caller(&head.headers, &job.id);
+    Ok(out)
+}
+
+fn authorise(job: &Job, pool: PoolId, proof: Untouched) -> Result<Untouched> {
+    let Some(org) = job.caller.org() else { return Ok(proof) };
+    let allowed = job.snapshot.org(org).is_some_and(|o| o.services.contains(&pool));
+    if allowed {
+        return Ok(proof);
+    }
+    let text = "the organisation has no access to this service";
+    Err(Refused::not_run(Refusal::Forbidden, text, proof))
+}
+
+async fn attempt(
+    gate: &Arc<Gate>,
+    job: &Job,
+    pool: PoolId,
+    proof: Untouched,
+) -> Result<(http::response::Parts, Bytes)> {
+    let shape = Shape { cost: 1, ..Shape::default() };
+    let (_slot, proof) = admit(gate, job, pool, shape.cost, proof).await?;
+    let mut grant = Grant::First(proof);
+    let mut tried: Vec<EndpointId> = Vec::new();
+    loop {
+        grant = check_key(gate, job, grant)?;
+        let left = left(gate, job);
+        let target = if left.is_zero() { None } else { pick(gate, pool, &shape, &tried) };
+        let Some(target) = target else { return Err(exhausted(grant.untouched(), left)) };
+        tried.push(target.id);
+        let failure = match once(gate, job, &target, grant, left).await {
+            Ok(whole) => {
+                target.stay.end(Kind::Success);
+                return Ok(whole);
+            }
+            Err(failure) => failure,
+        };
+        log::info!("request {}: {failure}", job.id);
+        blame(gate, target, &failure).await;
+        let again = Repeatable::idempotent(job.entry());
+        grant = repeat(gate, job, pool, *failure, again, tried.len() as u32)?;
+    }
+}
+
+/// Sends the request to one endpoint and reads the whole answer.
+async fn once(
+    gate: &Gate,
+    job: &Job,
+    target: &Target,
+    grant: Grant,
+    left: Duration,
+) -> exchange::Result<(http::response::Parts, Bytes)> {
+    let answer = exchange::send(&target.links, request(job), &job.id, grant, left).await?;
+    answer.collect(gate.limits.answer, left).await
+}
+
+fn request(job: &Job) -> Request<Full<Bytes>> {
+    let mut out = Request::new(Full::new(job.body.clone()));
+    *out.method_mut() = job.head.method.clone();
+    *out.uri_mut() = target(&job.head);
+    *out.headers_mut() = endpoint_headers(job);
+    out
+}
+
+/// Target of the request in origin form.
+fn target(head: &Parts) -> http::Uri {
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    path.parse().expect("the path of a parsed target parses")
+}
+
+/// Headers of the request as the endpoint may see them.
+pub fn endpoint_headers(job: &Job) -> http::HeaderMap {
+    let key = header::find_key(&job.head.headers);
+    let mut out = header::for_endpoint(&job.head.headers, key, &job.id);
+    out.insert(http::header::HOST, http::HeaderValue::from_static("endpoint"));
+    if let Some(org) = job.caller.org().and_then(|o| job.snapshot.org(o))
+        && let Ok(name) = http::HeaderValue::from_str(&org.name)
+    {
+        out.insert(header::ORGANISATION, name);
+    }
+    out
+}
--- /dev/null
+++ b/crates/flow/src/token.rs
@@ -0,0 +1,160 @@
+//! Tokens of an engine's stream, checked for completeness and order.
+//!
+//! An engine answers with server-sent events. A stream is whole only if its token indices follow
+//! one another without a gap, a finish reason arrived, and the end marker was the last event.
+
+use {
+    crate::exchange::{Answer, Failure, Step},
+    bytes::Bytes,
+    eventsource_stream::{EventStream, Eventsource},
+    futures_util::{Stream, StreamExt, stream},
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, pin::Pin, time::Duration},
+};
+
+/// Data of the event that ends a stream.
+const END: &str = "[DONE]";
+
+/// Tokens that a request used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    #[serde(default)]
+    pub prompt_tokens: u32,
+    /// Tokens generated.
+    #[serde(default)]
+    pub completion_tokens: u32,
+    /// Tokens of the prompt that the engine had cached.
+    #[serde(default)]
+    pub cached_tokens: u32,
+}
+
+/// One event of a stream.
+#[derive(Debug, PartialEq)]
+pub enum Event {
+    /// The next token.
+    Token(String),
+    /// The engine's reason for ending the generation.
+    Finish(String),
+    /// Token counts.
+    Usage(Usage),
+    /// The proper end of the stream.
+    End,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    token_index: Option<u32>,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Delta,
+    finish_reason: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, Box<Failure>>> + Send>>;
+
+/// Reader of one engine's stream.
+pub struct Tokens {
+    events: EventStream<Pieces>,
+    peer: SocketAddr,
+    /// Index of the next token.
+    next: u32,
+    queue: Vec<Event>,
+    finished: bool,
+}
+
+impl Tokens {
+    /// Reads `answer`, whose first token must have the index `from`.
+    ///
+    /// `first` and `between` bound the silence before the first event and between two events.
+    pub fn open(answer: Answer, from: u32, first: Duration, between: Duration) -> Self {
+        let peer = answer.peer;
+        let events = pieces(answer, first, between).eventsource();
+        Self { events, peer, next: from, queue: Vec::new(), finished: false }
+    }
+
+    /// Number of tokens read, counting those before this stream.
+    pub fn delivered(&self) -> u32 {
+        self.next
+    }
+
+    /// Reads the next event.
+    ///
+    /// Errors: the stream broke, stayed silent, or is not a continuation of what was read before.
+    pub async fn next(&mut self) -> Result<Event, Box<Failure>> {
+        loop {
+            if !self.queue.is_empty() {
+                return Ok(self.queue.remove(0));
+            }
+            match self.events.next().await {
+                None => return Err(self.invalid("the stream ended before its end marker")),
+                Some(Err(eventsource_stream::EventStreamError::Transport(f))) => return Err(f),
+                Some(Err(e)) => return Err(self.invalid(e)),
+                Some(Ok(event)) => self.accept(&event.data)?,
+            }
+        }
+    }
+
+    fn accept(&mut self, data: &str) -> Result<(), Box<Failure>> {
+        if data == END {
+            if !self.finished {
+                return Err(self.invalid("the end marker came before a finish reason"));
+            }
+            self.queue.push(Event::End);
+            return Ok(());
+        }
+        let chunk: Chunk = serde_json::from_str(data).map_err(|e| self.invalid(e))?;
+        for choice in chunk.choices {
+            if let Some(text) = choice.delta.content {
+                self.check_index(chunk.token_index)?;
+                self.queue.push(Event::Token(text));
+            }
+            if let Some(reason) = choice.finish_reason {
+                self.finished = true;
+                self.queue.push(Event::Finish(reason));
+            }
+        }
+        self.queue.extend(chunk.usage.map(Event::Usage));
+        Ok(())
+    }
+
+    fn check_index(&mut self, index: Option<u32>) -> Result<(), Box<Failure>> {
+        if index.is_some_and(|i| i != self.next) {
+            let next = self.next;
+            return Err(self.invalid(format!("token {index:?} came where {next} was due")));
+        }
+        self.next += 1;
+        Ok(())
+    }
+
+    fn invalid(&self, cause: impl std::fmt::Display) -> Box<Failure> {
+        let (step, peer, cause) = (Step::Match, self.peer, cause.to_string());
+        Box::new(Failure { step, peer, cause, grant: None, declared: false, silent: false })
+    }
+}
+
+/// Turns an answer into a stream of pieces; its link is returned after the proper end of the body.
+fn pieces(answer: Answer, first: Duration, between: Duration) -> Pieces {
+    Box::pin(stream::unfold((Some(answer), first), move |(answer, limit)| async move {
+        let mut answer = answer?;
+        match answer.next(limit).await {
+            Ok(Some(piece)) => Some((Ok(piece), (Some(answer), between))),
+            Ok(None) => {
+                answer.release();
+                None
+            }
+            Err(failure) => Some((Err(failure), (None, between))),
+        }
+    }))
+}
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -138,6 +138,16 @@
         Self { endpoints: Vec::new(), pools: Vec::new(), distances, turn, seed, home }
     }
 
+    /// Returns the same table as seen from zone `home` with other distances; pools keep their order
+    /// until the table is rebuilt.
+    pub fn relocate(&self, home: ZoneId, distances: Distances) -> Self {
+        let mut next = Self::new(home, distances, self.seed);
+        next.turn = AtomicU32::new(self.turn.load(Relaxed));
+        next.endpoints = self.endpoints.clone();
+        next.pools = self.pools.clone();
+        next
+    }
+
     /// Builds the next table from the whole new list of endpoints.
     ///
     /// Live figures are carried over by identifier. An endpoint that is no longer listed keeps its
