--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,102 @@
 //! The agatetrack binary: commands, settings, logs and start-up.
+//!
+//! [`args`] declares the command line; [`run`] carries a parsed command out. [`instance`] puts one
+//! instance together from the other crates, for `serve`, the demo and the whole-path tests alike.
+
+pub mod args;
+pub mod configs;
+pub mod demo;
+pub mod diff;
+pub mod instance;
+pub mod logs;
+pub mod operator;
+pub mod settings;
+pub mod standins;
+
+use {
+    args::{Args, Command, Output, Settings},
+    clap::CommandFactory,
+    eyre::{Result, WrapErr, eyre},
+    instance::Instance,
+    settings::Log,
+    std::{net::SocketAddr, path::Path, process::ExitCode, time::Duration},
+};
+
+/// Longest wait for an answer from an instance's operator address.
+const STATUS_LIMIT: Duration = Duration::from_secs(2);
+
+/// Carries out a command; the result is the exit code.
+pub async fn run(args: Args) -> Result<ExitCode> {
+    match args.command {
+        Command::Serve { settings } => serve(&settings).await,
+        Command::Demo { document, listen, instances } => {
+            run_demo(document.as_deref(), listen, instances).await
+        }
+        Command::Standin { kind } => standins::run(kind).await,
+        Command::Config { action } => configs::run(action).await,
+        Command::Settings { action: Settings::Check { file } } => Ok(check_settings(&file)),
+        Command::Status { operator, output } => status(operator, output).await,
+        Command::Completions { shell } => {
+            let mut command = Args::command();
+            clap_complete::generate(shell, &mut command, "agatetrack", &mut std::io::stdout());
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+async fn serve(file: &Path) -> Result<ExitCode> {
+    let settings = match settings::open(file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return Ok(ExitCode::from(configs::INVALID));
+        }
+    };
+    let _logs = logs::open(&settings.log)?;
+    let store = agate_platform::store::open(settings.platform);
+    let instance = Instance::spawn(&settings, store).await?;
+    instance.ended().await;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn run_demo(document: Option<&Path>, listen: SocketAddr, count: u16) -> Result<ExitCode> {
+    let _logs = logs::open(&Log { level: "warn".into(), ..Log::default() })?;
+    let demo = demo::Demo::spawn(document, listen, count).await?;
+    println!("{}\nCtrl-C stops the demo.", demo.guide());
+    tokio::signal::ctrl_c().await.wrap_err("waiting for Ctrl-C")?;
+    demo.stop().await;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn check_settings(file: &Path) -> ExitCode {
+    match settings::open(file) {
+        Ok(settings) => {
+            println!("{} is valid for instance {}", file.display(), settings.name);
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(configs::INVALID)
+        }
+    }
+}
+
+async fn status(operator: SocketAddr, output: Output) -> Result<ExitCode> {
+    let http = agate_platform::http::Http::open(operator);
+    let (code, body) = http.get("/status", STATUS_LIMIT).await.map_err(|e| eyre!(e.cause))?;
+    if !code.is_success() {
+        return Err(eyre!("the instance at {operator} answered with status {code}"));
+    }
+    let text = String::from_utf8_lossy(&body);
+    match output {
+        Output::Json => println!("{text}"),
+        Output::Text => {
+            let fields: serde_json::Map<String, serde_json::Value> =
+                serde_json::from_str(&text).wrap_err("reading the status")?;
+            for (name, value) in fields {
+                println!("{name:<12} {value}");
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/settings.rs
@@ -0,0 +1,178 @@
+//! Settings of one instance.
+//!
+//! The file is read whole and every problem is reported before anything is bound. A value that may
+//! change while the instance runs is named in [`RELOADABLE`]; all others need a restart.
+
+use {
+    agate_flow::gate::Limits,
+    serde::Deserialize,
+    std::{fmt, fs, net::SocketAddr, path::Path, time::Duration},
+};
+
+/// Settings that a running instance takes over when told to reload.
+pub const RELOADABLE: [&str; 1] = ["log.level"];
+
+/// Settings of one instance, as written in its YAML file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, unique in the fleet.
+    pub name: String,
+    /// Availability zone in which it runs.
+    pub zone: String,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators: metrics, health, status.
+    pub operator: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Bounds on requests.
+    #[serde(default)]
+    pub limits: Bounds,
+    /// Graceful shutdown.
+    #[serde(default)]
+    pub stop: Stop,
+    /// Logging.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Bounds on requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// Largest body, in bytes.
+    pub body: usize,
+    /// Longest time in which a body must arrive.
+    #[serde(with = "humantime_serde")]
+    pub upload: Duration,
+    /// Largest answer of a plain service, in bytes.
+    pub answer: usize,
+    /// Longest silence before the first token.
+    #[serde(with = "humantime_serde")]
+    pub first: Duration,
+    /// Longest silence between two tokens.
+    #[serde(with = "humantime_serde")]
+    pub between: Duration,
+    /// Most endpoints tried for one request.
+    pub attempts: u32,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        let Limits { body, upload, answer, first, between, attempts, .. } = Limits::default();
+        Self { body, upload, answer, first, between, attempts }
+    }
+}
+
+impl Bounds {
+    /// Bounds as the request path takes them.
+    pub fn limits(&self) -> Limits {
+        Limits {
+            body: self.body,
+            upload: self.upload,
+            answer: self.answer,
+            first: self.first,
+            between: self.between,
+            attempts: self.attempts,
+            ..Limits::default()
+        }
+    }
+}
+
+/// Graceful shutdown.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Stop {
+    /// Time between announcing the stop and refusing new requests, for the balancer to notice.
+    #[serde(with = "humantime_serde")]
+    pub grace: Duration,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self { grace: Duration::from_secs(3) }
+    }
+}
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Logging.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Filter in the form of `flexi_logger`, such as `info` or `info, agate_flow=debug`.
+    pub level: String,
+    /// Form of the lines.
+    pub format: LogFormat,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { level: "info".into(), format: LogFormat::Text }
+    }
+}
+
+/// Problems of a settings file, all of them.
+#[derive(Debug)]
+pub struct Invalid {
+    file: String,
+    problems: Vec<String>,
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "settings file {} is invalid:", self.file)?;
+        self.problems.iter().try_for_each(|p| write!(f, "\n  {p}"))
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+/// Reads and checks a settings file.
+///
+/// Errors: every problem found, with its place and what is accepted.
+pub fn open(file: &Path) -> Result<Settings, Invalid> {
+    let fail = |problems| Invalid { file: file.display().to_string(), problems };
+    let text = fs::read_to_string(file).map_err(|e| fail(vec![e.to_string()]))?;
+    let settings: Settings =
+        serde_saphyr::from_str(&text).map_err(|e| fail(vec![e.to_string()]))?;
+    let problems = check(&settings);
+    if problems.is_empty() { Ok(settings) } else { Err(fail(problems)) }
+}
+
+/// Lists what is wrong with settings that were read.
+pub fn check(settings: &Settings) -> Vec<String> {
+    let Settings { name, zone, listen, operator, limits, log, .. } = settings;
+    let rules: [(bool, &str); 9] = [
+        (!is_name(name), "name: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
+        (!is_name(zone), "zone: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
+        (listen == operator && listen.port() != 0, "operator: must differ from `listen`"),
+        (limits.body == 0, "limits.body: accepted are 1 byte and more"),
+        (limits.answer == 0, "limits.answer: accepted are 1 byte and more"),
+        (limits.upload.is_zero(), "limits.upload: accepted are durations above zero"),
+        (limits.first.is_zero(), "limits.first: accepted are durations above zero"),
+        (limits.between.is_zero(), "limits.between: accepted are durations above zero"),
+        (limits.attempts == 0, "limits.attempts: accepted are 1 and more"),
+    ];
+    let mut out: Vec<String> =
+        rules.iter().filter(|(broken, _)| *broken).map(|(_, text)| (*text).to_owned()).collect();
+    if let Err(e) = flexi_logger::LogSpecification::parse(&log.level) {
+        out.push(format!("log.level: {e}"));
+    }
+    out
+}
+
+fn is_name(text: &str) -> bool {
+    let fits = (1..=64).contains(&text.len());
+    fits && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+}
--- /dev/null
+++ b/crates/cli/src/standins.rs
@@ -0,0 +1,37 @@
+//! Stand-ins as processes of their own.
+
+use {
+    crate::{args::Standin, logs, settings::Log},
+    agate_standin::{Engine, EngineSettings, Platform, Service},
+    eyre::{Result, WrapErr},
+    std::process::ExitCode,
+};
+
+/// Runs one stand-in until it is told to stop.
+pub async fn run(kind: Standin) -> Result<ExitCode> {
+    let _logs = logs::open(&Log::default())?;
+    match kind {
+        Standin::Platform { listen } => {
+            let platform = Platform::bind(listen).await?;
+            log::info!("platform stand-in listens on {}", platform.address());
+            stopped().await?;
+        }
+        Standin::Engine { listen, model } => {
+            let models = vec![(model, "v1".to_owned())];
+            let settings = EngineSettings { models, ..EngineSettings::default() };
+            let engine = Engine::bind(listen, settings).await?;
+            log::info!("engine stand-in listens on {}", engine.address());
+            stopped().await?;
+        }
+        Standin::Service { listen, name } => {
+            let service = Service::bind(listen, &name).await?;
+            log::info!("service stand-in listens on {}", service.address());
+            stopped().await?;
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn stopped() -> Result<()> {
+    tokio::signal::ctrl_c().await.wrap_err("waiting for a stop signal")
+}
