Spread a new configuration and judge its freshness

A change must be in force everywhere within seconds, while a watch by every instance would use up the store's reads; and an instance that may have missed the withdrawal of a key must not serve it.

The spread machine lets a few watchers in each availability zone wait on the head; the others ask a watcher about once a second, fetch from the peer that told them, and announce what they put in force. Polls are the last resort, paced by the fleet's size. Proofs of freshness date from when a question left, so old answers in a buffer prove nothing. Without a recent proof, keyed work is served only if most availability zones are heard: then the store is down for all. An older head is refused and counted, and watchers read the head whole at times because a watch would not tell.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,15 +6,18 @@
 //! code with the compiler, so a fault in one shows in the other.
 //!
 //! In the store the document is a set of content-addressed chunks ([`section`]) under one [`head`]
-//! that is replaced by compare-and-swap ([`publish`]).
+//! that is replaced by compare-and-swap ([`publish`]). [`spread`] decides how each instance learns a
+//! new head, and [`freshness`] whether the one in force may still decide on keyed work.
 
 pub mod doc;
+pub mod freshness;
 pub mod hash;
 pub mod head;
 pub mod parse;
 pub mod publish;
 pub mod section;
 pub mod snapshot;
+pub mod spread;
 pub mod verify;
 
 pub use {
--- /dev/null
+++ b/crates/config/tests/proofs.rs
@@ -0,0 +1,145 @@
+//! Single steps of the spread machine: what counts as a proof, what is refused, where fetches go.
+
+use {
+    agate_config::spread::{
+        Action, Found, Input, Peer, Proof, Settings, Source, State, rank, watchers,
+    },
+    std::time::Duration,
+};
+
+const MINUTE: Duration = Duration::from_secs(60);
+const T: Duration = Duration::from_secs(1_000);
+
+fn peer(name: &str) -> Peer {
+    name.into()
+}
+
+fn head(generation: u64, missing: &[&str]) -> Input {
+    Input::Head(Found { generation, missing: missing.iter().map(|m| m.to_string()).collect() })
+}
+
+fn digest(generation: u64, proof: Option<Proof>) -> Input {
+    Input::Digest { peer: peer("b"), generation, proof }
+}
+
+/// An instance `a` among `members`, and its first actions.
+fn start(members: &[&str]) -> (State, Vec<Action>) {
+    let mut state = State::new(peer("a"), Settings::default(), 1);
+    let zone = members.iter().map(|m| peer(m)).collect();
+    let actions = state.step(Input::Members { zone, far: vec![], fleet: members.len() }, T);
+    (state, actions)
+}
+
+/// A watcher with generation 1 in force whose read left at `T`.
+fn watcher() -> State {
+    let (mut state, actions) = start(&["a", "b"]);
+    assert_eq!(actions, [Action::Read]);
+    let actions = state.step(head(1, &[]), T);
+    assert!(actions.contains(&Action::Install(1)));
+    assert!(actions.contains(&Action::Announce(peer("b"))));
+    assert!(actions.contains(&Action::Watch(Settings::default().wait)));
+    state
+}
+
+/// An answer that was read a minute late is a minute old, from a peer as from the store.
+#[test]
+fn late_answers() {
+    let mut state = watcher();
+    let proof = Some(Proof { asked: T, age: Some(Duration::ZERO) });
+    state.step(digest(1, proof), T + MINUTE);
+    assert_eq!(state.proof_age(T + MINUTE), Some(MINUTE));
+    state.step(Input::Unchanged, T + MINUTE);
+    assert_eq!(state.proof_age(T + MINUTE), Some(MINUTE));
+    state.step(head(1, &[]), T + 2 * MINUTE);
+    assert_eq!(state.proof_age(T + 2 * MINUTE), Some(MINUTE), "the second call left at a minute");
+}
+
+#[test]
+fn unasked_digest() {
+    let (mut state, _) = start(&["a", "b"]);
+    state.step(head(1, &[]), T);
+    state.step(digest(1, None), T + MINUTE);
+    assert_eq!(state.proof_age(T + MINUTE), Some(MINUTE), "it proves nothing");
+    state.step(digest(1, Some(Proof { asked: T + MINUTE, age: None })), T + MINUTE);
+    assert_eq!(state.proof_age(T + MINUTE), Some(MINUTE), "the peer had no proof");
+}
+
+/// A proof for a greater generation counts once that is in force.
+#[test]
+fn proof_ahead() {
+    let mut state = watcher();
+    let asked = T + MINUTE;
+    state.step(digest(2, Some(Proof { asked, age: Some(Duration::from_secs(1)) })), asked);
+    assert_eq!(state.proof_age(asked), Some(MINUTE), "generation 1 is not proved");
+    let found = Found { generation: 2, missing: vec![] };
+    let actions = state.step(Input::PeerHead { peer: peer("b"), found }, asked);
+    assert!(actions.contains(&Action::Install(2)));
+    assert_eq!(state.proof_age(asked), Some(Duration::from_secs(1)));
+}
+
+/// A read that left before a greater generation was told of may answer the older one.
+#[test]
+fn concurrent_read() {
+    let mut state = watcher();
+    state.step(digest(2, None), T);
+    let actions = state.step(head(1, &[]), T);
+    assert!(!actions.iter().any(|a| matches!(a, Action::Alarm(_))));
+    assert_eq!(state.counters.older, 0);
+    // The call that left after it may not.
+    let actions = state.step(head(1, &[]), T);
+    assert!(actions.contains(&Action::Alarm(1)));
+    assert_eq!((state.counters.older, state.installed()), (1, 1));
+}
+
+#[test]
+fn older_heads() {
+    let mut state = watcher();
+    state.step(head(5, &[]), T);
+    assert_eq!(state.installed(), 5);
+    for input in [
+        head(4, &[]),
+        head(0, &[]),
+        Input::PeerHead { peer: peer("b"), found: Found { generation: 4, missing: vec![] } },
+        digest(3, None),
+    ] {
+        let actions = state.step(input, T);
+        assert!(!actions.iter().any(|a| matches!(a, Action::Install(_) | Action::FetchHead(_))));
+    }
+    assert_eq!(state.installed(), 5);
+}
+
+/// A peer that fails is left for another holder, and that one for the store.
+#[test]
+fn fetch_moves_on() {
+    let mut state = watcher();
+    let actions = state.step(digest(2, None), T);
+    assert_eq!(actions, [Action::FetchHead(peer("b"))]);
+    state.step(Input::Digest { peer: peer("c"), generation: 2, proof: None }, T);
+    let actions = state.step(Input::FetchFailed(Source::Peer(peer("b"))), T);
+    assert_eq!(actions, [Action::FetchHead(peer("c"))]);
+    let found = Found { generation: 2, missing: vec!["x".into(), "y".into()] };
+    let actions = state.step(Input::PeerHead { peer: peer("c"), found }, T);
+    let from = Source::Peer(peer("c"));
+    let chunk = |id: &str, from: &Source| Action::FetchChunk(id.into(), from.clone());
+    assert_eq!(actions, [chunk("x", &from), chunk("y", &from)]);
+    assert_eq!(state.step(Input::Chunk("x".into()), T), []);
+    let late = T + Settings::default().patience;
+    let actions = state.step(Input::Due, late);
+    assert!(actions.contains(&chunk("y", &Source::Store)), "{actions:?}");
+    let actions = state.step(Input::Chunk("y".into()), late);
+    assert!(actions.contains(&Action::Install(2)));
+}
+
+#[test]
+fn few_watchers_move() {
+    let zone: Vec<Peer> = (0..200).map(|i| peer(&format!("i{i}"))).collect();
+    let before = watchers(&zone, 48, 2);
+    assert_eq!(before.len(), 5);
+    assert!(before.is_sorted_by(|a, b| rank(a) > rank(b)));
+    for gone in &zone {
+        let rest: Vec<Peer> = zone.iter().filter(|p| *p != gone).cloned().collect();
+        let after = watchers(&rest, 48, 2);
+        let kept = after.iter().filter(|p| before.contains(p)).count();
+        assert_eq!(kept, if before.contains(gone) { 4 } else { 5 });
+    }
+}
