Add leases with fencing tokens, expired by observation

Control and usage need at most one holder at a time over a store that loses answers and goes down, and a token that never falls. One lasting record per lease is renewed by compare-and-swap; candidates take over a revision seen unchanged for its whole time to live, so no clock of the service is involved.

--- /dev/null
+++ b/crates/lease/src/rank.rs
@@ -0,0 +1,20 @@
+//! Which instances stand as candidates of a lease.
+//!
+//! Every instance computes the same few candidates from its own view of the members, so that a
+//! lease costs the same number of calls however large the fleet is. Differing views cost calls, not
+//! safety.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The `count` candidates of lease `name` among `members`, the preferred one first.
+pub fn candidates<'a>(
+    name: &str,
+    members: impl IntoIterator<Item = &'a str>,
+    count: usize,
+) -> Vec<&'a str> {
+    let seed = xxh3_64_with_seed(name.as_bytes(), 0);
+    let score = |m: &str| xxh3_64_with_seed(m.as_bytes(), seed);
+    let mut ranked: Vec<_> = members.into_iter().map(|m| (score(m), m)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().take(count).map(|(_, m)| m).collect()
+}
--- /dev/null
+++ b/crates/lease/tests/lease_runner.rs
@@ -0,0 +1,104 @@
+//! The runner over a store: acquiring, handing over, and records it must not trust.
+
+use {
+    agate_lease::{
+        Lease, Settings,
+        record::{self, Body},
+    },
+    agate_store::{Memory, Purpose},
+    rstest::rstest,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// Short enough for a test; a slow machine may lose the lease, but then gains it again.
+fn settings(holder: &str) -> Settings {
+    let ms = Duration::from_millis;
+    Settings {
+        ttl: ms(400),
+        margin: ms(40),
+        renew: ms(100),
+        poll: ms(20),
+        retry: ms(20),
+        timeout: ms(200),
+        ..Settings::new("x", holder)
+    }
+}
+
+async fn until(what: impl Fn() -> bool) {
+    while !what() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[rstest]
+#[case::clean(0)]
+#[case::lost_answers(2)]
+#[tokio::test]
+async fn release_hands_over(#[case] lost: u32) {
+    let memory = Memory::open(|| Duration::ZERO);
+    memory.set_faults(|f| f.lost_answers = lost);
+    let a = Lease::spawn(memory.store(), settings("a"));
+    until(|| a.may_act().is_some()).await;
+    let b = Lease::spawn(memory.store(), settings("b"));
+    let token = a.may_act().or(*a.follow().borrow());
+    a.release().await;
+    assert_eq!(a.may_act(), None);
+    until(|| b.may_act().is_some()).await;
+    assert!(b.may_act() > token);
+    assert!(b.first_order_in(Duration::from_secs(1)) > Some(Duration::from_secs(1)));
+}
+
+#[tokio::test]
+async fn outage_ends_authority() {
+    let memory = Memory::open(|| Duration::ZERO);
+    let a = Lease::spawn(memory.store(), settings("a"));
+    until(|| a.may_act().is_some()).await;
+    let first = a.counters().gained.load(Ordering::Relaxed);
+    memory.set_faults(|f| f.outage = true);
+    until(|| a.may_act().is_none()).await;
+    memory.set_faults(|f| f.outage = false);
+    until(|| a.counters().gained.load(Ordering::Relaxed) > first).await;
+}
+
+#[rstest]
+#[case::garbage(b"not a record".to_vec())]
+#[case::version(br#"{"version":2,"holder":"z","more":1}"#.to_vec())]
+#[case::large(vec![b' '; 5000])]
+#[tokio::test]
+async fn bad_record_refused(#[case] value: Vec<u8>) {
+    let memory = Memory::open(|| Duration::ZERO);
+    let store = memory.store();
+    store.swap(Purpose::Lease, "lease/x", 0, value.clone()).await.unwrap().unwrap();
+    let a = Lease::spawn(memory.store(), settings("a"));
+    until(|| a.counters().refused.load(Ordering::Relaxed) > 1).await;
+    assert_eq!(a.may_act(), None);
+    assert_eq!(store.get(Purpose::Lease, "lease/x").await.unwrap().unwrap().value, value);
+    let refused = record::decode("lease/x", &value).unwrap_err().to_string();
+    assert!(refused.contains("lease/x"), "{refused}");
+}
+
+#[test]
+fn record_reads_back() {
+    let ttl = Duration::from_millis(6000);
+    let body = Body { holder: "a-1".into(), token: 7, beat: 3, ttl };
+    assert_eq!(record::decode("k", &record::encode(&body)), Ok(body));
+}
+
+#[tokio::test]
+async fn dropped_handle_stops() {
+    let memory = Memory::open(|| Duration::ZERO);
+    let a = Lease::spawn(memory.store(), settings("a"));
+    until(|| a.may_act().is_some()).await;
+    drop(a);
+    let b = Lease::spawn(memory.store(), settings("b"));
+    until(|| b.may_act().is_some()).await;
+    let counted = Arc::new(AtomicU64::new(memory.counts().writes()));
+    until(|| memory.counts().writes() > counted.load(Ordering::Relaxed) + 1).await;
+    assert!(b.may_act().is_some_and(|t| t >= 2));
+}
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -58,7 +58,7 @@
 }
 
 /// One call to the service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Call {
     /// Reads one key.
     Get {
