Run membership over UDP and serve peer requests over TCP

Cause: the pure machine needs sockets, and other subsystems need content too large for a datagram. Requests are limited to 256 KB since they are read before they can be authenticated.

--- /dev/null
+++ b/crates/member/examples/fleet.rs
@@ -0,0 +1,168 @@
+//! Cost, detection and false verdicts of membership at several fleet sizes, in virtual time.
+//!
+//! Prints one Markdown table row for each size and loss rate. Bytes are those of the datagrams
+//! without IP and UDP headers. Processor time is that of the machines with encoding and
+//! authentication, scaled by the share of a core that this process got meanwhile.
+
+#[path = "../tests/net/mod.rs"]
+mod net;
+
+use {
+    agate_member::{Scope, Status},
+    net::{Net, Shape},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
+};
+
+const SEED: u64 = 2026;
+/// Virtual time during which the cost is counted.
+const STEADY: Duration = Duration::from_secs(60);
+/// Time between two crashes.
+const GAP: Duration = Duration::from_secs(15);
+/// Member-hours over which false verdicts are counted.
+const MEMBER_HOURS: f64 = 8.0;
+
+const SHAPES: [Shape; 5] = [
+    Shape { members: 8, zones: 4, regions: 1, scope: Scope::Region },
+    Shape { members: 64, zones: 4, regions: 1, scope: Scope::Zone },
+    Shape { members: 256, zones: 4, regions: 2, scope: Scope::Zone },
+    Shape { members: 1_000, zones: 4, regions: 2, scope: Scope::Zone },
+    Shape { members: 1_900, zones: 9, regions: 4, scope: Scope::Zone },
+];
+
+fn main() {
+    let only: Option<usize> = std::env::args().nth(1).and_then(|a| a.parse().ok());
+    println!(
+        "| members | zones | loss | datagrams/s sent | B/s sent | B/s received | CPU µs/s | state KB | \
+         detection p50 s | p99 s | max s | false verdicts per member-hour | failed probes per member-hour | digest spread p50 s | max s |"
+    );
+    println!("|{}", "---|".repeat(15));
+    for shape in SHAPES {
+        if only.is_some_and(|m| m != shape.members) {
+            continue;
+        }
+        for loss in [0.0, 0.2] {
+            measure(shape, loss);
+        }
+    }
+}
+
+fn measure(shape: Shape, loss: f64) {
+    let mut net = Net::new(shape, SEED);
+    assert!(net.run_until(Duration::from_secs(60), Net::agreed), "the fleet did not join");
+    net.run_for(Duration::from_secs(10));
+    net.loss = loss;
+    net.run_for(Duration::from_secs(10));
+
+    net.log.clear();
+    let cost = cost(&mut net);
+    let (wrong, failures) = false_rates(&mut net);
+    let spread = spread(&mut net);
+    let state = net.nodes.iter().map(|n| n.state.bytes()).sum::<usize>();
+    let detection = detection(&mut net);
+    println!(
+        "| {} | {} | {:.0}% | {:.1} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} | {:.1} | {:.1} | {:.3} | {:.1} | {:.1} | {:.1} |",
+        shape.members,
+        shape.zones,
+        loss * 100.0,
+        cost.datagrams,
+        cost.sent,
+        cost.received,
+        cost.busy,
+        state as f64 / shape.members as f64 / 1e3,
+        quantile(&detection, 0.5),
+        quantile(&detection, 0.99),
+        quantile(&detection, 1.0),
+        wrong,
+        failures,
+        quantile(&spread, 0.5),
+        quantile(&spread, 1.0),
+    );
+}
+
+/// Cost for each member and second.
+struct Cost {
+    datagrams: f64,
+    sent: f64,
+    received: f64,
+    busy: f64,
+}
+
+fn cost(net: &mut Net) -> Cost {
+    for n in &mut net.nodes {
+        (n.sent, n.sent_bytes, n.got_bytes) = (0, 0, 0);
+    }
+    net.busy = Duration::ZERO;
+    let (wall, used) = (Instant::now(), on_core());
+    net.run_for(STEADY);
+    let share = (on_core() - used).as_secs_f64() / wall.elapsed().as_secs_f64();
+    net.busy = net.busy.mul_f64(share);
+    let per = |total: u64| total as f64 / net.nodes.len() as f64 / STEADY.as_secs_f64();
+    Cost {
+        datagrams: per(net.nodes.iter().map(|n| n.sent).sum()),
+        sent: per(net.nodes.iter().map(|n| n.sent_bytes).sum()),
+        received: per(net.nodes.iter().map(|n| n.got_bytes).sum()),
+        busy: per(net.busy.as_micros() as u64),
+    }
+}
+
+/// Time that this thread has spent on a core.
+fn on_core() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos = text.split(' ').next().and_then(|n| n.parse().ok());
+    Duration::from_nanos(nanos.expect("the kernel reports the time of a thread"))
+}
+
+/// Running members wrongly given up by anyone, and failed probes, for each member-hour.
+fn false_rates(net: &mut Net) -> (f64, f64) {
+    let members = net.nodes.len() as f64;
+    let span = Duration::from_secs_f64((MEMBER_HOURS / members * 3600.0).max(60.0));
+    let failures = |n: &Net| n.nodes.iter().map(|n| n.state.counts().failures).sum::<u64>();
+    let (mark, before) = (net.log.len(), failures(net));
+    net.run_for(span);
+    let wrong = net.log[mark..].iter().filter(|e| e.status == Status::Dead);
+    // Verdicts on one member within one minute are one incident.
+    let incidents: BTreeSet<_> = wrong.map(|e| (e.subject, e.at.as_secs() / 60)).collect();
+    let hours = members * span.as_secs_f64() / 3600.0;
+    (incidents.len() as f64 / hours, (failures(net) - before) as f64 / hours)
+}
+
+/// Times until each instance has heard of a new configuration generation.
+fn spread(net: &mut Net) -> Vec<f64> {
+    let start = net.now;
+    net.nodes[0].generation = 1;
+    let mut times = Vec::new();
+    while times.len() < net.nodes.len() {
+        net.run_for(Duration::from_millis(100));
+        let know = net.nodes.iter().filter(|n| n.generation == 1).count();
+        times.resize(know, (net.now - start).as_secs_f64());
+        assert!(net.now < start + Duration::from_secs(120), "the digest did not reach everyone");
+    }
+    times
+}
+
+/// Times from a crash until each member of the scope has given the crashed one up.
+fn detection(net: &mut Net) -> Vec<f64> {
+    let mut times = Vec::new();
+    for k in 0..4 {
+        let victim = (k * 7 + 1) % net.nodes.len();
+        if net.nodes.len() < 10 && k > 2 {
+            break;
+        }
+        let (start, mark) = (net.now, net.log.len());
+        net.crash(victim);
+        net.run_for(GAP);
+        let seen = net.log[mark..].iter().filter(|e| e.subject == victim);
+        let seen = seen.filter(|e| e.status == Status::Dead);
+        times.extend(seen.map(|e| (e.at - start).as_secs_f64()));
+    }
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+fn quantile(sorted: &[f64], q: f64) -> f64 {
+    let i = ((sorted.len() as f64 - 1.0) * q).round() as usize;
+    sorted.get(i).copied().unwrap_or(f64::NAN)
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,7 +1,7 @@
 //! Membership of instances: probes, suspicion, leaving, and the UDP adapter.
 //!
 //! The decision logic is [`step`], a pure function over [`State`] that takes the time and a seeded
-//! generator and returns actions; an adapter carries them out. Invariants:
+//! generator and returns actions; the adapter behind [`bind`] carries them out. Invariants:
 //!
 //! - an instance holds the full view of its own *scope* (its availability zone, or its region in a
 //!   small deployment) and a bounded sample of contacts in every other scope;
@@ -16,9 +16,12 @@
 //!
 //! The parts: `view` holds the members of the scope, `rumour` the statements to pass on, `probe` the
 //! probes under way, `suspect` the way from a failed probe to a verdict, `sync` the transfer of
-//! whole views, `contact` the sample of other scopes.
+//! whole views, `contact` the sample of other scopes. [`serve`] and [`Client`] carry requests that are
+//! too large for datagrams.
 
 mod contact;
+mod counters;
+mod peer;
 mod probe;
 mod receive;
 mod rumour;
@@ -27,12 +30,16 @@
 mod step;
 mod suspect;
 mod sync;
+mod udp;
 mod view;
 
 pub use {
-    agate_wire::{Digest, Name, Peer, Place, Status},
+    agate_wire::{Answer, Digest, Keys, Name, Peer, Place, Query, Reject, Status},
+    counters::{Counters, Totals},
+    peer::{Client, FetchError, FetchResult, Server, serve},
     settings::{Scope, Settings},
     state::{Counts, State},
     step::{Action, Input, Listing, step},
+    udp::{Deliver, Error, Handle, Hooks, Identity, Result, bind},
     view::Member,
 };
--- a/crates/member/src/receive.rs
+++ b/crates/member/src/receive.rs
@@ -53,7 +53,7 @@
             Body::View { members, more } => self.take_page(&from, members, more, t),
             Body::Outdated { incarnation } => {
                 if incarnation >= self.incarnation {
-                    self.raise_incarnation(incarnation);
+                    self.raise_incarnation(incarnation, t.now);
                 }
             }
             Body::Query(_) | Body::Answer(_) => {}
--- a/crates/member/src/rumour.rs
+++ b/crates/member/src/rumour.rs
@@ -1,12 +1,18 @@
 //! Statements that are passed on with probes and acknowledgements.
 //!
 //! At most one statement per member is queued, the newest. Each rides on a number of messages that
-//! grows with the logarithm of the scope, those sent least often first.
+//! grows with the logarithm of the scope, those sent least often first, and none for longer than
+//! [`LIFETIME`]: what a member missed until then, the comparison of views finds.
 
-use agate_wire::{Name, Status, Update};
+use {
+    agate_core::Mono,
+    agate_wire::{Name, Status, Update},
+};
 
 /// Transmissions of a statement for each decimal digit of the scope's size.
 const TRANSMISSIONS: u32 = 4;
+/// Time for which a statement is passed on.
+const LIFETIME: Mono = Mono::from_secs(10);
 /// Most statements in the queue.
 const CAPACITY: usize = 256;
 
@@ -14,6 +20,7 @@
 struct Rumour {
     update: Update,
     sent: u32,
+    since: Mono,
 }
 
 /// Queue of statements to pass on.
@@ -24,7 +31,7 @@
 
 impl Rumours {
     /// Queues a statement in place of an older one about the same member.
-    pub(crate) fn push(&mut self, update: Update) {
+    pub(crate) fn push(&mut self, update: Update, now: Mono) {
         self.queue.retain(|r| r.update.name != update.name);
         if self.queue.len() >= CAPACITY {
             let most = self.queue.iter().enumerate().max_by_key(|(_, r)| r.sent);
@@ -32,7 +39,7 @@
                 self.queue.swap_remove(i);
             }
         }
-        self.queue.push(Rumour { update, sent: 0 });
+        self.queue.push(Rumour { update, sent: 0, since: now });
     }
 
     /// Drops all accusations.
@@ -40,6 +47,11 @@
         self.queue.retain(|r| matches!(r.update.status, Status::Alive | Status::Left));
     }
 
+    /// Drops statements that were passed on for long enough.
+    pub(crate) fn expire(&mut self, now: Mono) {
+        self.queue.retain(|r| now < r.since + LIFETIME);
+    }
+
     /// Takes statements for one message of at most `budget` bytes to `to`.
     pub(crate) fn take(&mut self, budget: usize, members: usize, to: &Name) -> Vec<Update> {
         if self.queue.is_empty() {
--- a/crates/member/src/step.rs
+++ b/crates/member/src/step.rs
@@ -147,6 +147,7 @@
     if t.now >= s.timers.expiry {
         s.timers.expiry = t.now + s.settings.period * 2;
         s.view.expire(t.now, s.settings.retention);
+        s.rumours.expire(t.now);
     }
 }
 
@@ -156,7 +157,7 @@
     }
     log::info!(step = "leave"; "announcing that this instance leaves");
     let gone = s.own_statement(Status::Left);
-    s.rumours.push(gone);
+    s.rumours.push(gone, t.now);
     s.pending.clear();
     announce_leaving(s, LEAVE_TICKS, t);
     s.tell_contacts(t);
--- a/crates/member/src/suspect.rs
+++ b/crates/member/src/suspect.rs
@@ -1,16 +1,19 @@
 //! From a failed probe through suspicion to a verdict, and its refutation.
 //!
 //! The time to a verdict shrinks with the number of distinct accusers: a failed member is soon
-//! missed by several, while lost datagrams seldom mislead several members about the same one.
+//! missed by several, while lost datagrams seldom mislead several members about the same one. A
+//! suspicion that lasts for long is checked by a probe of one's own, so that a member which missed
+//! the refutation does not hold on to it.
 
 use {
     crate::{
         Action, State,
+        probe::Aim,
         state::{Turn, statement},
         view::{Entry, Suspicion},
     },
     agate_core::Mono,
-    agate_wire::{Name, Status, Update},
+    agate_wire::{Name, Peer, Status, Update},
 };
 
 /// How a statement reached this instance.
@@ -47,7 +50,7 @@
             return;
         }
         self.counts.refutations += 1;
-        self.raise_incarnation(u.incarnation);
+        self.raise_incarnation(u.incarnation, t.now);
         let given_up = matches!(u.status, Status::Dead | Status::Left);
         if given_up && (self.view.is_live(from) || self.verdicts_prevail()) {
             self.revoke_verdicts(t);
@@ -62,10 +65,10 @@
     }
 
     /// Continues above `seen` and tells the scope.
-    pub(crate) fn raise_incarnation(&mut self, seen: u64) {
+    pub(crate) fn raise_incarnation(&mut self, seen: u64, now: Mono) {
         self.incarnation = seen + 1;
         let alive = self.own_statement(Status::Alive);
-        self.rumours.push(alive);
+        self.rumours.push(alive, now);
     }
 
     /// Takes back what this instance concluded while others had given it up.
@@ -98,7 +101,10 @@
         e.acked = known_ack(self.view.get(&u.name));
         let mut rumour = statement(&u.name, &e);
         rumour.place = Some(e.place.clone());
-        self.rumours.push(rumour);
+        // The sender of a whole view has passed its news on already.
+        if via != Via::Transfer {
+            self.rumours.push(rumour, t.now);
+        }
         if self.view.get(&u.name).is_none() {
             self.join_round(&u.name, t);
         }
@@ -147,7 +153,7 @@
         if e.status == Status::Alive || incarnation > e.incarnation {
             let e = self.view.set(name, Status::Suspect, t.now);
             e.incarnation = incarnation;
-            e.suspicion = Some(Suspicion { since: t.now, accusers: Vec::new() });
+            e.suspicion = Some(Suspicion { since: t.now, accusers: Vec::new(), probed: false });
             t.out.push(changed(name, incarnation, Status::Suspect));
         }
         let e = self.view.get_mut(name).expect("the member is in the view");
@@ -158,13 +164,8 @@
         s.accusers.push(accuser.clone());
         let status = Status::Suspect;
         let name = name.clone();
-        self.rumours.push(Update {
-            name,
-            incarnation,
-            status,
-            accuser: Some(accuser),
-            place: None,
-        });
+        let accuser = Some(accuser);
+        self.rumours.push(Update { name, incarnation, status, accuser, place: None }, t.now);
     }
 
     fn learn_dead(&mut self, u: Update, from: &Name, via: Via, t: &mut Turn<'_>) {
@@ -181,7 +182,7 @@
         e.incarnation = u.incarnation;
         e.own = false;
         let verdict = Update { accuser: None, place: None, ..u };
-        self.rumours.push(verdict);
+        self.rumours.push(verdict, t.now);
     }
 
     fn learn_left(&mut self, u: Update, t: &mut Turn<'_>) {
@@ -191,7 +192,7 @@
         }
         self.change(&u.name, Status::Left, t).incarnation = u.incarnation;
         self.seeds.retain(|p| p.name != u.name);
-        self.rumours.push(Update { accuser: None, place: None, ..u });
+        self.rumours.push(Update { accuser: None, place: None, ..u }, t.now);
     }
 
     fn change(&mut self, name: &Name, status: Status, t: &mut Turn<'_>) -> &mut Entry {
@@ -222,9 +223,10 @@
 
     /// Gives a verdict on members that were suspected for long enough.
     pub(crate) fn check_suspicions(&mut self, t: &mut Turn<'_>) {
-        if self.isolated(t.now) {
+        if self.view.suspects() == 0 || self.isolated(t.now) {
             return;
         }
+        self.probe_suspects(t);
         let due = |e: &Entry| e.suspicion.as_ref().is_some_and(|s| self.is_due(s, t.now));
         let names: Vec<Name> =
             self.view.iter().filter(|(_, e)| due(e)).map(|(n, _)| n.clone()).collect();
@@ -233,6 +235,19 @@
         }
     }
 
+    fn probe_suspects(&mut self, t: &mut Turn<'_>) {
+        let wait = self.settings.suspect_max / 2;
+        let late = |s: &Suspicion| !s.probed && t.now >= s.since + wait;
+        let unproven = |e: &Entry| e.suspicion.as_ref().is_some_and(late);
+        let late = self.view.iter().filter(|(_, e)| unproven(e));
+        let peers = late.map(|(n, e)| Peer { name: n.clone(), place: e.place.clone() });
+        for p in peers.collect::<Vec<_>>() {
+            let s = self.view.get_mut(&p.name).and_then(|e| e.suspicion.as_mut());
+            s.expect("the member is suspected").probed = true;
+            self.start_probe(p, Aim::Member, t);
+        }
+    }
+
     fn is_due(&self, s: &Suspicion, now: Mono) -> bool {
         let Self { settings, view, .. } = self;
         // With few members there are fewer possible accusers besides the first.
@@ -251,7 +266,7 @@
         let e = self.change(name, Status::Dead, t);
         e.own = true;
         let verdict = statement(name, e);
-        self.rumours.push(verdict);
+        self.rumours.push(verdict, t.now);
     }
 
     /// Starts the time of all suspicions anew.
--- /dev/null
+++ b/crates/member/src/udp.rs
@@ -0,0 +1,350 @@
+//! Adapter that runs the membership of one instance over a UDP socket.
+//!
+//! One task owns the socket and the [`State`]. It authenticates what arrives, counts and drops the
+//! rest by reason, and publishes the members as an immutable snapshot that readers load without
+//! waiting.
+
+use {
+    crate::{
+        Action, Counters, Counts, Digest, Input, Listing, Member, Name, Settings, State, step,
+    },
+    agate_core::Mono,
+    agate_wire::{
+        Body, Context, Envelope, Gossip, Keys, MAX_DATAGRAM, Reject, ReplayTable, open, seal,
+    },
+    arc_swap::ArcSwap,
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering::Relaxed},
+        },
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        net::UdpSocket,
+        select,
+        sync::{mpsc, oneshot},
+        task::JoinHandle,
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// Senders whose sequence numbers are kept.
+const REPLAY_SENDERS: usize = 1_024;
+/// Commands that may wait for the task.
+const COMMANDS: usize = 16;
+/// Low bits of an incarnation that count refutations within one life.
+const REFUTATION_BITS: u32 = 16;
+/// Ticks between two publications that no change of a member asked for.
+const PUBLISH_TICKS: u32 = 20;
+
+/// Takes the digests of a member, with the time since before they were made if it is known.
+pub type Deliver = dyn Fn(&Name, &[Digest], Option<Duration>) + Send + Sync;
+
+/// What other subsystems put on messages and take from them.
+#[derive(Clone)]
+pub struct Hooks {
+    /// Digests to send along; a message that would grow too large is sent without them.
+    pub supply: Arc<dyn Fn() -> Vec<Digest> + Send + Sync>,
+    /// Takes the digests of a member.
+    pub deliver: Arc<Deliver>,
+}
+
+impl Hooks {
+    /// Sends nothing along and ignores what arrives.
+    pub fn none() -> Self {
+        Self { supply: Arc::new(Vec::new), deliver: Arc::new(|_, _, _| {}) }
+    }
+}
+
+/// Why the membership could not start or was not reached.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The socket could not be bound.
+    #[error("binding the membership socket at {peer}: {source}")]
+    Bind {
+        /// Local address.
+        peer: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The task has ended.
+    #[error("{step}: the membership of {peer} has ended")]
+    Ended {
+        /// What was attempted.
+        step: &'static str,
+        /// This instance.
+        peer: Name,
+    },
+}
+
+/// Result of the adapter's calls.
+pub type Result<T> = std::result::Result<T, Error>;
+
+enum Command {
+    Listed(Vec<Listing>),
+    Leave(oneshot::Sender<()>),
+}
+
+/// What tells this instance's messages from those of others and of its earlier lives.
+#[derive(Debug)]
+pub struct Identity {
+    /// Name of this instance.
+    pub name: Name,
+    /// Address at which it receives, which the MAC of a message covers.
+    pub address: SocketAddr,
+    incarnation: AtomicU64,
+}
+
+impl Identity {
+    /// Returns the identity of an instance whose life begins with `incarnation`.
+    pub fn new(name: Name, address: SocketAddr, incarnation: u64) -> Self {
+        Self { name, address, incarnation: AtomicU64::new(incarnation) }
+    }
+
+    /// Present incarnation.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.load(Relaxed)
+    }
+}
+
+/// Handle of a running membership; its task ends when the handle is dropped.
+#[derive(Debug)]
+pub struct Handle {
+    identity: Arc<Identity>,
+    shared: Arc<Shared>,
+    commands: mpsc::Sender<Command>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    members: ArcSwap<Vec<Member>>,
+    counts: ArcSwap<Counts>,
+    counters: Counters,
+}
+
+impl Handle {
+    /// Members known now, without this instance.
+    pub fn members(&self) -> Arc<Vec<Member>> {
+        self.shared.members.load_full()
+    }
+
+    /// Messages sent, received and dropped.
+    pub fn counters(&self) -> &Counters {
+        &self.shared.counters
+    }
+
+    /// Events of the protocol.
+    pub fn counts(&self) -> Counts {
+        **self.shared.counts.load()
+    }
+
+    /// Identity that requests over TCP share.
+    pub fn identity(&self) -> &Arc<Identity> {
+        &self.identity
+    }
+
+    /// Hands over the platform's list.
+    pub async fn listed(&self, list: Vec<Listing>) -> Result<()> {
+        let sent = self.commands.send(Command::Listed(list)).await;
+        sent.map_err(|_| self.ended("handing over the platform's list"))
+    }
+
+    /// Announces that this instance leaves, and returns when that is done.
+    pub async fn leave(&self) -> Result<()> {
+        let ended = || self.ended("leaving");
+        let (done, waiting) = oneshot::channel();
+        self.commands.send(Command::Leave(done)).await.map_err(|_| ended())?;
+        waiting.await.map_err(|_| ended())
+    }
+
+    fn ended(&self, step: &'static str) -> Error {
+        Error::Ended { step, peer: self.identity.name.clone() }
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Binds the socket and starts the membership; port zero takes any free port.
+pub async fn bind(mut settings: Settings, keys: Keys, hooks: Hooks) -> Result<Handle> {
+    let peer = settings.peer.place.address;
+    let failed = |source| Error::Bind { peer, source };
+    let socket = UdpSocket::bind(peer).await.map_err(failed)?;
+    if peer.port() == 0 {
+        settings.peer.place.address = socket.local_addr().map_err(failed)?;
+    }
+    let address = settings.peer.place.address;
+    let name = settings.peer.name.clone();
+    let identity = Arc::new(Identity::new(name, address, first_incarnation()));
+    let shared = Arc::new(Shared::default());
+    let (commands, waiting) = mpsc::channel(COMMANDS);
+    let tick = settings.tick;
+    let runner = Runner {
+        state: State::new(settings, identity.incarnation(), Mono::ZERO),
+        origin: Instant::now(),
+        rng: ChaCha8Rng::from_rng(&mut rand::rng()),
+        replay: ReplayTable::new(REPLAY_SENDERS),
+        identity: identity.clone(),
+        shared: shared.clone(),
+        socket,
+        keys,
+        hooks,
+        leaver: None,
+        left: false,
+        stale: PUBLISH_TICKS,
+    };
+    let task = tokio::spawn(runner.run(waiting, tick));
+    Ok(Handle { identity, shared, commands, task })
+}
+
+/// An incarnation above that of earlier lives unless the clock was set back; peers tell then.
+fn first_incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (since.as_millis() as u64) << REFUTATION_BITS
+}
+
+struct Runner {
+    state: State,
+    origin: Instant,
+    rng: ChaCha8Rng,
+    replay: ReplayTable,
+    identity: Arc<Identity>,
+    shared: Arc<Shared>,
+    socket: UdpSocket,
+    keys: Keys,
+    hooks: Hooks,
+    leaver: Option<oneshot::Sender<()>>,
+    left: bool,
+    /// Ticks since the last publication.
+    stale: u32,
+}
+
+impl Runner {
+    async fn run(mut self, mut commands: mpsc::Receiver<Command>, tick: Duration) {
+        let mut ticks = interval(tick);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        // One byte more than the limit, so that an oversized datagram is told from a full one.
+        let mut buf = [0; MAX_DATAGRAM + 1];
+        while !self.left {
+            select! {
+                _ = ticks.tick() => self.tick().await,
+                got = self.socket.recv_from(&mut buf) => match got {
+                    Ok((n, source)) => self.datagram(&buf[..n], source).await,
+                    Err(e) => log::debug!(step = "receive"; "the membership socket failed: {e}"),
+                },
+                Some(c) = commands.recv() => self.command(c).await,
+            }
+        }
+        if let Some(done) = self.leaver.take() {
+            let _ = done.send(());
+        }
+    }
+
+    async fn tick(&mut self) {
+        self.stale += 1;
+        self.input(Input::Tick).await;
+        if self.stale >= PUBLISH_TICKS {
+            self.publish();
+        }
+    }
+
+    async fn command(&mut self, c: Command) {
+        match c {
+            Command::Listed(list) => self.input(Input::Listed(list)).await,
+            Command::Leave(done) => {
+                self.leaver = Some(done);
+                self.input(Input::Leave).await;
+            }
+        }
+    }
+
+    async fn datagram(&mut self, bytes: &[u8], source: SocketAddr) {
+        self.shared.counters.count_received(bytes.len());
+        match self.accept(bytes) {
+            Ok(envelope) => self.input(Input::Received { source, envelope }).await,
+            Err(reason) => {
+                self.shared.counters.count_rejected(reason);
+                log::trace!(step = "receive", peer:% = source; "dropped a datagram: {reason}");
+                if let Reject::Outdated { seen } = reason {
+                    self.input(Input::Outdated { source, seen }).await;
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, bytes: &[u8]) -> std::result::Result<Envelope, Reject> {
+        let e = open(&self.keys, bytes, Context::Datagram(self.identity.address))?;
+        if e.from == self.identity.name {
+            return Err(Reject::Own);
+        }
+        self.replay.accept(&e.from, e.incarnation, e.sequence)?;
+        Ok(e)
+    }
+
+    async fn input(&mut self, input: Input) {
+        let now = self.origin.elapsed();
+        let actions = step(&mut self.state, input, now, &mut self.rng);
+        self.identity.incarnation.store(self.state.incarnation(), Relaxed);
+        let mut changed = false;
+        for a in actions {
+            match a {
+                Action::Send { to, envelope } => self.send(to, envelope).await,
+                Action::Changed { name, status, .. } => {
+                    log::trace!(step = "change", peer:% = name; "member is now {status:?}");
+                    changed = true;
+                }
+                Action::Deliver { from, digests, elapsed } => {
+                    (self.hooks.deliver)(&from, &digests, elapsed);
+                }
+                Action::Left => self.left = true,
+            }
+        }
+        if changed {
+            self.publish();
+        }
+    }
+
+    async fn send(&mut self, to: SocketAddr, mut envelope: Envelope) {
+        let context = Context::Datagram(to);
+        if let Some(g) = gossip_of(&mut envelope) {
+            g.digests = (self.hooks.supply)();
+        }
+        let mut sealed = seal(&self.keys, &envelope, context);
+        if sealed.is_err()
+            && let Some(g) = gossip_of(&mut envelope)
+        {
+            g.digests.clear();
+            sealed = seal(&self.keys, &envelope, context);
+        }
+        let sent = match sealed {
+            Ok(bytes) => self.socket.send_to(&bytes, to).await.ok(),
+            Err(_) => None,
+        };
+        match sent {
+            Some(n) => self.shared.counters.count_sent(n),
+            None => self.shared.counters.count_unsent(),
+        }
+    }
+
+    fn publish(&mut self) {
+        self.stale = 0;
+        self.shared.members.store(Arc::new(self.state.members()));
+        self.shared.counts.store(Arc::new(self.state.counts()));
+    }
+}
+
+fn gossip_of(e: &mut Envelope) -> Option<&mut Gossip> {
+    match &mut e.body {
+        Body::Probe { gossip, .. } | Body::Ack { gossip, .. } => Some(gossip),
+        _ => None,
+    }
+}
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -34,6 +34,8 @@
     pub(crate) since: Mono,
     /// Distinct accusers, the first one included.
     pub(crate) accusers: Vec<Name>,
+    /// Whether this instance has probed the member itself since.
+    pub(crate) probed: bool,
 }
 
 /// What is known about a member.
@@ -71,13 +73,14 @@
 pub(crate) struct View {
     members: IndexMap<Name, Entry>,
     live: usize,
+    suspects: usize,
     checksum: u64,
 }
 
 impl View {
     /// Returns a view that knows only the instance itself.
     pub(crate) fn new(own: &Name) -> Self {
-        Self { members: IndexMap::new(), live: 0, checksum: name_hash(own) }
+        Self { members: IndexMap::new(), live: 0, suspects: 0, checksum: name_hash(own) }
     }
 
     pub(crate) fn get(&self, name: &str) -> Option<&Entry> {
@@ -97,6 +100,11 @@
         self.live
     }
 
+    /// Number of suspected members.
+    pub(crate) fn suspects(&self) -> usize {
+        self.suspects
+    }
+
     /// Checksum of the names of live members, the instance included.
     pub(crate) fn checksum(&self) -> u64 {
         self.checksum
@@ -118,16 +126,15 @@
 
     /// Inserts or replaces an entry.
     pub(crate) fn insert(&mut self, name: Name, entry: Entry) {
-        let now_live = entry.live();
-        let was_live = self.is_live(&name);
-        self.account(&name, was_live, now_live);
+        let was = self.get(&name).map(|e| e.status);
+        self.account(&name, was, entry.status);
         self.members.insert_sorted(name, entry);
     }
 
     /// Changes the status of a member and returns its entry.
     pub(crate) fn set(&mut self, name: &Name, status: Status, now: Mono) -> &mut Entry {
-        let was_live = self.is_live(name);
-        self.account(name, was_live, is_live(status));
+        let was = self.get(name).map(|e| e.status);
+        self.account(name, was, status);
         let e = self.members.get_mut(name).expect("the member is in the view");
         e.status = status;
         e.since = now;
@@ -172,15 +179,18 @@
         got
     }
 
-    fn account(&mut self, name: &Name, was: bool, is: bool) {
-        if was == is {
+    fn account(&mut self, name: &Name, was: Option<Status>, is: Status) {
+        self.suspects -= usize::from(was == Some(Status::Suspect));
+        self.suspects += usize::from(is == Status::Suspect);
+        let was_live = was.is_some_and(is_live);
+        if was_live == is_live(is) {
             return;
         }
         self.checksum ^= name_hash(name);
-        if is {
-            self.live += 1;
-        } else {
+        if was_live {
             self.live -= 1;
+        } else {
+            self.live += 1;
         }
     }
 }
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -13,7 +13,10 @@
 pub const OVERHEAD: usize = 1 + TAG_BYTES;
 /// Most bytes of a datagram, so that it is not fragmented.
 pub const MAX_DATAGRAM: usize = 1_400;
-/// Most bytes of a message over TCP, without its length prefix.
+/// Most bytes of a request over TCP, without its length prefix; small, since it is read before it
+/// can be authenticated.
+pub const MAX_REQUEST: usize = 1 << 18;
+/// Most bytes of a response over TCP, without its length prefix.
 pub const MAX_FRAME: usize = 1 << 20;
 
 /// MAC of a message.
@@ -35,7 +38,8 @@
     pub fn limit(&self) -> usize {
         match self {
             Context::Datagram(_) => MAX_DATAGRAM,
-            Context::Request(_) | Context::Response(_) => MAX_FRAME,
+            Context::Request(_) => MAX_REQUEST,
+            Context::Response(_) => MAX_FRAME,
         }
     }
 
