Prove whole answers, true refusals, hidden keys and freed slots on the whole path

Cause: nothing showed that these hold under faults, and the tests found four faults: a broken stream's error event was lost because the server drops unflushed bytes when a body fails; a resumed stream reported only the tokens of its last engine; an idempotent call on a silent connection used up its whole deadline; engines were not told to keep organisations' cached prefixes apart. Change: a pause lets the error event leave before the cut; usage counts all delivered tokens; a call on a connection that was idle waits a third of its time and then tries a new one, and calls that may not be repeated avoid connections idle for over a second; a cache salt goes with each request. Tests run real instances against the stand-ins with injected faults.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -30,10 +30,14 @@
 }
 
 impl Demo {
-    /// Starts the stand-ins that `document` (a file; the built-in one if absent) calls for, applies
-    /// it, and starts `count` instances from `listen` upwards.
-    pub async fn spawn(file: Option<&Path>, listen: SocketAddr, count: u16) -> Result<Self> {
-        let mut document = read(file)?;
+    /// Starts the stand-ins that `document` calls for, applies it, and starts `count` instances from
+    /// `listen` upwards (port zero for any) with `bounds` on requests.
+    pub async fn spawn(
+        mut document: Document,
+        listen: SocketAddr,
+        count: u16,
+        bounds: Bounds,
+    ) -> Result<Self> {
         let platform = Platform::bind(loopback()).await?;
         let (mut engines, mut services) = (Vec::new(), Vec::new());
         let names: Vec<String> = document.fleet.endpoints.keys().cloned().collect();
@@ -61,6 +65,7 @@
         for i in 0..count {
             let zone = &zones[usize::from(i) % zones.len()];
             let settings = instance_settings(i, zone, listen, platform.address());
+            let settings = Settings { limits: bounds.clone(), ..settings };
             instances.push(Instance::spawn(&settings, store.clone()).await?);
         }
         Ok(Self { instances, platform, engines, services, document })
@@ -125,7 +130,8 @@
     }
 }
 
-fn read(file: Option<&Path>) -> Result<Document> {
+/// Reads and verifies the document in `file`; the built-in one if absent.
+pub fn read(file: Option<&Path>) -> Result<Document> {
     let (name, text) = match file {
         Some(file) => {
             let text = fs::read_to_string(file);
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -18,7 +18,7 @@
     clap::CommandFactory,
     eyre::{Result, WrapErr, eyre},
     instance::Instance,
-    settings::Log,
+    settings::{Bounds, Log},
     std::{net::SocketAddr, path::Path, process::ExitCode, time::Duration},
 };
 
@@ -61,7 +61,7 @@
 
 async fn run_demo(document: Option<&Path>, listen: SocketAddr, count: u16) -> Result<ExitCode> {
     let _logs = logs::open(&Log { level: "warn".into(), ..Log::default() })?;
-    let demo = demo::Demo::spawn(document, listen, count).await?;
+    let demo = demo::Demo::spawn(demo::read(document)?, listen, count, Bounds::default()).await?;
     println!("{}\nCtrl-C stops the demo.", demo.guide());
     tokio::signal::ctrl_c().await.wrap_err("waiting for Ctrl-C")?;
     demo.stop().await;
--- a/crates/flow/src/exchange.rs
+++ b/crates/flow/src/exchange.rs
@@ -68,7 +68,18 @@
     pool: Arc<Pool>,
 }
 
-/// Sends `request` and waits up to `limit` for the head of the answer.
+/// How long an exchange may take, and on what connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Longest wait for the head of the answer.
+    pub fresh: Duration,
+    /// Longest wait for it on a connection that was idle before, which may have gone silent.
+    pub reused: Duration,
+    /// Longest idle time of a connection that may be used.
+    pub rest: Duration,
+}
+
+/// Sends `request` and waits for the head of the answer.
 ///
 /// The answer must echo `id` if it carries a request identifier at all.
 pub async fn send(
@@ -76,13 +87,13 @@
     request: Request<Full<Bytes>>,
     id: &str,
     grant: Grant,
-    limit: Duration,
+    patience: Patience,
 ) -> Result<Answer> {
     let peer = pool.address();
-    let mut link = match pool.take() {
-        Some(link) => link,
+    let (mut link, limit) = match pool.take(patience.rest) {
+        Some(link) => (link, patience.reused),
         None => match open(peer).await {
-            Ok(link) => link,
+            Ok(link) => (link, patience.fresh),
             Err(e) => return Err(fail(Step::Connect, peer, e, grant.after(0))),
         },
     };
--- a/crates/flow/src/header.rs
+++ b/crates/flow/src/header.rs
@@ -18,6 +18,9 @@
 /// Organisation that an endpoint may attribute the request to.
 pub const ORGANISATION: HeaderName = HeaderName::from_static("x-organisation");
 
+/// Keeps the cached prompt prefixes of different organisations apart in an engine.
+pub const CACHE_SALT: HeaderName = HeaderName::from_static("x-cache-salt");
+
 /// Headers that concern one connection only.
 const HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -32,12 +35,14 @@
 ];
 
 /// Headers that carry a caller's key or that only this system may set.
-const OWNED: [HeaderName; 6] = [
+const OWNED: [HeaderName; 8] = [
     header::AUTHORIZATION,
     header::COOKIE,
     API_KEY,
     REQUEST_ID,
     ORGANISATION,
+    CACHE_SALT,
+    NOT_RUN,
     HeaderName::from_static("x-priority"),
 ];
 
--- a/crates/flow/src/link.rs
+++ b/crates/flow/src/link.rs
@@ -29,7 +29,7 @@
 /// Time between two probes of an idle connection.
 const KEEPALIVE_GAP: Duration = Duration::from_secs(2);
 /// Longest time that a link stays idle before it is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(15);
+pub const IDLE_LIMIT: Duration = Duration::from_secs(15);
 /// Most idle links kept for one endpoint.
 const IDLE_LINKS: usize = 64;
 
@@ -107,11 +107,12 @@
         self.address
     }
 
-    /// Takes the idle link used last, if one is still fit for use.
-    pub fn take(&self) -> Option<Link> {
+    /// Takes the idle link used last, if one is still fit for use and was idle for `rest` at most.
+    pub fn take(&self, rest: Duration) -> Option<Link> {
         let mut state = self.state.lock().expect("no panic under the pool lock");
         state.idle.retain(|i| i.since.elapsed() < IDLE_LIMIT && i.link.sender.is_ready());
-        state.idle.pop().map(|i| i.link)
+        let last = state.idle.pop_if(|i| i.since.elapsed() <= rest);
+        last.map(|i| i.link)
     }
 
     /// Returns a link after a whole answer; it is closed if it is unfit or the pool is full.
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -8,8 +8,9 @@
     crate::{
         desk::Slot,
         dispatch::{self, Shape, Target, admit, blame, check_key, exhausted, pick},
-        exchange::{self, Failure},
+        exchange::{self, Failure, Patience},
         gate::Gate,
+        link::IDLE_LIMIT,
         meter::Meter,
         prompt::{self, Ask},
         reply::{Refused, Result},
@@ -123,8 +124,9 @@
             let Some(target) = target else { return Err(exhausted(grant.untouched(), left)) };
             self.tried.push(target.id);
             let limit = left.min(self.gate.limits.first);
+            let patience = Patience { fresh: limit, reused: limit, rest: IDLE_LIMIT };
             let request = self.request();
-            let sent = exchange::send(&target.links, request, &self.job.id, grant, limit).await;
+            let sent = exchange::send(&target.links, request, &self.job.id, grant, patience).await;
             let failure = match sent {
                 Ok(answer) if answer.head.status.is_success() => {
                     let between = self.gate.limits.between;
@@ -165,7 +167,10 @@
     fn accept(&mut self, event: Event, source: &Source) -> Event {
         match &event {
             Event::Token(_) => self.observe_token(source.tokens.delivered()),
-            Event::Usage(usage) => self.usage = *usage,
+            // A resumed stream reports only the tokens of its last engine.
+            Event::Usage(usage) => {
+                self.usage = Usage { completion_tokens: self.delivered, ..*usage };
+            }
             Event::Finish(_) | Event::End => {}
         }
         event
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -6,9 +6,10 @@
 use {
     crate::{
         dispatch::{Shape, Target, admit, blame, check_key, exhausted, left, pick, repeat},
-        exchange,
+        exchange::{self, Patience},
         gate::Gate,
         header,
+        link::IDLE_LIMIT,
         reply::{Refused, Result},
         serve::Job,
         truth::{Grant, Repeatable, Untouched},
@@ -22,6 +23,11 @@
     volo_http::body::Body,
 };
 
+/// Share of the time left that an idempotent call waits on a connection that was idle before.
+const RETRY_SHARE: u32 = 3;
+/// Longest idle time of a connection that carries a call which may not be repeated.
+const BOOKING_REST: Duration = Duration::from_secs(1);
+
 /// Runs a request on a service route.
 pub async fn run(gate: &Arc<Gate>, job: Job, proof: Untouched) -> Result<Response<Body>> {
     let pool = job.entry().pool.expect("a verified service route names its pool");
@@ -82,10 +88,21 @@
     grant: Grant,
     left: Duration,
 ) -> exchange::Result<(http::response::Parts, Bytes)> {
-    let answer = exchange::send(&target.links, request(job), &job.id, grant, left).await?;
+    let patience = patience(job, left);
+    let answer = exchange::send(&target.links, request(job), &job.id, grant, patience).await?;
     answer.collect(gate.limits.answer, left).await
 }
 
+/// An idempotent call leaves time to try again over a new connection. Any other call cannot be
+/// sent twice, so it avoids connections that may have gone silent while they were idle.
+fn patience(job: &Job, left: Duration) -> Patience {
+    if job.entry().idempotent {
+        Patience { fresh: left, reused: left / RETRY_SHARE, rest: IDLE_LIMIT }
+    } else {
+        Patience { fresh: left, reused: left, rest: BOOKING_REST }
+    }
+}
+
 fn request(job: &Job) -> Request<Full<Bytes>> {
     let mut out = Request::new(Full::new(job.body.clone()));
     *out.method_mut() = job.head.method.clone();
@@ -108,6 +125,7 @@
     if let Some(org) = job.caller.org().and_then(|o| job.snapshot.org(o))
         && let Ok(name) = http::HeaderValue::from_str(&org.name)
     {
+        out.insert(header::CACHE_SALT, name.clone());
         out.insert(header::ORGANISATION, name);
     }
     out
--- a/crates/flow/src/sse.rs
+++ b/crates/flow/src/sse.rs
@@ -11,7 +11,7 @@
     http::{HeaderValue, Response, header::CONTENT_TYPE},
     http_body::Frame,
     serde::Serialize,
-    std::io,
+    std::{io, time::Duration},
     tokio::sync::mpsc,
     tokio_stream::wrappers::ReceiverStream,
     volo_http::body::Body,
@@ -20,6 +20,9 @@
 /// Events that may wait for a slow caller before its engine is held back.
 const WINDOW: usize = 32;
 
+/// Pause between the error event of a broken stream and the cut of its transfer.
+const FLUSH_PAUSE: Duration = Duration::from_millis(50);
+
 type Item = Result<Frame<Bytes>, Box<dyn std::error::Error + Send + Sync>>;
 
 #[derive(Serialize)]
@@ -96,6 +99,9 @@
     run.gate.meter.refuse(refused.reason());
     log::info!("request {} ended early: {}", run.job.id, refused.reason().code());
     let _ = tx.send(data(&refused.body(&run.job.id))).await;
+    // The server drops what it has not flushed when the body fails, and flushes when the body has
+    // nothing ready; the pause gives it that moment.
+    tokio::time::sleep(FLUSH_PAUSE).await;
     // The error item makes the server cut the transfer without its final chunk.
     let _ = tx.send(Err(io::Error::other(refused.reason().code()).into())).await;
 }
