Try endpoints again when every other one was tried

Cause: the silent-connection test failed once under load: both services' pooled connections were silent, both counted as tried, and no endpoint was left although new connections to them worked. Change: endpoints tried before are taken again if there is no other, and a request that met one silent connection uses only new ones from then on.

--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -86,10 +86,13 @@
 }
 
 /// Chooses the endpoint of the next attempt and counts the exchange there.
+///
+/// Endpoints that were tried before are taken again only if there is no other.
 pub fn pick(gate: &Arc<Gate>, pool: PoolId, shape: &Shape, tried: &[EndpointId]) -> Option<Target> {
-    let ask =
-        Ask { pool, zone: gate.zone(), prefix: &shape.prefix, tokens: shape.prompt, avoid: tried };
-    let chosen = choose(&gate.table.load(), &ask, gate.now());
+    let (table, zone, now) = (gate.table.load(), gate.zone(), gate.now());
+    let ask = Ask { pool, zone, prefix: &shape.prefix, tokens: shape.prompt, avoid: tried };
+    let chosen =
+        choose(&table, &ask, now).or_else(|_| choose(&table, &Ask { avoid: &[], ..ask }, now));
     let id = chosen.inspect_err(|e| log::debug!("{e}")).ok()?;
     let links = gate.links(id)?;
     Some(Target { id, links, stay: Stay::begin(gate, id) })
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -48,6 +48,8 @@
     pub usage: Usage,
     shape: Shape,
     tried: Vec<EndpointId>,
+    /// Longest idle time of a connection that may be used; none after one went silent.
+    rest: Duration,
     last: Mono,
     _slot: Slot,
 }
@@ -68,6 +70,7 @@
         usage: Usage::default(),
         shape,
         tried: Vec::new(),
+        rest: IDLE_LIMIT,
         _slot: slot,
     };
     let stream = run.start(Grant::First(proof)).await?;
@@ -124,7 +127,7 @@
             let Some(target) = target else { return Err(exhausted(grant.untouched(), left)) };
             self.tried.push(target.id);
             let limit = left.min(self.gate.limits.first);
-            let patience = Patience { fresh: limit, reused: limit, rest: IDLE_LIMIT };
+            let patience = Patience { fresh: limit, reused: limit, rest: self.rest };
             let request = self.request();
             let sent = exchange::send(&target.links, request, &self.job.id, grant, patience).await;
             let failure = match sent {
@@ -153,8 +156,11 @@
     }
 
     /// Decides after a failure whether the request may go on from the last token delivered.
-    async fn recover(&self, target: Target, failure: Failure) -> Result<Grant> {
+    async fn recover(&mut self, target: Target, failure: Failure) -> Result<Grant> {
         log::info!("request {}: {failure}; {} tokens delivered", self.job.id, self.delivered);
+        if failure.silent {
+            self.rest = Duration::ZERO;
+        }
         blame(&self.gate, target, &failure).await;
         let (again, attempts) = (Some(Repeatable::generation()), self.tried.len() as u32);
         dispatch::repeat(&self.gate, &self.job, self.pool, failure, again, attempts)
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -60,13 +60,14 @@
     let (_slot, proof) = admit(gate, job, pool, shape.cost, proof).await?;
     let mut grant = Grant::First(proof);
     let mut tried: Vec<EndpointId> = Vec::new();
+    let mut silent = false;
     loop {
         grant = check_key(gate, job, grant)?;
         let left = left(gate, job);
         let target = if left.is_zero() { None } else { pick(gate, pool, &shape, &tried) };
         let Some(target) = target else { return Err(exhausted(grant.untouched(), left)) };
         tried.push(target.id);
-        let failure = match once(gate, job, &target, grant, left).await {
+        let failure = match once(gate, job, &target, grant, patience(job, left, silent)).await {
             Ok(whole) => {
                 target.stay.end(Kind::Success);
                 return Ok(whole);
@@ -74,6 +75,7 @@
             Err(failure) => failure,
         };
         log::info!("request {}: {failure}", job.id);
+        silent |= failure.silent;
         blame(gate, target, &failure).await;
         let again = Repeatable::idempotent(job.entry());
         grant = repeat(gate, job, pool, *failure, again, tried.len() as u32)?;
@@ -86,21 +88,21 @@
     job: &Job,
     target: &Target,
     grant: Grant,
-    left: Duration,
+    patience: Patience,
 ) -> exchange::Result<(http::response::Parts, Bytes)> {
-    let patience = patience(job, left);
     let answer = exchange::send(&target.links, request(job), &job.id, grant, patience).await?;
-    answer.collect(gate.limits.answer, left).await
+    answer.collect(gate.limits.answer, patience.fresh).await
 }
 
 /// An idempotent call leaves time to try again over a new connection. Any other call cannot be
-/// sent twice, so it avoids connections that may have gone silent while they were idle.
-fn patience(job: &Job, left: Duration) -> Patience {
-    if job.entry().idempotent {
-        Patience { fresh: left, reused: left / RETRY_SHARE, rest: IDLE_LIMIT }
-    } else {
-        Patience { fresh: left, reused: left, rest: BOOKING_REST }
-    }
+/// sent twice, so it avoids connections that may have gone silent while they were idle; so does
+/// every call that met a `silent` one already.
+fn patience(job: &Job, left: Duration, silent: bool) -> Patience {
+    let (reused, rest) = match job.entry().idempotent {
+        true => (left / RETRY_SHARE, IDLE_LIMIT),
+        false => (left, BOOKING_REST),
+    };
+    Patience { fresh: left, reused, rest: if silent { Duration::ZERO } else { rest } }
 }
 
 fn request(job: &Job) -> Request<Full<Bytes>> {
