Choose by what is known of prefix caches

A prefix now has one home at each depth, weighed by how often it was cached there, beside the endpoint that last cached it.

--- a/crates/lab/examples/policy.rs
+++ b/crates/lab/examples/policy.rs
@@ -20,7 +20,9 @@
         }
         "affinity" => {
             let sizes = [(8, secs(120)), (64, secs(60)), (1000, secs(20))];
-            println!("{}", affinity::table(&sizes, SEED));
+            println!("{}", affinity::table(&sizes, false, SEED));
+            println!("{}", affinity::table(&sizes[..2], true, SEED));
+            println!("{}", affinity::events(64, secs(60), SEED));
         }
         _ => eprintln!("usage: policy -- fairness|deadline|overload|herding|affinity"),
     }
--- a/crates/lab/src/cache.rs
+++ b/crates/lab/src/cache.rs
@@ -24,8 +24,9 @@
         prefix.iter().take_while(|b| self.stamps.contains_key(*b)).count()
     }
 
-    /// Stores or renews the blocks of `prefix`.
-    pub fn store(&mut self, prefix: &[u64]) {
+    /// Stores or renews the blocks of `prefix`; returns the blocks evicted for them.
+    pub fn store(&mut self, prefix: &[u64]) -> Vec<u64> {
+        let mut evicted = Vec::new();
         // Later blocks are renewed first, so that the end of a chain is evicted before its start.
         for block in prefix.iter().rev() {
             self.clock += 1;
@@ -36,7 +37,9 @@
             let (stamp, block) = self.uses.pop_front().expect("every block has a use");
             if self.stamps.get(&block) == Some(&stamp) {
                 self.stamps.swap_remove(&block);
+                evicted.push(block);
             }
         }
+        evicted
     }
 }
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -70,6 +70,8 @@
     pub shape: Shape,
     /// Its prefix cache.
     pub cache: Cache,
+    /// Blocks evicted since the last look.
+    pub evicted: Vec<u64>,
     running: Vec<Sequence>,
     waiting: VecDeque<Request>,
 }
@@ -78,7 +80,8 @@
     /// Returns an idle engine.
     pub fn new(shape: Shape) -> Self {
         let cache = Cache::new(shape.blocks);
-        Self { shape, cache, running: Vec::new(), waiting: VecDeque::new() }
+        let evicted = Vec::new();
+        Self { shape, cache, evicted, running: Vec::new(), waiting: VecDeque::new() }
     }
 
     /// Takes a request into the engine's own queue.
@@ -133,7 +136,8 @@
             sequence.prefill -= part;
             left -= part;
             if sequence.prefill == 0 {
-                self.cache.store(&sequence.request.prefix);
+                let evicted = self.cache.store(&sequence.request.prefix);
+                self.evicted.extend(evicted);
             }
         }
         self.shape.chunk - left
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -14,7 +14,12 @@
     agate_core::{EndpointId, Mono},
     agate_route::{Ask, Distances, LoadReport, Role, Spec, Table, health::Kind, ranking::mix},
     indexmap::IndexMap,
-    std::{cmp::Reverse, collections::BinaryHeap, sync::atomic::Ordering::Relaxed, time::Duration},
+    std::{
+        cmp::Reverse,
+        collections::BinaryHeap,
+        sync::{Arc, atomic::Ordering::Relaxed},
+        time::Duration,
+    },
 };
 
 /// Interval at which engines publish their load and instances gossip.
@@ -41,10 +46,21 @@
     pub report_lag: Duration,
     /// Lag of outstanding counts between instances; `None` if they are not told.
     pub gossip_lag: Option<Duration>,
+    /// Cache events, if engines publish them.
+    pub cache_events: Option<CacheEvents>,
     /// Seed of the tables' sampling.
     pub seed: u64,
 }
 
+/// How cache events arrive.
+#[derive(Clone, Copy, Debug)]
+pub struct CacheEvents {
+    /// Their lag.
+    pub lag: Duration,
+    /// Events lost, in percent.
+    pub lost: u64,
+}
+
 impl Default for Setup {
     fn default() -> Self {
         Self {
@@ -55,6 +71,7 @@
             choice: Choice::Predicted,
             report_lag: Duration::from_millis(500),
             gossip_lag: Some(Duration::from_millis(200)),
+            cache_events: None,
             seed: 1,
         }
     }
@@ -67,6 +84,7 @@
     Publish,
     Reports(Vec<LoadReport>),
     Counts(Vec<Vec<u32>>),
+    Cached { engine: usize, stored: Arc<[u64]>, evicted: Vec<u64> },
     Tick,
 }
 
@@ -145,6 +163,11 @@
             Event::Publish => self.publish(now),
             Event::Reports(reports) => self.report(&reports, now),
             Event::Counts(counts) => self.gossip(&counts),
+            Event::Cached { engine, stored, evicted } => {
+                for entry in &self.entries {
+                    entry.table.cache_event(engine as EndpointId, &stored, &evicted);
+                }
+            }
             Event::Tick => {
                 (0..self.entries.len()).for_each(|i| self.pump(i, now));
                 self.at(now + TICK, Event::Tick);
@@ -226,9 +249,21 @@
         self.figures.first(id, cached, now - request.at);
         let (to, sent) = self.sent[id].expect("an answered request was sent");
         let uncached = request.prompt - cached;
+        let table = &self.entries[request.entry].table;
+        table.note_cached(to, &request.prefix, cached);
         if uncached >= MEASURED_PROMPT {
-            let live = &self.entries[request.entry].table.endpoint(to).live;
-            live.note_prefill(uncached, now - sent);
+            table.endpoint(to).live.note_prefill(uncached, now - sent);
+        }
+        self.publish_cached(to as usize, request, now);
+    }
+
+    /// Publishes the blocks of an answered request, and those evicted meanwhile, or loses them.
+    fn publish_cached(&mut self, engine: usize, request: &Request, now: Mono) {
+        let evicted = std::mem::take(&mut self.engines[engine].evicted);
+        let Some(events) = self.setup.cache_events else { return };
+        if mix(self.setup.seed, request.id as u64) % 100 >= events.lost {
+            let stored = request.prefix.clone();
+            self.at(now + events.lag, Event::Cached { engine, stored, evicted });
         }
     }
 
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -10,6 +10,7 @@
 use {
     crate::{
         health,
+        known::depths,
         prefix::BLOCK_TOKENS,
         ranking::mix,
         table::{Pool, Table},
@@ -23,10 +24,10 @@
 pub const SAMPLE: usize = 2;
 /// Endpoints scanned for a free slot when the ranked and the sampled ones have none.
 pub const SCAN: usize = 64;
+/// Least part of the prompt that a home is expected to cache to be considered, as a divisor.
+pub const WORTH: u32 = 8;
 /// Fraction of the hold time by which a full batch delays a first token, as a divisor.
 pub const CONTENTION: u32 = 16;
-/// Depths of the prefix that are looked up at most.
-pub const MAX_DEPTHS: usize = 8;
 
 /// One request to place.
 #[derive(Clone, Copy, Debug)]
@@ -72,18 +73,21 @@
     best.map(|(_, _, id)| id).ok_or(NoEndpoint::Unusable(ask.pool))
 }
 
-/// Considers the ranked endpoints of the prefix at depths 1, 2, 4 and so on.
+/// Considers, at depths 1, 2, 4 and so on, the endpoint known to cache the prefix and its homes by
+/// the ranking. A home counts with the share of prefixes that were cached there so far.
 fn by_prefix(table: &Table, pool: &Pool, ask: &Ask<'_>, now: Mono, best: &mut Best) {
-    let mut depth = ask.prefix.len().checked_ilog2().map_or(0, |log| 1 << log);
-    for _ in 0..MAX_DEPTHS {
-        if depth == 0 {
-            break;
+    for (i, depth) in depths(ask.prefix.len()) {
+        let block = ask.prefix[depth - 1];
+        let tokens = (depth as u32 * BLOCK_TOKENS).min(ask.tokens);
+        if let Some(id) = table.known.get(block) {
+            consider(table, ask, id, tokens, now, best);
         }
-        let cached = (depth as u32 * BLOCK_TOKENS).min(ask.tokens);
-        for id in pool.ranking.get(ask.prefix[depth - 1]) {
-            consider(table, ask, id, cached, now, best);
+        for (rank, id) in pool.ranking.get(block).enumerate() {
+            let expected = (table.known.trust(i, rank) * tokens as f32) as u32;
+            if expected * WORTH >= ask.tokens {
+                consider(table, ask, id, expected, now, best);
+            }
         }
-        depth /= 2;
     }
 }
 
@@ -119,7 +123,9 @@
 }
 
 fn consider(table: &Table, ask: &Ask<'_>, id: EndpointId, cached: u32, now: Mono, best: &mut Best) {
-    let endpoint = &table.endpoints[id as usize];
+    let Some(endpoint) = table.endpoints.get(id as usize).filter(|e| e.pool == ask.pool) else {
+        return;
+    };
     let live = &endpoint.live;
     if live.leaving.load(Relaxed) || ask.avoid.contains(&id) || !health::usable(&live.health, now) {
         return;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod choose;
 pub mod health;
+pub mod known;
 pub mod live;
 pub mod prefix;
 pub mod ranking;
--- a/crates/route/src/ranking.rs
+++ b/crates/route/src/ranking.rs
@@ -11,7 +11,7 @@
 /// Slots of a ranking.
 pub const SLOTS: usize = 8192;
 /// Endpoints kept in a slot.
-pub const WIDTH: usize = 2;
+pub const WIDTH: usize = 1;
 
 const NONE: EndpointId = EndpointId::MAX;
 
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -8,7 +8,9 @@
 use {
     crate::{
         health::{self, Kind},
+        known::{Known, depths},
         live::Live,
+        prefix::BLOCK_TOKENS,
         ranking::{Ranking, mix, name_hash},
     },
     agate_core::{EndpointId, Mono, PoolId, ZoneId},
@@ -127,6 +129,7 @@
     pub(crate) distances: Distances,
     pub(crate) turn: AtomicU32,
     pub(crate) seed: u64,
+    pub(crate) known: Arc<Known>,
     home: ZoneId,
 }
 
@@ -135,7 +138,8 @@
     /// between instances.
     pub fn new(home: ZoneId, distances: Distances, seed: u64) -> Self {
         let turn = AtomicU32::new(0);
-        Self { endpoints: Vec::new(), pools: Vec::new(), distances, turn, seed, home }
+        let known = Arc::new(Known::default());
+        Self { endpoints: Vec::new(), pools: Vec::new(), distances, turn, seed, known, home }
     }
 
     /// Returns the same table as seen from zone `home` with other distances; pools keep their order
@@ -153,9 +157,15 @@
     /// Live figures are carried over by identifier. An endpoint that is no longer listed keeps its
     /// entry, so that its requests in flight can finish, but belongs to no pool.
     pub fn rebuild<'a>(old: &Table, specs: impl IntoIterator<Item = Spec<'a>>) -> Self {
-        let mut next = Self::new(old.home, old.distances.clone(), old.seed);
-        next.turn = AtomicU32::new(old.turn.load(Relaxed));
-        next.endpoints = old.endpoints.clone();
+        let mut next = Self {
+            endpoints: old.endpoints.clone(),
+            pools: Vec::new(),
+            distances: old.distances.clone(),
+            turn: AtomicU32::new(old.turn.load(Relaxed)),
+            seed: old.seed,
+            known: old.known.clone(),
+            home: old.home,
+        };
         let mut members: Vec<Vec<(EndpointId, u64)>> = vec![Vec::new(); old.pools.len()];
         for spec in specs {
             next.put(&spec);
@@ -266,6 +276,26 @@
         }
     }
 
+    /// Records that an endpoint answered a prompt with this prefix, of which it had `cached` tokens
+    /// in its cache; the whole prefix is cached there now.
+    pub fn note_cached(&self, id: EndpointId, prefix: &[u64], cached: u32) {
+        let ranking = &self.pools[self.endpoint(id).pool as usize].ranking;
+        for (i, depth) in depths(prefix.len()) {
+            let block = prefix[depth - 1];
+            let hit = cached >= depth as u32 * BLOCK_TOKENS;
+            if let Some(rank) = ranking.get(block).position(|home| home == id) {
+                self.known.learn(i, rank, hit);
+            }
+            self.known.store(block, id);
+        }
+    }
+
+    /// Takes over an endpoint's cache event; the blocks are hashes of this instance's kind.
+    pub fn cache_event(&self, id: EndpointId, stored: &[u64], evicted: &[u64]) {
+        stored.iter().for_each(|block| self.known.store(*block, id));
+        evicted.iter().for_each(|block| self.known.evict(*block, id));
+    }
+
     /// Brings endpoints back before their time if too few of a pool are left.
     fn return_early(&self, pool: PoolId, now: Mono) {
         let members: Vec<_> = self.members(pool).collect();
--- a/crates/route/tests/endpoint_choice.rs
+++ b/crates/route/tests/endpoint_choice.rs
@@ -124,3 +124,28 @@
     t.endpoint(1).live.leaving.store(true, Relaxed);
     assert_eq!(t.free_slots(0, 100, NOW), 7);
 }
+
+#[test]
+fn home_tried_after_misses() {
+    let t = table(16);
+    let home = choose(&t, &ask(&chain(1, 64), &[]), NOW).expect("endpoint");
+    for seed in 100..2000 {
+        let prefix = chain(seed, 64);
+        let id = choose(&t, &ask(&prefix, &[]), NOW).expect("endpoint");
+        t.note_cached(id, &prefix, 0);
+    }
+    let again = (0..20).filter(|_| choose(&t, &ask(&chain(1, 64), &[]), NOW) == Ok(home)).count();
+    assert!(again >= 15, "prompts without repetition must not end the affinity");
+}
+
+#[test]
+fn eviction_forgotten() {
+    let t = table(16);
+    let prefix = chain(1, 64);
+    let home = choose(&t, &ask(&prefix, &[]), NOW).expect("endpoint");
+    let other = (home + 4) % 16;
+    t.note_cached(other, &prefix, 0);
+    assert_eq!(choose(&t, &ask(&prefix, &[]), NOW), Ok(other), "the known cache beats the home");
+    t.cache_event(other, &[], &prefix);
+    assert_eq!(choose(&t, &ask(&prefix, &[]), NOW), Ok(home));
+}
