--- a/crates/lab/examples/policy.rs
+++ b/crates/lab/examples/policy.rs
@@ -1,8 +1,11 @@
 //! Prints the measurements of the policies: `policy -- NAME`.
 
 use {
-    agate_lab::study::{affinity, deadline, fairness, overload},
-    std::time::Duration,
+    agate_lab::{
+        plot,
+        study::{affinity, budget, deadline, fairness, overload, retry},
+    },
+    std::{path::Path, time::Duration},
 };
 
 const SEED: u64 = 20;
@@ -24,6 +27,19 @@
             println!("{}", affinity::table(&sizes[..2], true, SEED));
             println!("{}", affinity::events(64, secs(60), SEED));
         }
-        _ => eprintln!("usage: policy -- fairness|deadline|overload|herding|affinity"),
+        "retry" => println!("{}", retry::table(SEED)),
+        "budget" => println!("{}", budget::table(SEED)),
+        "plots" => plots(),
+        _ => eprintln!(
+            "usage: policy -- fairness|deadline|overload|herding|affinity|retry|budget|plots"
+        ),
     }
 }
+
+fn plots() {
+    let loads = [0.4, 0.6, 0.8, 0.9, 1.0, 1.25, 1.5, 2.0, 3.0];
+    let lines = overload::lines(8, &loads, Duration::from_secs(60), SEED);
+    let path = Path::new("docs/measurements/goodput.svg");
+    let axes = ("load / saturation", "good work, engine s/s");
+    plot::lines(path, "Goodput over load, 8 engines", axes, &lines).expect("the plot is written");
+}
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -119,7 +119,7 @@
     /// Engine time of the selected requests that were started but answered too late, in seconds.
     pub fn wasted_work(&self, keep: impl Fn(&Request) -> bool) -> f64 {
         let late = self.select(keep).filter(|(q, r)| r.first().is_some() && !r.good(q));
-        late.map(|(q, _)| self.work(q)).sum()
+        late.fold(0.0, |sum, (q, _)| sum + self.work(q))
     }
 
     /// Engine time that a request takes of a full batch, in seconds, without any cache hit.
--- a/crates/lab/src/study.rs
+++ b/crates/lab/src/study.rs
@@ -11,9 +11,11 @@
 };
 
 pub mod affinity;
+pub mod budget;
 pub mod deadline;
 pub mod fairness;
 pub mod overload;
+pub mod retry;
 
 /// Requests a second that one saturated engine answers, for a share of dossiers that are each
 /// read once.
--- a/crates/lab/src/study/overload.rs
+++ b/crates/lab/src/study/overload.rs
@@ -4,7 +4,8 @@
     crate::{
         baseline::Choice,
         figures::Figures,
-        study::deadline::{self, BASELINES, OURS, measured},
+        plot::Line,
+        study::deadline::{self, BASELINES, OURS, Policy, measured},
         table::{Table, percent, seconds},
         workload::{Source, draw},
         world::{Setup, run},
@@ -35,6 +36,19 @@
     table
 }
 
+/// Goodput of each policy over load, as lines of a plot.
+pub fn lines(engines: u32, loads: &[f64], length: Duration, seed: u64) -> Vec<Line> {
+    let point = |load: f64, policy| {
+        let good = deadline::measure(engines, load, policy, length, seed).good_work(measured);
+        (load, good / length.as_secs_f64())
+    };
+    let line = |policy: Policy| Line {
+        name: policy.name.into(),
+        points: loads.iter().map(|load| point(*load, policy)).collect(),
+    };
+    BASELINES.into_iter().chain([OURS]).map(line).collect()
+}
+
 /// Runs `choice` at 70% of saturation without a queue before the engines, with load reports that
 /// lag. Without gossip the reports are all that an instance knows of the others.
 pub fn lagging(
