Add usage windows, sealed once and reported from the record

No window may be reported with two figures while instances are killed, messages are lost and the holder changes. Counters are sent to peers as whole values and merged by taking the greater; the holder of a shard gathers them, seals each window by a create-only write that names whose counters it contains, and reports the record. Late figures become adjustments in the next window.

--- /dev/null
+++ b/crates/usage/examples/usage.rs
@@ -0,0 +1,146 @@
+//! Prints what usage costs an instance and the holder of a shard, at three sizes.
+
+use {
+    agate_usage::{
+        clock::WindowClock,
+        counter::{Counter, Message},
+        figures::Figures,
+        ledger::{Ledger, Part, Want},
+        sealed::{self, seal},
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const MODELS: usize = 6;
+const SHARDS: u32 = 16;
+const WINDOW: Duration = Duration::from_secs(60);
+const ROUND: Duration = Duration::from_millis(250);
+const RATE: u64 = 24;
+const SECONDS: u64 = 180;
+
+struct Size {
+    orgs: usize,
+    instances: usize,
+}
+
+/// Draws organisations by Zipf's law.
+struct Draw {
+    names: Vec<Arc<str>>,
+    models: Vec<Arc<str>>,
+    sums: Vec<f64>,
+    rng: StdRng,
+}
+
+impl Draw {
+    fn new(orgs: usize, seed: u64) -> Self {
+        let mut sum = 0.0;
+        let sums = (1..=orgs).map(|i| {
+            sum += 1.0 / i as f64;
+            sum
+        });
+        let sums = sums.collect();
+        Self {
+            names: (0..orgs).map(|i| format!("organisation-{i}").into()).collect(),
+            models: (0..MODELS).map(|i| format!("model-name-{i}").into()).collect(),
+            sums,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    fn count(&mut self, counter: &mut Counter, at: Duration) {
+        let last = self.sums[self.sums.len() - 1];
+        let x = self.rng.random::<f64>() * last;
+        let org = self.sums.partition_point(|s| *s < x).min(self.names.len() - 1);
+        let model = self.rng.random_range(0..MODELS);
+        let work = Figures { requests: 1, prompt: 900, output: 390 };
+        counter.count(&self.names[org], &self.models[model], work, at, at);
+    }
+}
+
+fn open(name: &str) -> Counter {
+    let clock = WindowClock::open(WINDOW, Duration::ZERO, Duration::ZERO);
+    Counter::open(name, clock)
+}
+
+fn main() {
+    println!(
+        "| organisations | bytes/s sent to two peers | rows of one window | CPU share of a core |"
+    );
+    println!("| --- | --- | --- | --- |");
+    let sizes =
+        [(8, 8), (800, 250), (6_500, 1_900)].map(|(orgs, instances)| Size { orgs, instances });
+    for size in &sizes {
+        instance(size);
+    }
+    println!();
+    println!(
+        "| organisations | instances | parts to a shard's holder | sealed record | rows | sealing |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for size in &sizes {
+        holder(size);
+    }
+}
+
+/// One instance: counts, ships to two peers, and merges what two others ship to it.
+fn instance(size: &Size) {
+    let mut draw = Draw::new(size.orgs, 1);
+    let mut counter = open("instance-1@1");
+    counter.set_peers(["instance-2@1".into(), "instance-3@1".into()]);
+    let mut copies = Ledger::new();
+    let mut sent = 0;
+    let start = Instant::now();
+    let rounds = Duration::from_secs(SECONDS).as_millis() / ROUND.as_millis();
+    for round in 1..=rounds as u32 {
+        let now = ROUND * round;
+        for _ in 0..RATE * ROUND.as_millis() as u64 / 1000 {
+            draw.count(&mut counter, now);
+        }
+        for (peer, message) in counter.ship(now, now) {
+            let bytes = sealed::encode(&message);
+            sent += bytes.len();
+            let received: Message = sealed::decode("message", &bytes).expect("own message");
+            copies.merge(&received, now);
+            counter.acknowledge(&peer, message.round);
+        }
+    }
+    let share = start.elapsed().as_secs_f64() / SECONDS as f64;
+    let rows: usize = (0..SHARDS).map(|s| counter.part(s, SHARDS, 1, 1).rows.len()).sum();
+    println!("| {} | {} | {rows} | {:.4} % |", size.orgs, sent as u64 / SECONDS, share * 100.0);
+}
+
+/// The holder of one shard: gathers the parts of all instances for one window, and seals it.
+fn holder(size: &Size) {
+    let mut ledger = Ledger::new();
+    let mut bytes = 0;
+    for i in 0..size.instances {
+        let mut draw = Draw::new(size.orgs, 100 + i as u64);
+        let mut counter = open(&format!("instance-{i}@1"));
+        for second in 0..WINDOW.as_secs() {
+            (0..RATE).for_each(|_| draw.count(&mut counter, Duration::from_secs(second)));
+        }
+        counter.ship(WINDOW, WINDOW);
+        let want = Want { shard: 0, shards: SHARDS, oldest: 0, newest: 0 };
+        let part: Part = counter.part(want.shard, want.shards, want.oldest, want.newest);
+        bytes += sealed::encode(&part).len();
+        ledger.merge_part(&part, WINDOW);
+    }
+    let start = Instant::now();
+    let record = seal(0, SHARDS, 0, 0, &[], &ledger);
+    let took = start.elapsed();
+    let complete = record.entries.iter().all(|e| e.complete);
+    assert!(complete, "every instance had closed the window");
+    println!(
+        "| {} | {} | {:.1} KB | {:.1} KB | {} | {:.1} ms |",
+        size.orgs,
+        size.instances,
+        bytes as f64 / 1e3,
+        sealed::encode(&record).len() as f64 / 1e3,
+        record.rows.len(),
+        took.as_secs_f64() * 1e3
+    );
+}
--- /dev/null
+++ b/crates/usage/tests/shard_runner.rs
@@ -0,0 +1,112 @@
+//! The runner over lease and store seals and reports each window once, also through faults.
+
+use {
+    agate_lease::{Lease, Settings as LeaseSettings},
+    agate_store::{Memory, Purpose},
+    agate_usage::{
+        Shard,
+        clock::WindowClock,
+        counter::Counter,
+        figures::Figures,
+        runner::{Ports, ReportError},
+        sealed::Sealed,
+        sealer::Settings,
+    },
+    indexmap::IndexMap,
+    rstest::rstest,
+    std::{
+        sync::{Arc, Mutex, atomic::Ordering},
+        time::{Duration, Instant},
+    },
+};
+
+const LENGTH: Duration = Duration::from_millis(400);
+
+fn settings() -> Settings {
+    let ms = Duration::from_millis;
+    Settings {
+        shard: 0,
+        shards: 1,
+        window: LENGTH,
+        gather: ms(20),
+        grace: ms(100),
+        horizon: 1000,
+        retry: ms(10),
+        timeout: ms(5000),
+    }
+}
+
+async fn until(what: impl Fn() -> bool) {
+    while !what() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[rstest]
+#[case::clean(0, false)]
+#[case::lost_answers(3, true)]
+#[tokio::test]
+async fn reports_once(#[case] lost: u32, #[case] fails: bool) {
+    let memory = Memory::open(|| Duration::ZERO);
+    let lease = Lease::spawn(memory.store(), LeaseSettings::new("usage/0", "a"));
+    until(|| lease.may_act().is_some()).await;
+    memory.set_faults(|f| f.lost_answers = lost);
+    let origin = Instant::now();
+    let wall = move || Duration::from_secs(1000) + origin.elapsed();
+    let clock = WindowClock::open(LENGTH, wall(), Duration::ZERO);
+    let mut counter = Counter::open("a@1", clock);
+    let work = Figures { requests: 1, prompt: 5, output: 7 };
+    counter.count(&"org".into(), &"m".into(), work, wall(), origin.elapsed());
+    let reports = Arc::new(Mutex::new(IndexMap::<u64, Sealed>::new()));
+    let tries = Arc::new(Mutex::new(0));
+    let (taken, count) = (reports.clone(), tries.clone());
+    let report = move |s: Sealed| -> futures_util::future::BoxFuture<'static, _> {
+        let mut tries = count.lock().unwrap();
+        *tries += 1;
+        // The report is taken, but its answer is lost every other time.
+        let old = taken.lock().unwrap().insert(s.window, s.clone());
+        assert!(old.is_none_or(|o| o == s), "a window with two figures");
+        let lose = fails && *tries % 2 == 1;
+        Box::pin(async move {
+            let failed = ReportError::Failed { peer: "p".into(), cause: "lost".into() };
+            if lose { Err(failed) } else { Ok(()) }
+        })
+    };
+    let ports = Ports {
+        store: memory.store(),
+        lease,
+        report: Arc::new(report),
+        gather: Arc::new(|_| {}),
+        wall: Arc::new(wall),
+    };
+    let shard = Shard::spawn(settings(), ports);
+    shard.merge_part(&counter.part(0, 1, 0, u64::MAX - 1));
+    until(|| shard.counters().reported.load(Ordering::Relaxed) >= 3).await;
+    let sum = || {
+        let reports = reports.lock().unwrap();
+        let rows = reports.values().flat_map(|s| &s.rows);
+        rows.map(|r| r.figures.output).sum::<u64>()
+    };
+    until(|| sum() > 0).await;
+    assert_eq!(sum(), 7);
+    assert_eq!(shard.counters().rejected.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test]
+async fn bad_head_refused() {
+    let memory = Memory::open(|| Duration::ZERO);
+    let store = memory.store();
+    store.swap(Purpose::Report, "usage/0/head", 0, vec![77]).await.unwrap().unwrap();
+    let lease = Lease::spawn(memory.store(), LeaseSettings::new("usage/0", "a"));
+    let ports = Ports {
+        store: memory.store(),
+        lease,
+        report: Arc::new(|_| panic!("nothing can be reported")),
+        gather: Arc::new(|_| {}),
+        wall: Arc::new(|| Duration::from_secs(1000)),
+    };
+    let shard = Shard::spawn(settings(), ports);
+    until(|| shard.counters().refused.load(Ordering::Relaxed) > 1).await;
+    let kept = store.get(Purpose::Report, "usage/0/head").await.unwrap().unwrap();
+    assert_eq!(kept.value, [77]);
+}
