Quarantine crashing requests and keep leaving endpoints from new work

Cause: a request that crashes engines was retried on a third one, its neighbours used up the retry budget, and nothing read the platform's list of leaving endpoints or the load on answers. Change: every request in flight at a crash is suspected by a keyed fingerprint; suspects never share an endpoint, so the next crash names its cause and the second one quarantines it. Retries after a crash do not draw on the budget, since the endpoint is then offline. Each instance reads the list every second.

--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -11,7 +11,8 @@
         publish,
         snapshot::{Current, Names, Snapshot},
     },
-    agate_flow::{gate::Gate, server::Front},
+    agate_flow::{gate::Gate, server::Front, suspect::Suspects},
+    agate_platform::{http::Http, instances},
     agate_store::{Purpose, Revision, Store},
     eyre::{Result, WrapErr},
     rand::RngExt,
@@ -27,6 +28,8 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// Time between two reads of the platform's instance list.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
 /// Longest wait of one watch on the configuration.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Bounds of the pause after a failed read of the configuration.
@@ -39,7 +42,7 @@
     front: Front,
     operator: Operator,
     stop: Stop,
-    watch: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 /// The graceful shutdown, shared by every way to ask for it.
@@ -57,7 +60,10 @@
         let mut names = Names::default();
         let (revision, first) = first_snapshot(&store, &mut names).await;
         let current = Arc::new(Current::new(first));
-        let gate = Gate::open(current, &settings.zone, settings.limits.limits());
+        let gate = {
+            let (limits, suspects) = (settings.limits.limits(), Suspects::open(|_, _| {}));
+            Gate::open(current, &settings.zone, limits, suspects, [0; 32])
+        };
         let view = View {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -76,8 +82,11 @@
             .await
             .wrap_err_with(|| format!("binding the callers' address {}", settings.listen))?;
         log::info!("instance {} serves callers at {}", settings.name, front.address());
-        let watch = tokio::spawn(watch(store, gate.clone(), Mutex::new(names), revision));
-        Ok(Self { gate, front, operator, stop, watch })
+        let tasks = vec![
+            tokio::spawn(watch(store, gate.clone(), Mutex::new(names), revision)),
+            tokio::spawn(follow_list(Http::open(settings.platform), gate.clone())),
+        ];
+        Ok(Self { gate, front, operator, stop, tasks })
     }
 
     /// Address for callers.
@@ -94,13 +103,13 @@
     pub async fn stop(self) {
         self.stop.clone().run().await;
         self.front.close();
-        self.watch.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
     }
 
     /// Waits until the instance stopped after a signal.
     pub async fn ended(self) {
         self.front.ended().await;
-        self.watch.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
 
@@ -175,6 +184,22 @@
     Ok(())
 }
 
+/// Keeps leaving endpoints from new work by the platform's list.
+async fn follow_list(http: Http, gate: Arc<Gate>) {
+    loop {
+        match instances::list(&http).await {
+            Ok(entries) => {
+                let leaving = entries.into_iter().filter(|e| e.state == instances::State::Leaving);
+                gate.set_leaving(leaving.map(|e| e.name).collect());
+            }
+            // An old list is better than none: what was leaving stays so.
+            Err(e) => log::debug!("reading the platform's instance list: {e}"),
+        }
+        let spread = rand::rng().random_range(0.8..1.2);
+        sleep(LIST_PERIOD.mul_f64(spread)).await;
+    }
+}
+
 /// Waits a random time, so that instances that failed together do not call together again.
 async fn pause() {
     let wait = rand::rng().random_range(PAUSE.0..PAUSE.1);
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -4,11 +4,13 @@
 use {
     crate::{
         desk::{Denied, Entry, Slot},
-        exchange::Failure,
+        exchange::{Failure, Step},
         gate::{Gate, Stay},
         link::{self, Pool},
+        quarantine::Verdict,
         reply::{Refused, Result},
         serve::Job,
+        suspect::Seat,
         truth::{Grant, Repeatable, Untouched},
     },
     agate_core::{EndpointId, PoolId, Refusal, Retry},
@@ -32,6 +34,8 @@
     pub links: Arc<Pool>,
     /// Count of the exchange.
     pub stay: Stay,
+    /// The endpoint's seat for a suspected request, if this is one.
+    pub seat: Option<Seat>,
 }
 
 /// Size of a request as the choice of its endpoint sees it.
@@ -87,15 +91,72 @@
 
 /// Chooses the endpoint of the next attempt and counts the exchange there.
 ///
-/// Endpoints that were tried before are taken again only if there is no other.
-pub fn pick(gate: &Arc<Gate>, pool: PoolId, shape: &Shape, tried: &[EndpointId]) -> Option<Target> {
+/// A request that was in flight at a crash goes only to an endpoint that runs no other such request,
+/// and waits for one; a quarantined one is refused.
+pub async fn next_target(
+    gate: &Arc<Gate>,
+    job: &Job,
+    pool: PoolId,
+    shape: &Shape,
+    tried: &[EndpointId],
+    grant: Grant,
+) -> Result<(Target, Grant)> {
+    loop {
+        let left = left(gate, job);
+        if left.is_zero() {
+            return Err(exhausted(grant.untouched(), left));
+        }
+        let verdict = gate.suspects.state().judge(job.print, gate.now());
+        match verdict {
+            Verdict::Refused => {
+                let text = "the request crashed endpoints before and is refused for some minutes";
+                return Err(Refused::either(Refusal::Quarantined, text, grant.untouched()));
+            }
+            Verdict::Free => {
+                let target = pick(gate, pool, shape, tried, &[]);
+                return found(target, grant, left);
+            }
+            Verdict::Alone => {}
+        }
+        let freed = gate.suspects.freed.notified();
+        let seated = gate.suspects.seated();
+        let target = pick(gate, pool, shape, tried, &seated);
+        if seated.is_empty() && target.is_none() {
+            return Err(exhausted(grant.untouched(), left));
+        }
+        if let Some(mut target) = target {
+            target.seat = gate.suspects.sit(target.id);
+            if target.seat.is_some() {
+                return Ok((target, grant));
+            }
+        }
+        let _ = timeout(left, freed).await;
+    }
+}
+
+fn found(target: Option<Target>, grant: Grant, left: Duration) -> Result<(Target, Grant)> {
+    match target {
+        Some(target) => Ok((target, grant)),
+        None => Err(exhausted(grant.untouched(), left)),
+    }
+}
+
+/// Chooses an endpoint outside of `never`; those `tried` before only if there is no other.
+fn pick(
+    gate: &Arc<Gate>,
+    pool: PoolId,
+    shape: &Shape,
+    tried: &[EndpointId],
+    never: &[EndpointId],
+) -> Option<Target> {
     let (table, zone, now) = (gate.table.load(), gate.zone(), gate.now());
-    let ask = Ask { pool, zone, prefix: &shape.prefix, tokens: shape.prompt, avoid: tried };
-    let chosen =
-        choose(&table, &ask, now).or_else(|_| choose(&table, &Ask { avoid: &[], ..ask }, now));
+    let avoid = [tried, never].concat();
+    let ask = Ask { pool, zone, prefix: &shape.prefix, tokens: shape.prompt, avoid: &avoid };
+    let chosen = choose(&table, &ask, now);
+    let chosen = chosen.or_else(|_| choose(&table, &Ask { avoid: never, ..ask }, now));
     let id = chosen.inspect_err(|e| log::debug!("{e}")).ok()?;
     let links = gate.links(id)?;
-    Some(Target { id, links, stay: Stay::begin(gate, id) })
+    Some(Target { id, links, stay: Stay::begin(gate, id), seat: None })
 }
 
 /// Time that a request has left.
@@ -112,22 +173,34 @@
     Err(Refused::either(Refusal::KeyWithdrawn, text, grant.untouched()))
 }
 
+/// What a failed attempt means for the next one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The endpoint went down during the exchange.
+    Crash,
+    /// Anything else.
+    Other,
+}
+
 /// Decides whether the request may be sent again after `failure`.
 ///
-/// `repeat` is present if the request may run more than once.
+/// `repeat` is present if the request may run more than once. A crash does not draw on the pool's
+/// retry budget: it breaks each exchange of an endpoint once, and the endpoint is then offline.
 pub fn repeat(
     gate: &Gate,
     job: &Job,
     pool: PoolId,
-    failure: Failure,
+    (failure, cause): (Failure, Cause),
     repeat: Option<Repeatable>,
     attempts: u32,
 ) -> Result<Grant> {
     let sent = failure.declared || !matches!(failure.grant, Some(Grant::First(_)));
     let kind = retry::Failure { sent, declared_unrun: failure.declared };
     let (desk, left) = (gate.desk(pool), left(gate, job));
+    let free = retry::Budget::default();
+    let budget = if cause == Cause::Crash { &free } else { &desk.retries };
     let allowed = attempts < gate.limits.attempts;
-    let reason = may_retry(kind, repeat.is_some(), attempts, left, &desk.retries);
+    let reason = may_retry(kind, repeat.is_some(), attempts, left, budget);
     let again = repeat.map(Grant::Again);
     match (reason.filter(|_| allowed), failure.grant.or(again)) {
         (Some(reason), Some(grant)) => {
@@ -152,19 +225,32 @@
     Refused::either(reason, text, proof).retry_after(COME_BACK)
 }
 
-/// Records what a failure says about its endpoint, and retires connections that went silent.
-pub async fn blame(gate: &Gate, target: Target, failure: &Failure) {
-    let kind = if failure.declared {
-        Kind::Busy
-    } else if failure.silent {
-        gate.meter.silent.inc_by(1 + target.links.purge() as u64);
-        // If new connections work, the path lost track of the old one and the endpoint is sound.
-        match timeout(gate.limits.probe, link::open(target.links.address())).await {
-            Ok(Ok(_)) => Kind::Neutral,
-            _ => Kind::Failure,
+/// Records what a failure says about its endpoint and the request, and retires connections that
+/// went silent.
+pub async fn blame(gate: &Gate, job: &Job, target: Target, failure: &Failure) -> Cause {
+    let (kind, cause) = match failure {
+        f if f.declared => (Kind::Busy, Cause::Other),
+        f if f.silent => {
+            gate.meter.silent.inc_by(1 + target.links.purge() as u64);
+            // If new connections work, the path lost track of the old one and the endpoint is sound.
+            let kind = if reachable(gate, &target).await { Kind::Neutral } else { Kind::Failure };
+            (kind, Cause::Other)
         }
-    } else {
-        Kind::Failure
+        f if matches!(f.step, Step::Head | Step::Body) && !reachable(gate, &target).await => {
+            (Kind::Failure, Cause::Crash)
+        }
+        _ => (Kind::Failure, Cause::Other),
     };
+    if cause == Cause::Crash {
+        target.links.purge();
+        gate.suspects.crash(job.print, gate.now());
+    }
     target.stay.end(kind);
+    cause
+}
+
+/// Whether the endpoint accepts a new connection.
+async fn reachable(gate: &Gate, target: &Target) -> bool {
+    let opened = timeout(gate.limits.probe, link::open(target.links.address())).await;
+    matches!(opened, Ok(Ok(_)))
 }
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -8,8 +8,10 @@
     crate::{
         desk::{Clock, Desk},
         flight::Flight,
+        header,
         link::Pool,
         meter::Meter,
+        suspect::Suspects,
     },
     agate_config::{
         doc,
@@ -18,11 +20,13 @@
     agate_core::{EndpointId, Mono, PoolId, ZoneId},
     agate_route::{
         health::Kind,
+        live::LoadReport,
         table::{Distances, Role, Spec, Table},
     },
     arc_swap::ArcSwap,
+    http::response::Parts,
     std::{
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, atomic::Ordering},
         time::{Duration, Instant},
     },
 };
@@ -73,9 +77,15 @@
     pub meter: Meter,
     /// Requests in progress.
     pub flight: Flight,
+    /// Requests that were in flight when endpoints crashed.
+    pub suspects: Arc<Suspects>,
+    /// Key of request fingerprints, shared by all instances.
+    pub print_key: [u8; 32],
     /// Endpoints with their load and health.
     pub table: ArcSwap<Table>,
     zone: String,
+    /// Names of endpoints that the platform's list shows as leaving.
+    leaving: ArcSwap<Vec<String>>,
     links: ArcSwap<Links>,
     desks: ArcSwap<Vec<Arc<Desk>>>,
     clock: Clock,
@@ -85,7 +95,15 @@
 
 impl Gate {
     /// Makes the state of an instance in the availability zone named `zone`.
-    pub fn open(current: Arc<Current>, zone: &str, limits: Limits) -> Arc<Self> {
+    ///
+    /// `suspects` and `print_key` tie it to the other instances' quarantines.
+    pub fn open(
+        current: Arc<Current>,
+        zone: &str,
+        limits: Limits,
+        suspects: Arc<Suspects>,
+        print_key: [u8; 32],
+    ) -> Arc<Self> {
         let origin = Instant::now();
         let seed = rand::random();
         let gate = Self {
@@ -93,8 +111,11 @@
             limits,
             meter: Meter::open(),
             flight: Flight::default(),
+            suspects,
+            print_key,
             table: ArcSwap::from_pointee(Table::new(0, Distances::default(), seed)),
             zone: zone.to_owned(),
+            leaving: ArcSwap::default(),
             links: ArcSwap::default(),
             desks: ArcSwap::default(),
             clock: Arc::new(move || origin.elapsed()),
@@ -118,6 +139,7 @@
         let (home, distances) = (self.home(&snapshot), distances(&snapshot));
         let old = self.table.load().relocate(home, distances);
         self.table.store(Arc::new(Table::rebuild(&old, specs)));
+        self.apply_leaving();
         self.links.store(Arc::new(links(&snapshot, &self.links.load())));
         self.desks.store(Arc::new(self.rebuild_desks(&snapshot)));
         for desk in self.desks.load().iter() {
@@ -151,6 +173,33 @@
         self.home(&self.current.load())
     }
 
+    /// Takes over the load that an endpoint reported on an answer.
+    pub fn note_load(&self, id: EndpointId, head: &Parts) {
+        let Some(value) = head.headers.get(header::LOAD).and_then(|v| v.to_str().ok()) else {
+            return;
+        };
+        match parse_load(value, self.now()) {
+            Some(report) => self.table.load().endpoint(id).live.set_load(report),
+            None => log::debug!("endpoint {id} reported a load that was not understood: {value}"),
+        }
+    }
+
+    /// Marks the endpoints named in `leaving` as taking no new work, and only those, beside the ones
+    /// that the configuration marks.
+    pub fn set_leaving(&self, leaving: Vec<String>) {
+        self.leaving.store(Arc::new(leaving));
+        self.apply_leaving();
+    }
+
+    fn apply_leaving(&self) {
+        let (snapshot, leaving) = (self.current.load(), self.leaving.load());
+        let table = self.table.load();
+        for (id, endpoint) in snapshot.endpoints() {
+            let gone = endpoint.leaving || leaving.iter().any(|n| **n == *endpoint.name);
+            table.endpoint(id).live.leaving.store(gone, Ordering::Relaxed);
+        }
+    }
+
     /// Connections to an endpoint.
     pub fn links(&self, id: EndpointId) -> Option<Arc<Pool>> {
         self.links.load().get(id as usize).cloned().flatten()
@@ -166,6 +215,22 @@
     }
 }
 
+/// Reads `running=R,waiting=W,slots=S`.
+fn parse_load(value: &str, at: Mono) -> Option<LoadReport> {
+    let mut report = LoadReport { running: 0, waiting: 0, slots: 0, at };
+    for field in value.split(',') {
+        let (name, number) = field.trim().split_once('=')?;
+        let number = number.parse().ok()?;
+        match name {
+            "running" => report.running = number,
+            "waiting" => report.waiting = number,
+            "slots" => report.slots = number,
+            _ => {}
+        }
+    }
+    (report.slots > 0).then_some(report)
+}
+
 fn spec<'a>(snapshot: &Snapshot, id: EndpointId, endpoint: &'a EndpointEntry) -> Spec<'a> {
     Spec {
         id,
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         desk::Slot,
-        dispatch::{self, Shape, Target, admit, blame, check_key, exhausted, pick},
+        dispatch::{self, Shape, Target, admit, blame, check_key, next_target},
         exchange::{self, Failure, Patience},
         gate::Gate,
         link::IDLE_LIMIT,
@@ -122,16 +122,19 @@
     async fn start(&mut self, mut grant: Grant) -> Result<Source> {
         loop {
             grant = check_key(&self.gate, &self.job, grant)?;
-            let left = self.left();
-            let target = if left.is_zero() { None } else { self.pick() };
-            let Some(target) = target else { return Err(exhausted(grant.untouched(), left)) };
+            let (gate, pool) = (&self.gate, self.pool);
+            let chosen =
+                next_target(gate, &self.job, pool, &self.shape, &self.tried, grant).await?;
+            let (target, granted) = chosen;
             self.tried.push(target.id);
-            let limit = left.min(self.gate.limits.first);
+            let limit = dispatch::left(gate, &self.job).min(gate.limits.first);
             let patience = Patience { fresh: limit, reused: limit, rest: self.rest };
             let request = self.request();
-            let sent = exchange::send(&target.links, request, &self.job.id, grant, patience).await;
+            let sent =
+                exchange::send(&target.links, request, &self.job.id, granted, patience).await;
             let failure = match sent {
                 Ok(answer) if answer.head.status.is_success() => {
+                    self.gate.note_load(target.id, &answer.head);
                     let between = self.gate.limits.between;
                     let tokens = Tokens::open(answer, self.delivered, limit, between);
                     return Ok(Source { tokens, target });
@@ -147,7 +150,11 @@
     pub async fn next(&mut self, mut source: Source) -> Result<(Event, Source)> {
         loop {
             let failure = match source.tokens.next().await {
-                Ok(event) => return Ok((self.accept(event, &source), source)),
+                Ok(event) => {
+                    // Crashes come with the prompt; after a token the next suspect may follow.
+                    source.target.seat = None;
+                    return Ok((self.accept(event, &source), source));
+                }
                 Err(failure) => failure,
             };
             let grant = self.recover(source.target, *failure).await?;
@@ -161,13 +168,10 @@
         if failure.silent {
             self.rest = Duration::ZERO;
         }
-        blame(&self.gate, target, &failure).await;
+        let cause = blame(&self.gate, &self.job, target, &failure).await;
         let (again, attempts) = (Some(Repeatable::generation()), self.tried.len() as u32);
-        dispatch::repeat(&self.gate, &self.job, self.pool, failure, again, attempts)
-    }
-
-    fn pick(&self) -> Option<Target> {
-        pick(&self.gate, self.pool, &self.shape, &self.tried)
+        let failed = (failure, cause);
+        dispatch::repeat(&self.gate, &self.job, self.pool, failed, again, attempts)
     }
 
     fn accept(&mut self, event: Event, source: &Source) -> Event {
@@ -185,6 +189,7 @@
     /// Ends a request whose stream was whole.
     pub fn finish(&self, source: Source) {
         source.target.stay.end(Kind::Success);
+        self.gate.suspects.state().clear(self.job.print);
         self.gate.meter.answers.inc();
         let actual = self.usage.prompt_tokens.saturating_add(self.usage.completion_tokens);
         self.gate.desk(self.pool).settle(&self.job.caller, self.shape.cost, actual);
@@ -199,10 +204,6 @@
         self.delivered = delivered;
     }
 
-    fn left(&self) -> Duration {
-        dispatch::left(&self.gate, &self.job)
-    }
-
     async fn rejected(&self, answer: exchange::Answer) -> Refused {
         let status = answer.head.status;
         let text = format!("the engine answered with status {status}");
--- a/crates/flow/src/serve.rs
+++ b/crates/flow/src/serve.rs
@@ -6,8 +6,9 @@
         flight::Guard,
         gate::Gate,
         model,
+        quarantine::Fingerprint,
         reply::{Refused, Result},
-        service,
+        service, suspect,
         truth::Untouched,
     },
     agate_config::{
@@ -41,6 +42,8 @@
     pub start: Mono,
     /// When its answer is of no more use.
     pub deadline: Mono,
+    /// Fingerprint that the quarantine knows it by.
+    pub print: Fingerprint,
     /// Presence among the requests in progress.
     pub guard: Guard,
 }
@@ -85,7 +88,9 @@
     let (caller, proof) = Caller::identify(&snapshot, entry, &head.headers, proof)?;
     let (body, proof) = read_body(gate, body, proof).await?;
     let id = id.to_owned();
-    let job = Job { id, snapshot, route, caller, head, body, start, deadline, guard };
+    let print = 0;
+    let mut job = Job { id, snapshot, route, caller, head, body, start, deadline, print, guard };
+    job.print = suspect::fingerprint(&job, &gate.print_key);
     match kind {
         RouteKind::Model => model::run(gate, job, proof).await,
         RouteKind::Service => service::run(gate, job, proof).await,
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        dispatch::{Shape, Target, admit, blame, check_key, exhausted, left, pick, repeat},
+        dispatch::{Shape, Target, admit, blame, check_key, left, next_target, repeat},
         exchange::{self, Patience},
         gate::Gate,
         header,
@@ -63,22 +63,22 @@
     let mut silent = false;
     loop {
         grant = check_key(gate, job, grant)?;
-        let left = left(gate, job);
-        let target = if left.is_zero() { None } else { pick(gate, pool, &shape, &tried) };
-        let Some(target) = target else { return Err(exhausted(grant.untouched(), left)) };
+        let (target, granted) = next_target(gate, job, pool, &shape, &tried, grant).await?;
         tried.push(target.id);
-        let failure = match once(gate, job, &target, grant, patience(job, left, silent)).await {
+        let left = left(gate, job);
+        let failure = match once(gate, job, &target, granted, patience(job, left, silent)).await {
             Ok(whole) => {
                 target.stay.end(Kind::Success);
+                gate.suspects.state().clear(job.print);
                 return Ok(whole);
             }
             Err(failure) => failure,
         };
         log::info!("request {}: {failure}", job.id);
         silent |= failure.silent;
-        blame(gate, target, &failure).await;
+        let cause = blame(gate, job, target, &failure).await;
         let again = Repeatable::idempotent(job.entry());
-        grant = repeat(gate, job, pool, *failure, again, tried.len() as u32)?;
+        grant = repeat(gate, job, pool, (*failure, cause), again, tried.len() as u32)?;
     }
 }
 
@@ -91,6 +91,7 @@
     patience: Patience,
 ) -> exchange::Result<(http::response::Parts, Bytes)> {
     let answer = exchange::send(&target.links, request(job), &job.id, grant, patience).await?;
+    gate.note_load(target.id, &answer.head);
     answer.collect(gate.limits.answer, patience.fresh).await
 }
 
--- /dev/null
+++ b/crates/flow/src/suspect.rs
@@ -0,0 +1,95 @@
+//! The quarantine on the request path: fingerprints, and the one seat for a suspect that each
+//! endpoint has. Since no two suspects share an endpoint, a crash names the one that caused it.
+
+use {
+    crate::{
+        quarantine::{CRASH_LIMIT, Fingerprint, Quarantine, Verdict},
+        serve::Job,
+    },
+    agate_core::{EndpointId, Mono},
+    indexmap::IndexSet,
+    std::sync::{Arc, Mutex, MutexGuard},
+    tokio::sync::Notify,
+};
+
+/// Called with each new suspicion, to spread it: fingerprint and crashes.
+pub type Announce = dyn Fn(Fingerprint, u8) + Send + Sync;
+
+/// Suspected requests of one instance.
+pub struct Suspects {
+    state: Mutex<Quarantine>,
+    seats: Mutex<IndexSet<EndpointId>>,
+    /// Told each time that a seat is given up.
+    pub freed: Notify,
+    announce: Box<Announce>,
+}
+
+/// Presence of the one suspect that an endpoint may run; given up when dropped.
+pub struct Seat {
+    suspects: Arc<Suspects>,
+    id: EndpointId,
+}
+
+impl Suspects {
+    /// Makes the state; `announce` is called with each new suspicion.
+    pub fn open(announce: impl Fn(Fingerprint, u8) + Send + Sync + 'static) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::default(),
+            seats: Mutex::default(),
+            freed: Notify::new(),
+            announce: Box::new(announce),
+        })
+    }
+
+    /// State for judging, merging and spreading.
+    pub fn state(&self) -> MutexGuard<'_, Quarantine> {
+        self.state.lock().expect("no panic under the quarantine lock")
+    }
+
+    /// Endpoints that run a suspect.
+    pub fn seated(&self) -> Vec<EndpointId> {
+        self.seats().iter().copied().collect()
+    }
+
+    /// Takes the seat for a suspect at an endpoint; `None` if another has it.
+    pub fn sit(self: &Arc<Self>, id: EndpointId) -> Option<Seat> {
+        self.seats().insert(id).then(|| Seat { suspects: self.clone(), id })
+    }
+
+    /// Records that an endpoint crashed with the request in flight.
+    pub fn crash(&self, print: Fingerprint, now: Mono) {
+        let crashes = {
+            let mut state = self.state();
+            state.crash(print, now);
+            match state.judge(print, now) {
+                Verdict::Refused => CRASH_LIMIT,
+                Verdict::Free | Verdict::Alone => CRASH_LIMIT - 1,
+            }
+        };
+        log::warn!("request {print:016x} was in flight at {crashes} endpoint crashes");
+        (self.announce)(print, crashes);
+    }
+
+    fn seats(&self) -> MutexGuard<'_, IndexSet<EndpointId>> {
+        self.seats.lock().expect("no panic under the seats lock")
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.suspects.seats().swap_remove(&self.id);
+        self.suspects.freed.notify_waiters();
+    }
+}
+
+/// Fingerprint of a request, equal on every instance that shares `key`.
+pub fn fingerprint(job: &Job, key: &[u8; 32]) -> Fingerprint {
+    let org = job.caller.org().and_then(|o| job.snapshot.org(o)).map_or("", |o| &o.name);
+    let mut hash = blake3::Hasher::new_keyed(key);
+    for part in [org.as_bytes(), job.head.uri.path().as_bytes(), &job.body] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    let bytes = hash.finalize();
+    u64::from_le_bytes(bytes.as_bytes()[..8].try_into().expect("a hash has 32 bytes"))
+}
