Withhold accusations only after longer silence

Cause: over real sockets no crash was ever noticed among 8 instances. Timers fire late by a little, so the last acknowledgement before a failed probe was just over two periods old, and the instance took the fault for its own. Change: four periods of silence. Conclusion: virtual timers must not be exact.

--- a/crates/member/src/suspect.rs
+++ b/crates/member/src/suspect.rs
@@ -16,6 +16,10 @@
     agate_wire::{Name, Peer, Status, Update},
 };
 
+/// Periods without any acknowledgement after which an instance takes the fault for its own; enough
+/// for the probes of a few failed members in a row.
+const ISOLATED_PERIODS: u32 = 4;
+
 /// How a statement reached this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Via {
@@ -218,7 +222,9 @@
     pub(crate) fn isolated(&self, now: Mono) -> bool {
         let silence = now.saturating_sub(self.timers.acked);
         let others = self.view.live() + self.contacts.len();
-        others > 1 && silence > self.settings.period * 2 && silence < self.settings.isolation
+        others > 1
+            && silence > self.settings.period * ISOLATED_PERIODS
+            && silence < self.settings.isolation
     }
 
     /// Gives a verdict on members that were suspected for long enough.
--- a/crates/member/tests/net/mod.rs
+++ b/crates/member/tests/net/mod.rs
@@ -254,7 +254,9 @@
         if !n.paused {
             self.input(i, Input::Tick);
         }
-        self.at(self.now + Duration::from_millis(50), Queued::Tick(i, life));
+        // Timers of real processes fire late by a little.
+        let late = Duration::from_micros(self.rng.random_range(0..5_000));
+        self.at(self.now + Duration::from_millis(50) + late, Queued::Tick(i, life));
     }
 
     fn arrive(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
