--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,9 +1,10 @@
 //! The operators' document: schema, verification, sections in the store, and the snapshot in force.
 //!
 //! [`doc`] is the schema as operators write it, in sections that belong to different teams.
-//! [`mod@parse`] reads it from YAML, [`mod@verify`] checks every cross reference, and [`snapshot`]
-//! compiles a verified document into the dense tables that requests read. The verifier shares no
-//! code with the compiler, so a fault in one shows in the other.
+//! [`mod@parse`] reads it from YAML, [`mod@verify`] checks every cross reference, [`place`] finds
+//! the lines of faults, and [`snapshot`] compiles a verified document into the dense tables that
+//! requests read. The verifier shares no code with the compiler, so a fault in one shows in the
+//! other.
 //!
 //! In the store the document is a set of content-addressed chunks ([`section`]) under one [`head`]
 //! that is replaced by compare-and-swap ([`publish`]). [`spread`] decides how each instance learns
@@ -16,6 +17,7 @@
 pub mod hash;
 pub mod head;
 pub mod parse;
+pub mod place;
 pub mod publish;
 pub mod section;
 pub mod snapshot;
@@ -26,6 +28,7 @@
     doc::Document,
     head::Head,
     parse::{Problem, parse},
+    place::check,
     publish::{apply, load},
     section::Section,
     verify::verify,
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -1,7 +1,7 @@
 //! The example documents are accepted, and each planted fault is reported at its place.
 
 use {
-    agate_config::{Document, Problem, parse, verify},
+    agate_config::{Document, Problem, check, parse, verify},
     rstest::rstest,
 };
 
@@ -116,3 +116,20 @@
 fn empty_accepted() {
     assert_eq!(verify(&Document { schema: 1, ..Document::default() }), []);
 }
+
+/// Faults of the verifier are found in the text, or the nearest entry that encloses them is.
+#[rstest]
+#[case("budget: medium", "budget: huge", "budget: huge", 5)]
+#[case("127.0.0.1:7102", "127.0.0.1:7101", "glaze-oracle-2:", 43)]
+#[case("deadline: 20s", "deadline: 0s", "deadline: 0s", 5)]
+#[case("    current: v1\n", "", "  tile-match:", 3)]
+fn fault_lines(#[case] from: &str, #[case] to: &str, #[case] at: &str, #[case] column: usize) {
+    let text = SAVIKODA.replacen(from, to, 1);
+    let line = 1 + text.lines().position(|l| l.contains(at)).expect("the text holds it");
+    let found = check(&text).expect_err("a fault");
+    let place = &found[0].place;
+    assert!(place.starts_with(&format!("line {line}, column ")), "line {line}: {place}");
+    if column < 10 {
+        assert!(place.contains(&format!("column {column},")), "{place}");
+    }
+}
