Blame a crash on the suspect that had the endpoint's seat

A neighbour of the first crash had given up its seat after its first new token; the crashing request took the seat, and the second crash was counted against both, so the neighbour was refused. Ruled out: the retry budget, which crashes do not draw on. Change: a suspect without the seat is not blamed if another one has it, or had it at the crash.

--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -243,7 +243,7 @@
     };
     if cause == Cause::Crash {
         target.links.purge();
-        gate.suspects.crash(job.print, gate.now());
+        gate.suspects.crash(job.print, target.id, target.seat.is_some(), gate.now());
     }
     target.stay.end(kind);
     cause
--- a/crates/flow/src/suspect.rs
+++ b/crates/flow/src/suspect.rs
@@ -7,11 +7,17 @@
         serve::Job,
     },
     agate_core::{EndpointId, Mono},
-    indexmap::IndexSet,
-    std::sync::{Arc, Mutex, MutexGuard},
+    indexmap::{IndexMap, IndexSet},
+    std::{
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
     tokio::sync::Notify,
 };
 
+/// Time for which a crash counts as explained by the suspect that had the seat.
+const EXPLAINED: Duration = Duration::from_secs(5);
+
 /// Called with each new suspicion, to spread it: fingerprint and crashes.
 pub type Announce = dyn Fn(Fingerprint, u8) + Send + Sync;
 
@@ -19,6 +25,8 @@
 pub struct Suspects {
     state: Mutex<Quarantine>,
     seats: Mutex<IndexSet<EndpointId>>,
+    /// Endpoints that crashed while a suspect had their seat, and when.
+    explained: Mutex<IndexMap<EndpointId, Mono>>,
     /// Told each time that a seat is given up.
     pub freed: Notify,
     announce: Box<Announce>,
@@ -36,6 +44,7 @@
         Arc::new(Self {
             state: Mutex::default(),
             seats: Mutex::default(),
+            explained: Mutex::default(),
             freed: Notify::new(),
             announce: Box::new(announce),
         })
@@ -56,8 +65,23 @@
         self.seats().insert(id).then(|| Seat { suspects: self.clone(), id })
     }
 
-    /// Records that an endpoint crashed with the request in flight.
-    pub fn crash(&self, print: Fingerprint, now: Mono) {
+    /// Records that the endpoint `id` crashed with the request in flight; `seated` tells whether it
+    /// had the seat there.
+    ///
+    /// A suspect that gave its seat up, because it got past the point at which it was in flight
+    /// before, is not blamed for the crash if another one has the seat.
+    pub fn crash(&self, print: Fingerprint, id: EndpointId, seated: bool, now: Mono) {
+        if seated {
+            self.explained().insert(id, now);
+        }
+        let explained = || {
+            let at = self.explained().get(&id).copied();
+            self.seats().contains(&id) || at.is_some_and(|t| now.saturating_sub(t) < EXPLAINED)
+        };
+        let suspect = self.state().judge(print, now) == Verdict::Alone;
+        if suspect && !seated && explained() {
+            return;
+        }
         let crashes = {
             let mut state = self.state();
             state.crash(print, now);
@@ -70,6 +94,10 @@
         (self.announce)(print, crashes);
     }
 
+    fn explained(&self) -> MutexGuard<'_, IndexMap<EndpointId, Mono>> {
+        self.explained.lock().expect("no panic under the crash lock")
+    }
+
     fn seats(&self) -> MutexGuard<'_, IndexSet<EndpointId>> {
         self.seats.lock().expect("no panic under the seats lock")
     }
