Measure engines set apart for prefill

Whether long prompts should go to engines of their own had no figure.

The lab can set engines apart and hand KV caches over. The setup of a run moves to a module of its own; the other tables are unchanged.

--- a/crates/lab/examples/policy.rs
+++ b/crates/lab/examples/policy.rs
@@ -3,7 +3,7 @@
 use {
     agate_lab::{
         plot,
-        study::{affinity, budget, deadline, fairness, overload, retry},
+        study::{affinity, budget, deadline, fairness, overload, retry, split},
     },
     std::{path::Path, time::Duration},
 };
@@ -29,9 +29,10 @@
         }
         "retry" => println!("{}", retry::table(SEED)),
         "budget" => println!("{}", budget::table(SEED)),
+        "split" => println!("{}", split::table(8, SEED)),
         "plots" => plots(),
         _ => eprintln!(
-            "usage: policy -- fairness|deadline|overload|herding|affinity|retry|budget|plots"
+            "usage: policy -- fairness|deadline|overload|herding|affinity|retry|budget|split|plots"
         ),
     }
 }
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -121,7 +121,8 @@
             let Some(request) = self.waiting.pop_front() else { return };
             let blocks = self.cache.hits(&request.prefix) as u32;
             let cached = (blocks * agate_route::prefix::BLOCK_TOKENS).min(request.prompt - 1);
-            let (prefill, output) = (request.prompt - cached, request.output);
+            let prefill = if request.imported { 0 } else { request.prompt - cached };
+            let output = request.output;
             self.running.push(Sequence { request, prefill, output, cached });
         }
     }
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -72,9 +72,11 @@
         self.gaps.record_n(time.as_micros() as u64, sequences.into()).expect("histogram resizes");
     }
 
-    /// Records a first token.
+    /// Records a first token; only the first one of a request counts.
     pub fn first(&mut self, id: usize, cached: u32, first: Duration) {
-        self.records[id] = Record::Started { first, cached };
+        if self.records[id] == Record::Open {
+            self.records[id] = Record::Started { first, cached };
+        }
     }
 
     /// Records a last token.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,7 +5,7 @@
 //! seed, so a study doubles as a test: the fast versions under `tests/` hold the stated targets.
 //!
 //! [`engine`] models continuous batching with a prefix cache, [`workload`] draws requests,
-//! [`world`] runs entry instances and engines against each other, [`study`] holds the
+//! [`world`] runs the entry instances and engines of a [`setup`] against each other, [`study`] holds the
 //! measurements, [`table`] and [`plot`] present them.
 
 pub mod baseline;
@@ -13,6 +13,7 @@
 pub mod engine;
 pub mod figures;
 pub mod plot;
+pub mod setup;
 pub mod study;
 pub mod table;
 pub mod workload;
--- a/crates/lab/src/study.rs
+++ b/crates/lab/src/study.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         figures::Record,
+        setup::Setup,
         workload::{Source, draw},
-        world::{Setup, run},
+        world::run,
     },
     agate_core::Mono,
     std::time::Duration,
@@ -16,6 +17,7 @@
 pub mod fairness;
 pub mod overload;
 pub mod retry;
+pub mod split;
 
 /// Requests a second that one saturated engine answers, for a share of dossiers that are each
 /// read once.
--- a/crates/lab/src/study/deadline.rs
+++ b/crates/lab/src/study/deadline.rs
@@ -4,10 +4,11 @@
     crate::{
         baseline::{Choice, Order},
         figures::Figures,
+        setup::Setup,
         study::engine_rate,
         table::{Table, millis, percent, seconds},
         workload::{Request, Source, draw},
-        world::{Setup, run},
+        world::run,
     },
     agate_core::Mono,
     std::time::Duration,
--- a/crates/lab/src/study/fairness.rs
+++ b/crates/lab/src/study/fairness.rs
@@ -4,10 +4,11 @@
     crate::{
         baseline::Order,
         figures::Figures,
+        setup::Setup,
         study::engine_rate,
         table::{Table, percent, seconds},
         workload::{Request, Source, draw},
-        world::{Setup, run},
+        world::run,
     },
     agate_core::Mono,
     std::time::Duration,
--- a/crates/lab/src/workload.rs
+++ b/crates/lab/src/workload.rs
@@ -29,6 +29,8 @@
     pub urgent: bool,
     /// Time after arrival within which the whole answer is of use.
     pub deadline: Duration,
+    /// Whether its KV cache was imported, so that no prefill is left.
+    pub imported: bool,
 }
 
 /// Tokens of a question's prompt, least and most.
@@ -90,7 +92,18 @@
     let entry = rng.random_range(0..entries);
     let (prompt, prefix) = if urgent { question(source, rng) } else { dossier(source, rng) };
     let deadline = if urgent { QUESTION_DEADLINE } else { DOSSIER_DEADLINE };
-    Request { id: 0, at, org: source.org, entry, prefix, prompt, output, urgent, deadline }
+    Request {
+        id: 0,
+        at,
+        org: source.org,
+        entry,
+        prefix,
+        prompt,
+        output,
+        urgent,
+        deadline,
+        imported: false,
+    }
 }
 
 fn question(source: &Source, rng: &mut impl Rng) -> (u32, Arc<[u64]>) {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -5,13 +5,14 @@
 
 use {
     crate::{
-        baseline::{Choice, Order, Waiting},
-        engine::{Engine, Output, Shape},
+        baseline::{Order, Waiting},
+        engine::{Engine, Output},
         figures::{Figures, Record},
+        setup::Setup,
         workload::{ANSWER, Request},
     },
     agate_admit::{Event as Ended, Ticket, queue::cost},
-    agate_core::{EndpointId, Mono},
+    agate_core::{EndpointId, Mono, PoolId},
     agate_route::{Ask, Distances, LoadReport, Role, Spec, Table, health::Kind, ranking::mix},
     indexmap::IndexMap,
     std::{
@@ -29,54 +30,6 @@
 /// Prompt tokens from which a prefill is long enough to measure its speed.
 const MEASURED_PROMPT: u32 = 512;
 
-/// What is run.
-#[derive(Clone, Copy, Debug)]
-pub struct Setup {
-    /// Number of engines.
-    pub engines: u32,
-    /// Their shape.
-    pub shape: Shape,
-    /// Number of entry instances.
-    pub entries: usize,
-    /// Order of waiting requests; `None` sends every request at once.
-    pub order: Option<Order>,
-    /// Choice of endpoint.
-    pub choice: Choice,
-    /// Lag of load reports.
-    pub report_lag: Duration,
-    /// Lag of outstanding counts between instances; `None` if they are not told.
-    pub gossip_lag: Option<Duration>,
-    /// Cache events, if engines publish them.
-    pub cache_events: Option<CacheEvents>,
-    /// Seed of the tables' sampling.
-    pub seed: u64,
-}
-
-/// How cache events arrive.
-#[derive(Clone, Copy, Debug)]
-pub struct CacheEvents {
-    /// Their lag.
-    pub lag: Duration,
-    /// Events lost, in percent.
-    pub lost: u64,
-}
-
-impl Default for Setup {
-    fn default() -> Self {
-        Self {
-            engines: 8,
-            shape: Shape::default(),
-            entries: 8,
-            order: Some(Order::Fair),
-            choice: Choice::Predicted,
-            report_lag: Duration::from_millis(500),
-            gossip_lag: Some(Duration::from_millis(200)),
-            cache_events: None,
-            seed: 1,
-        }
-    }
-}
-
 #[derive(Debug)]
 enum Event {
     Arrive(usize),
@@ -85,6 +38,7 @@
     Reports(Vec<LoadReport>),
     Counts(Vec<Vec<u32>>),
     Cached { engine: usize, stored: Arc<[u64]>, evicted: Vec<u64> },
+    Transferred(usize),
     Tick,
 }
 
@@ -135,7 +89,7 @@
 impl<'a> World<'a> {
     fn new(setup: Setup, requests: &'a [Request]) -> Self {
         let entries = (0..setup.entries).map(|i| entry(&setup, i)).collect();
-        let engines = (0..setup.engines).map(|_| Engine::new(setup.shape)).collect();
+        let engines = (0..setup.engines).map(|i| Engine::new(setup.shape_of(i))).collect();
         Self {
             setup,
             requests,
@@ -168,6 +122,12 @@
                     entry.table.cache_event(engine as EndpointId, &stored, &evicted);
                 }
             }
+            Event::Transferred(id) => {
+                let mut rest = self.requests[id].clone();
+                rest.imported = true;
+                rest.output -= 1;
+                self.send_to(0, rest, now);
+            }
             Event::Tick => {
                 (0..self.entries.len()).for_each(|i| self.pump(i, now));
                 self.at(now + TICK, Event::Tick);
@@ -211,18 +171,30 @@
         }
     }
 
+    /// Sends a granted request, a dossier to an engine set apart if one has room.
     fn send(&mut self, id: usize, now: Mono) {
-        let request = &self.requests[id];
+        let mut request = self.requests[id].clone();
+        self.figures.waits[id] = Some(now - request.at);
+        let table = &self.entries[request.entry].table;
+        let apart = !request.urgent && self.setup.split.is_some();
+        if apart && table.free_slots(1, 1, now) > 0 {
+            request.output = 1;
+            self.send_to(1, request, now);
+        } else {
+            self.send_to(0, request, now);
+        }
+    }
+
+    fn send_to(&mut self, pool: PoolId, request: Request, now: Mono) {
         let table = &self.entries[request.entry].table;
         let (prefix, tokens) = (&request.prefix[..], request.prompt);
-        let ask = Ask { pool: 0, zone: 0, prefix, tokens, avoid: &[] };
-        let draw = mix(self.setup.seed, id as u64);
+        let ask = Ask { pool, zone: 0, prefix, tokens, avoid: &[] };
+        let draw = mix(self.setup.seed, request.id as u64);
         let to = self.setup.choice.pick(table, &ask, draw, now).expect("a usable endpoint");
         table.start(to);
-        self.sent[id] = Some((to, now));
-        self.figures.waits[id] = Some(now - request.at);
+        self.sent[request.id] = Some((to, now));
         let engine = to as usize;
-        self.engines[engine].push(request.clone());
+        self.engines[engine].push(request);
         if !self.busy[engine] {
             self.busy[engine] = true;
             self.at(now, Event::Step(engine, Vec::new()));
@@ -270,8 +242,12 @@
 
     fn done(&mut self, id: usize, now: Mono) {
         let request = &self.requests[id];
-        self.figures.done(id, now - request.at);
         let (to, sent) = self.sent[id].expect("an answered request was sent");
+        if let Some(split) = self.setup.split.filter(|s| to < s.engines) {
+            self.entries[request.entry].table.finish(to, Kind::Success, now - sent, now);
+            return self.at(now + split.transfer * request.prompt, Event::Transferred(id));
+        }
+        self.figures.done(id, now - request.at);
         let entry = &mut self.entries[request.entry];
         entry.table.finish(to, Kind::Success, now - sent, now);
         let estimate = cost(request.prompt, ANSWER.2);
@@ -326,9 +302,9 @@
     let specs = names.iter().enumerate().map(|(i, name)| Spec {
         id: i as EndpointId,
         name,
-        pool: 0,
+        pool: PoolId::from(setup.split.is_some_and(|s| (i as u32) < s.engines)),
         zone: 0,
-        slots: setup.shape.slots,
+        slots: setup.shape_of(i as u32).slots,
         role: Role::Whole,
         leaving: false,
     });
