--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -109,16 +109,17 @@
 
     /// An engine of `role` that may be taken, from the zone that has most of them.
     pub(crate) fn candidate(&self, role: Role) -> Option<usize> {
-        let free = |i: &usize| {
-            let e = &self.engines[*i];
-            e.role == role && e.absent.is_none() && !self.changes.iter().any(|c| c.engine == *i)
-        };
-        let all = (0..self.engines.len()).filter(free);
-        let counted = all.map(|i| (self.others(i, role), i));
-        counted
-            .max_by_key(|(n, i)| (*n, std::cmp::Reverse(*i)))
-            .filter(|(n, _)| *n > 0)
-            .map(|(_, i)| i)
+        let free = |e: &Engine| e.role == role && e.absent.is_none() && !e.changing;
+        let zones = self.engines.iter().map(|e| e.zone as usize + 1).max()?;
+        let mut counts = vec![0; zones];
+        for e in self.engines.iter().filter(|e| free(e)) {
+            counts[e.zone as usize] += 1;
+        }
+        let (zone, count) = counts.iter().enumerate().max_by_key(|(_, n)| **n)?;
+        if *count < 2 {
+            return None;
+        }
+        self.engines.iter().position(|e| free(e) && e.zone as usize == zone)
     }
 
     /// Engines besides `i` that serve `role` in its availability zone and are not being changed.
@@ -128,10 +129,9 @@
 
     fn other_engines(&self, i: usize, role: Role) -> impl Iterator<Item = usize> {
         let zone = self.engines[i].zone;
-        let changing = move |j| self.changes.iter().any(|c| c.engine == j);
         let all = self.engines.iter().enumerate();
         all.filter(move |(j, e)| {
-            *j != i && e.zone == zone && e.role == role && e.absent.is_none() && !changing(*j)
+            *j != i && e.zone == zone && e.role == role && e.absent.is_none() && !e.changing
         })
         .map(|(j, _)| j)
     }
@@ -159,7 +159,8 @@
         while k < self.changes.len() {
             let next = self.next(&self.changes[k], now);
             if let Next::End = next {
-                self.changes.remove(k);
+                let ended = self.changes.remove(k);
+                self.engines[ended.engine].changing = false;
                 self.touch();
                 continue;
             }
--- a/crates/ctl/src/piece.rs
+++ b/crates/ctl/src/piece.rs
@@ -58,7 +58,7 @@
             decode_rate: 2_000.0,
             headroom: 1.1,
             away: Duration::from_secs(20),
-            dwell: Duration::from_secs(180),
+            dwell: Duration::from_secs(60),
             hysteresis: 1.5,
             share: 0.1,
             period: Duration::from_secs(5),
@@ -68,7 +68,7 @@
             proof: Duration::from_secs(5),
             rewrite: Duration::from_secs(1),
             absence: Duration::from_secs(120),
-            lags: (Duration::from_secs(15), Duration::from_secs(90)),
+            lags: (Duration::from_secs(10), Duration::from_secs(40)),
         }
     }
 }
@@ -104,6 +104,8 @@
     pub role: Role,
     /// Last state read since the last order ended, and when, if it answered.
     pub(crate) reading: Option<(Mono, Reading)>,
+    /// Whether a change of it is under way.
+    pub(crate) changing: bool,
     /// Whether the present holder has asked for its state and had an answer or none.
     pub(crate) known: bool,
     /// Number and time of the last request for its state since the last order.
@@ -124,6 +126,7 @@
             zone,
             role,
             reading: None,
+            changing: false,
             known: false,
             asked: None,
             absent: None,
@@ -355,11 +358,12 @@
     p.planned = None;
     for e in &mut p.engines {
         (e.reading, e.asked, e.flight) = (None, None, None);
-        e.known = false;
+        (e.known, e.changing) = (false, false);
         e.quiet = e.quiet.max(grant.first_order);
     }
     for s in saved {
         let Some(engine) = p.engines.iter().position(|e| *e.name == *s.engine) else { continue };
+        p.engines[engine].changing = true;
         // Stamp zero: the intention was found in the store.
         p.changes.push(Change { engine, from: s.from, to: s.to, phase: s.phase, stamp: 0 });
     }
@@ -405,6 +409,7 @@
     for _ in 0..count.min(room) {
         let Some(engine) = p.candidate(from) else { break };
         let stamp = p.touch();
+        p.engines[engine].changing = true;
         p.changes.push(Change { engine, from, to, phase: Phase::Draining, stamp });
         log::debug!(step = "plan", peer:% = p.engines[engine].name; "change {from:?} to {to:?}");
     }
--- a/crates/ctl/src/plan.rs
+++ b/crates/ctl/src/plan.rs
@@ -1,7 +1,7 @@
 //! Choice of the split between prefill and decode engines.
 //!
-//! A split is worth the share of the demand that it serves, summed over the time for which it is
-//! expected to stay. Changing costs the seconds for which the changed engines are away. Because a
+//! A split is worth the work that it serves, in engine-seconds over the time for which it is expected
+//! to stay. Changing costs the seconds for which the changed engines are away. Because a
 //! gain must exceed the cost by a factor in either direction, a small swing changes nothing.
 
 use {
@@ -38,8 +38,8 @@
     let points: Vec<Demand> =
         (0..POINTS).map(|i| demand(s.away + s.dwell * i / (POINTS - 1))).collect();
     let worth = |split: Split| {
-        let sum: f64 = points.iter().map(|d| served_share(s, split, *d)).sum();
-        sum / f64::from(POINTS) * s.dwell.as_secs_f64() * total as f64
+        let sum: f64 = points.iter().map(|d| served_share(s, split, *d) * work(s, *d)).sum();
+        sum / f64::from(POINTS) * s.dwell.as_secs_f64()
     };
     let base = worth(now);
     let mut best = (0.0, now);
@@ -55,6 +55,11 @@
     best.1
 }
 
+/// Engines that the demand would keep busy.
+fn work(s: &Settings, d: Demand) -> f64 {
+    d.prefill / s.prefill_rate + d.decode / s.decode_rate
+}
+
 /// The two splits that differ by `moved` engines.
 fn moves(now: Split, moved: usize) -> [Option<Split>; 2] {
     let shift = |from: usize, to: usize| from.checked_sub(moved).map(|f| (f, to + moved));
