--- /dev/null
+++ b/crates/config/examples/spread.rs
@@ -0,0 +1,175 @@
+//! Prints how fast a change is in force everywhere, and what that costs the store and each
+//! instance, in virtual time with 1% of the datagrams lost.
+//!
+//! Run with `cargo run --release -p agate-config --example spread`.
+
+#[path = "../tests/support/sim.rs"]
+mod sim;
+#[path = "support/mod.rs"]
+mod support;
+
+use {
+    agate_config::{
+        Document, Head, Section, delta::Delta, freshness::Standing, head::VERSION, section::split,
+    },
+    agate_wire::{Body, Context, Digest, Envelope, Gossip, Keys, seal},
+    sim::{Sim, Sizes},
+    std::time::Duration,
+};
+
+const FLEETS: [(usize, usize); 5] = [(8, 4), (64, 4), (256, 9), (1_000, 9), (1_900, 9)];
+const SEEDS: u64 = 3;
+const CHANGES: u64 = 20;
+const LOSS: f64 = 0.01;
+/// Organisations in the document whose messages are counted.
+const ORGANISATIONS: usize = 6_500;
+/// Bytes of the IP and UDP headers of a datagram.
+const HEADERS: u64 = 28;
+const MINUTE: Duration = Duration::from_secs(60);
+/// Time between two changes at 20,000 a day.
+const PAUSE: Duration = Duration::from_millis(4_320);
+
+fn main() {
+    let sizes = sizes();
+    println!("Bytes of a message: {sizes:?}\n");
+    println!(
+        "| instances | zones | watchers | in force p50 ms | in force max ms | reads in an idle minute | polls in an idle minute | share of time fresh | reads a change | peak reads/s at start | idle B/s mean | idle B/s most | B/s mean at 20,000 a day | B/s most |"
+    );
+    println!(
+        "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |"
+    );
+    for (count, zones) in FLEETS {
+        row(count, zones, sizes);
+    }
+}
+
+fn row(count: usize, zones: usize, sizes: Sizes) {
+    let mut taken = Vec::new();
+    let (mut idle, mut busy, mut start, mut polls) = (0, 0, 0, 0);
+    let mut fresh = 0.0;
+    let (mut quiet, mut loaded) = ((0, 0), (0, 0));
+    let mut watchers = 0;
+    for seed in 0..SEEDS {
+        let mut sim = Sim::new(count, zones, sizes, seed);
+        sim.loss = LOSS;
+        sim.run(MINUTE);
+        start = start.max(sim.peak.2);
+        watchers = sim.nodes.iter().filter(|n| n.state.is_watcher()).count();
+        polls -= polled(&sim);
+        let (reads, bytes) = metered(&mut sim, |s| fresh += freshness(s) / SEEDS as f64);
+        polls += polled(&sim);
+        idle += reads;
+        quiet = worst(quiet, bytes, MINUTE);
+        let changing = PAUSE * CHANGES as u32;
+        let (reads, bytes) = metered(&mut sim, |s| taken.extend(changes(s)));
+        busy += reads;
+        loaded = worst(loaded, bytes, changing);
+    }
+    taken.sort();
+    let (idle, busy) = (idle / SEEDS, busy / SEEDS);
+    let baseline = idle as f64 * (PAUSE * CHANGES as u32).as_secs_f64() / 60.0;
+    println!(
+        "| {count} | {zones} | {watchers} | {} | {} | {idle} | {} | {fresh:.5} | {:.0} | {start} | {} | {} | {} | {} |",
+        taken[taken.len() / 2].as_millis(),
+        taken[taken.len() - 1].as_millis(),
+        polls / SEEDS as i64,
+        (busy as f64 - baseline) / CHANGES as f64,
+        quiet.0,
+        quiet.1,
+        loaded.0,
+        loaded.1,
+    );
+}
+
+fn polled(sim: &Sim) -> i64 {
+    sim.nodes.iter().map(|n| n.state.counters.polls as i64).sum()
+}
+
+/// Lets an idle minute pass; returns the share of instances and seconds with a recent proof.
+fn freshness(sim: &mut Sim) -> f64 {
+    let mut fresh = 0;
+    for _ in 0..MINUTE.as_secs() {
+        sim.run(Duration::from_secs(1));
+        let held = (0..sim.nodes.len()).filter(|i| sim.standing(*i) == Standing::Fresh);
+        fresh += held.count();
+    }
+    fresh as f64 / (sim.nodes.len() as u64 * MINUTE.as_secs()) as f64
+}
+
+/// Publishes changes at the stated pace; returns how long each took to be in force everywhere.
+fn changes(sim: &mut Sim) -> Vec<Duration> {
+    let mut out = Vec::new();
+    for _ in 0..CHANGES {
+        sim.publish();
+        let generation = sim.head;
+        let taken = sim.run_until(PAUSE, |s| s.all_at(generation));
+        out.push(taken.unwrap_or(PAUSE));
+        sim.run(PAUSE - taken.unwrap_or(PAUSE));
+    }
+    out
+}
+
+/// Store reads, and the bytes that each instance sent and got, during `run`.
+fn metered(sim: &mut Sim, run: impl FnOnce(&mut Sim)) -> (u64, Vec<u64>) {
+    let total = |s: &Sim| s.nodes.iter().map(|n| n.bytes_in + n.bytes_out).collect::<Vec<_>>();
+    let (reads, bytes) = (sim.reads, total(sim));
+    run(sim);
+    let used = total(sim).iter().zip(bytes).map(|(after, before)| after - before).collect();
+    (sim.reads - reads, used)
+}
+
+/// Mean and greatest bytes a second, over this and earlier runs.
+fn worst(so_far: (u64, u64), bytes: Vec<u64>, time: Duration) -> (u64, u64) {
+    let rate = |b: u64| (b as f64 / time.as_secs_f64()) as u64;
+    let mean = rate(bytes.iter().sum::<u64>() / bytes.len() as u64);
+    let most = rate(bytes.into_iter().max().unwrap_or_default());
+    (so_far.0.max(mean), so_far.1.max(most))
+}
+
+fn sizes() -> Sizes {
+    let old = support::document(ORGANISATIONS);
+    let mut new = old.clone();
+    new.organisations[ORGANISATIONS / 2].weight += 1;
+    let (a, b) = (head(&old, 1_000_000), head(&new, 1_000_001));
+    let chunk = changed_chunk(&old);
+    let delta = serde_json::to_vec(&Delta::between(&a, &b)).expect("a delta is JSON").len();
+    Sizes { digest: digest(), head: b.encode().len() as u64, delta: delta as u64, chunk }
+}
+
+/// Mean length of the chunk that holds an organisation drawn at random.
+fn changed_chunk(doc: &Document) -> u64 {
+    let chunks = split(doc, Section::Organisations);
+    let lengths = chunks.iter().map(|c| c.bytes.len() as u64);
+    let (squares, sum) = lengths.fold((0, 0), |(q, s), n| (q + n * n, s + n));
+    squares / sum
+}
+
+fn head(doc: &Document, generation: u64) -> Head {
+    let ids = |s| split(doc, s).into_iter().map(|c| c.id).collect();
+    Head {
+        version: VERSION,
+        generation,
+        chunks: Section::ALL.into_iter().map(|s| (s, ids(s))).collect(),
+        author: "an author's name".into(),
+        parent: Some(agate_config::head::history_key(generation - 1)),
+        token: "0123456789abcdef0123456789abcdef".into(),
+        time: Duration::from_secs(1_700_000_000),
+        comment: "a comment of some length on one changed key".into(),
+    }
+}
+
+/// Bytes of a sealed acknowledgement with a digest, on the wire.
+fn digest() -> u64 {
+    let keys = Keys::new(&["0123456789abcdef"]).expect("the secret is long enough");
+    let config = Digest::Config { generation: 1_000_000, age: Some(Duration::from_millis(1_500)) };
+    let gossip = Gossip { digests: vec![config], ..Gossip::default() };
+    let envelope = Envelope {
+        from: "instance-0000".into(),
+        incarnation: 1_700_000_000_000,
+        sequence: 1_000_000,
+        body: Body::Ack { number: 1_000_000, target: None, gossip },
+    };
+    let to = "10.0.0.1:7000".parse().expect("an address");
+    let sealed = seal(&keys, &envelope, Context::Datagram(to)).expect("it fits a datagram");
+    sealed.len() as u64 + HEADERS
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,9 +7,11 @@
 //! other.
 //!
 //! In the store the document is a set of content-addressed chunks ([`section`]) under one [`head`]
-//! that is replaced by compare-and-swap ([`publish`]). [`spread`] decides how each instance learns a
-//! new head, and [`freshness`] whether the one in force may still decide on keyed work.
+//! that is replaced by compare-and-swap ([`publish`]). [`spread`] decides how each instance learns
+//! a new head, [`mod@delta`] keeps the messages of that small, and [`freshness`] says whether the
+//! configuration in force may still decide on keyed work.
 
+pub mod delta;
 pub mod doc;
 pub mod freshness;
 pub mod hash;
--- a/crates/config/src/publish/apply.rs
+++ b/crates/config/src/publish/apply.rs
@@ -143,7 +143,7 @@
             return Ok(None);
         }
         let mut doc = match head {
-            Some(h) => read::document(self.store, h, &mut self.chunks).await?,
+            Some(h) => self.others(h).await?,
             None => Document { schema: SCHEMA, ..Document::default() },
         };
         for section in &self.edit.sections {
@@ -153,6 +153,13 @@
         if faults.is_empty() { Ok(Some(next)) } else { Err(Error::Refused(faults)) }
     }
 
+    /// Reads the sections that are not edited.
+    async fn others(&mut self, head: &Head) -> Result<Document> {
+        let mut rest = head.clone();
+        rest.chunks.retain(|section, _| !self.edit.sections.contains(section));
+        read::document(self.store, &rest, &mut self.chunks).await
+    }
+
     /// Refuses if an edited section is no longer as in the base.
     async fn check_race(&mut self, head: Option<&Head>) -> Result<()> {
         let base = self.base.get_or_insert_with(|| head.cloned());
@@ -192,8 +199,13 @@
     /// Writes chunks, the copy of the head and last the head; false if another change came first
     /// or the answer was lost.
     async fn commit(&mut self, head: Option<&(Revision, Head)>, next: &Head) -> Result<bool> {
-        for chunk in self.fresh.values().flatten() {
-            if !self.chunks.contains_key(&chunk.id) {
+        let held = |section| head.map(|(_, h)| h.section(section)).unwrap_or_default();
+        for (section, list) in &self.fresh {
+            for chunk in list {
+                // Chunks of the head are present, and those that were written here before too.
+                if held(*section).contains(&chunk.id) || self.chunks.contains_key(&chunk.id) {
+                    continue;
+                }
                 write_once(self.store, chunk_key(&chunk.id), &chunk.bytes).await?;
                 self.chunks.insert(chunk.id.clone(), chunk.bytes.clone());
             }
--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -1,8 +1,9 @@
 //! Sections of the document as content-addressed chunks.
 //!
-//! A chunk is JSON lines, one entry each. A chunk ends after an entry whose name hashes to zero
-//! modulo [`MEAN_ENTRIES`], so inserting, changing or removing an entry changes one chunk (or joins
-//! two) and leaves the others with their old hashes.
+//! A chunk is JSON lines, one entry each. It holds [`MIN_ENTRIES`] to [`MAX_ENTRIES`] entries and
+//! ends between these after an entry whose name hashes to zero modulo [`CUT_RATE`]. The cuts depend
+//! on names alone, so changing an entry changes one chunk, and adding or removing one changes the
+//! chunks up to the next place where old and new cuts agree.
 
 use {
     crate::doc::{Budget, Document, Endpoint, Model, Organisation, Pool, Route, Zone},
@@ -12,8 +13,12 @@
 
 /// Largest chunk, in bytes.
 pub const MAX_CHUNK: usize = 256 << 10;
-/// Mean number of entries in a chunk.
-pub const MEAN_ENTRIES: u32 = 32;
+/// Fewest entries in a chunk that is not the last of its section.
+pub const MIN_ENTRIES: usize = 16;
+/// Most entries in a chunk.
+pub const MAX_ENTRIES: usize = 48;
+/// One name in so many ends a chunk.
+pub const CUT_RATE: u32 = 16;
 
 /// Hexadecimal BLAKE3 digest of a chunk.
 pub type ChunkId = String;
@@ -105,33 +110,36 @@
 /// Splits a section into chunks; an empty section has none.
 pub fn split(doc: &Document, section: Section) -> Vec<Chunk> {
     let mut open = Vec::new();
+    let mut count = 0;
     let mut done = Vec::new();
     for (name, entry) in entries(doc, section) {
         let line = serde_json::to_vec(&entry).expect("an entry has only string keys");
         if open.len() + line.len() + 1 > MAX_CHUNK {
-            close(&mut open, &mut done);
+            close(&mut open, &mut count, &mut done);
         }
         open.extend_from_slice(&line);
         open.push(b'\n');
-        if ends_chunk(name) {
-            close(&mut open, &mut done);
+        count += 1;
+        if count == MAX_ENTRIES || (count >= MIN_ENTRIES && cuts(name)) {
+            close(&mut open, &mut count, &mut done);
         }
     }
-    close(&mut open, &mut done);
+    close(&mut open, &mut count, &mut done);
     done
 }
 
-fn close(open: &mut Vec<u8>, done: &mut Vec<Chunk>) {
+fn close(open: &mut Vec<u8>, count: &mut usize, done: &mut Vec<Chunk>) {
+    *count = 0;
     if !open.is_empty() {
         let bytes = std::mem::take(open);
         done.push(Chunk { id: chunk_id(&bytes), bytes });
     }
 }
 
-fn ends_chunk(name: &str) -> bool {
+fn cuts(name: &str) -> bool {
     let hash = blake3::hash(name.as_bytes());
     let head = hash.as_bytes().first_chunk().expect("a digest has 32 bytes");
-    u32::from_le_bytes(*head).is_multiple_of(MEAN_ENTRIES)
+    u32::from_le_bytes(*head).is_multiple_of(CUT_RATE)
 }
 
 fn entries(doc: &Document, section: Section) -> Vec<(&str, Entry<'_>)> {
--- a/crates/config/src/spread/mod.rs
+++ b/crates/config/src/spread/mod.rs
@@ -54,7 +54,10 @@
     pub hasty: Duration,
     /// Age of the newest proof above which questions become hasty.
     pub recent: Duration,
-    /// Peers to which a new generation is announced.
+    /// Peers to which a watcher announces a new generation; each may fetch it from there, and
+    /// watchers have the questions of the others to answer as well.
+    pub seeds: usize,
+    /// Peers to which any other instance announces it.
     pub fanout: usize,
     /// Most polls a second by the whole fleet.
     pub poll_rate: f64,
@@ -69,17 +72,18 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            share: 48,
+            share: 32,
             min_watchers: 2,
             wait: Duration::from_secs(1),
             ask: Duration::from_secs(1),
             hasty: Duration::from_millis(250),
-            recent: Duration::from_millis(2_500),
-            fanout: 3,
+            recent: Duration::from_secs(3),
+            seeds: 1,
+            fanout: 4,
             poll_rate: 200.0,
             poll: Duration::from_secs(1),
             patience: Duration::from_millis(500),
-            reread: Duration::from_secs(15),
+            reread: Duration::from_secs(30),
         }
     }
 }
--- a/crates/config/src/spread/step.rs
+++ b/crates/config/src/spread/step.rs
@@ -152,7 +152,8 @@
 
 fn announce(s: &mut State, out: &mut Vec<Action>) {
     let others: Vec<&Peer> = s.zone.iter().filter(|p| **p != s.own).collect();
-    let chosen = others.sample(&mut s.rng, s.settings.fanout);
+    let count = if s.is_watcher() { s.settings.seeds } else { s.settings.fanout };
+    let chosen = others.sample(&mut s.rng, count);
     out.extend(chosen.map(|p| Action::Announce((*p).clone())));
 }
 
--- a/crates/config/tests/publishing.rs
+++ b/crates/config/tests/publishing.rs
@@ -169,10 +169,16 @@
 #[tokio::test]
 async fn one_key_changed() {
     let (memory, store) = seeded().await;
-    let writes = memory.counts().kind(Kind::Swap);
+    let calls = |kind| memory.counts().kind(kind);
+    let (reads, writes) = (calls(Kind::Get), calls(Kind::Swap));
     apply(&store, &weight("t", "kolga", 7)).await.expect("accepted");
-    let written = memory.counts().kind(Kind::Swap) - writes;
+    let written = calls(Kind::Swap) - writes;
     assert_eq!(written, 3, "one chunk, the copy of the old head, and the head");
+    let others = newest(&store).await.expect("read").expect("present").1;
+    let others =
+        others.chunks.values().flatten().count() - others.section(Section::Organisations).len();
+    let read = calls(Kind::Get) - reads - 1;
+    assert_eq!(read as usize, 1 + others, "the head, and the sections that are not edited");
 }
 
 #[tokio::test]
--- a/crates/config/tests/spreading.rs
+++ b/crates/config/tests/spreading.rs
@@ -4,13 +4,16 @@
 mod sim;
 
 use {
-    agate_config::freshness::{PROOF_BOUND, Standing},
+    agate_config::{
+        freshness::{PROOF_BOUND, Standing},
+        spread::{Input, Settings},
+    },
     rstest::rstest,
     sim::{Sim, Sizes},
     std::time::Duration,
 };
 
-const SIZES: Sizes = Sizes { digest: 100, head: 1_000, chunk: 1_000 };
+const SIZES: Sizes = Sizes { digest: 100, head: 1_000, delta: 500, chunk: 1_000 };
 const SECOND: Duration = Duration::from_secs(1);
 const MILLI: Duration = Duration::from_millis(1);
 
@@ -147,7 +150,8 @@
     // It wakes cut off: nothing that waited for it may look like a proof.
     sim.nodes[i].group = 1;
     sim.nodes[i].reaches_store = false;
-    sim.wake(i);
+    sim.nodes[i].paused = false;
+    sim.input(i, Input::Due);
     assert_eq!(sim.standing(i), Standing::Stale);
     sim.nodes[i].group = 0;
     assert!(sim.run_until(SECOND, |s| s.standing(i) == Standing::Fresh).is_some());
@@ -159,15 +163,15 @@
     let mut sim = settled(8, 4, 9);
     sim.publish();
     sim.run(5 * SECOND);
-    sim.go_back(1);
-    sim.run(30 * SECOND);
+    sim.head = 1;
+    sim.run(2 * Settings::default().reread);
     assert!(sim.nodes.iter().all(|n| n.state.installed() == 2), "the newer one stays");
     let watchers = sim.nodes.iter().filter(|n| n.state.is_watcher());
     assert!(watchers.clone().all(|n| n.alarms > 0 && n.state.counters.older == n.alarms));
     assert!((0..8).all(|i| sim.standing(i) == Standing::Fresh));
     sim.publish();
     sim.publish();
-    assert!(sim.run_until(20 * SECOND, |s| s.all_at(3)).is_some());
+    assert!(sim.run_until(5 * SECOND, |s| s.all_at(3)).is_some());
 }
 
 #[test]
--- a/crates/config/tests/support/sim.rs
+++ b/crates/config/tests/support/sim.rs
@@ -22,7 +22,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Sizes {
     pub digest: u64,
+    /// A head from the store.
     pub head: u64,
+    /// The difference of two heads, from a peer.
+    pub delta: u64,
     pub chunk: u64,
 }
 
@@ -145,11 +148,6 @@
         }
     }
 
-    /// Replaces the store's head by an older one.
-    pub fn go_back(&mut self, generation: Generation) {
-        self.head = generation;
-    }
-
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while let Some(Reverse((at, _, id))) = self.queue.peek().copied() {
@@ -180,14 +178,6 @@
         self.nodes.iter().all(|n| n.state.installed() >= generation)
     }
 
-    pub fn wake(&mut self, i: usize) {
-        self.nodes[i].paused = false;
-        for input in std::mem::take(&mut self.nodes[i].backlog) {
-            self.input(i, input);
-        }
-        self.input(i, Input::Due);
-    }
-
     fn at(&mut self, delay: Duration, event: Event) {
         let id = self.events.len();
         self.events.push(Some(event));
@@ -246,12 +236,17 @@
         Found { generation, missing }
     }
 
-    fn input(&mut self, i: usize, input: Input) {
+    /// Hands an input to an instance; one that is paused finds it when it wakes.
+    pub fn input(&mut self, i: usize, input: Input) {
         let node = &mut self.nodes[i];
         if node.paused {
             node.backlog.push(input);
             return;
         }
+        for late in std::mem::take(&mut node.backlog) {
+            self.input(i, late);
+        }
+        let node = &mut self.nodes[i];
         let now = self.now + node.offset;
         let before = node.state.installed();
         let actions = node.state.step(input, now);
@@ -323,7 +318,7 @@
 
     fn mail(&mut self, from: usize, to: usize, mail: Mail) {
         let size = match mail {
-            Mail::Head(_) => self.sizes.head,
+            Mail::Head(_) => self.sizes.delta,
             Mail::Chunk(_) => self.sizes.chunk,
             _ => self.sizes.digest,
         };
