Run the spread machine over the store and peers

The machine decided; nothing carried it out. A watch that ends at once no longer leads to calls without pause.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,11 +8,12 @@
 //!
 //! In the store the document is a set of content-addressed chunks ([`section`]) under one [`head`]
 //! that is replaced by compare-and-swap ([`publish`]). [`spread`] decides how each instance learns
-//! a new head, [`mod@delta`] keeps the messages of that small, and [`freshness`] says whether the
-//! configuration in force may still decide on keyed work.
+//! a new head and [`follow`] carries that out, [`mod@delta`] keeps the messages of that small, and
+//! [`freshness`] says whether the configuration in force may still decide on keyed work.
 
 pub mod delta;
 pub mod doc;
+pub mod follow;
 pub mod freshness;
 pub mod hash;
 pub mod head;
--- a/crates/config/src/spread/step.rs
+++ b/crates/config/src/spread/step.rs
@@ -94,6 +94,11 @@
     debug_assert!(done.watch, "only a watch ends without news");
     // The watch waited on the revision of a head that was not above the greatest one known.
     s.proofs.add(done.floor, done.asked, s.installed);
+    if now < done.asked + s.settings.wait / 2 {
+        // A service that does not wait must not be asked without pause.
+        s.next_poll = now + poll_pause(s);
+        return;
+    }
     call_again(s, now, out);
 }
 
--- a/crates/config/tests/proofs.rs
+++ b/crates/config/tests/proofs.rs
@@ -54,6 +54,16 @@
     assert_eq!(state.proof_age(T + 2 * MINUTE), Some(MINUTE), "the second call left at a minute");
 }
 
+/// A store whose watches end at once is read at the pace of polls.
+#[test]
+fn hasty_watch() {
+    let mut state = watcher();
+    assert_eq!(state.step(Input::Unchanged, T), []);
+    assert_eq!(state.proof_age(T), Some(Duration::ZERO));
+    let actions = state.step(Input::Due, T + 2 * Settings::default().poll);
+    assert!(actions.contains(&Action::Read), "{actions:?}");
+}
+
 #[test]
 fn unasked_digest() {
     let (mut state, _) = start(&["a", "b"]);
--- a/crates/config/tests/publishing.rs
+++ b/crates/config/tests/publishing.rs
@@ -1,5 +1,7 @@
 //! Changes reach the store whole, in one order, once, and are refused where they must be.
 
+#[path = "support/faults.rs"]
+mod faults;
 mod support;
 
 use {
@@ -10,9 +12,10 @@
         publish::{Applied, Edit, Error, newest, revert},
     },
     agate_store::{Memory, Purpose, Store, meter::Kind},
+    faults::{lose_answer, on_head},
     rstest::rstest,
     std::time::Duration,
-    support::{edit, example, lose_answer, on_head, open},
+    support::{edit, example, open},
 };
 
 async fn seeded() -> (Memory, Store) {
