--- a/crates/usage/src/ledger.rs
+++ b/crates/usage/src/ledger.rs
@@ -58,13 +58,21 @@
         self.take(&part.source, part.closed, &part.rows, now);
     }
 
+    /// Merges what another instance holds of a source that is silent, or hands on when it stops.
+    ///
+    /// The part must hold all shards and every window of the horizon. It is no sign of life: the
+    /// source stays silent here, so this instance answers for it and hands it on in its turn.
+    pub fn merge_relayed(&mut self, part: &Part) {
+        self.take(&part.source, part.closed, &part.rows, Mono::ZERO);
+    }
+
     /// Copies by source.
     pub fn copies(&self) -> impl Iterator<Item = (&Source, &Copy)> {
         self.copies.iter()
     }
 
     /// What is held of sources that have been silent for `quiet`: a source that is heard answers
-    /// for itself.
+    /// for itself. With a `quiet` of zero, everything that is held.
     pub fn parts(&self, want: &Want, quiet: Duration, now: Mono) -> Vec<Part> {
         let silent = self.copies.iter().filter(|(_, c)| c.heard + quiet <= now);
         silent.map(|(source, c)| want.part(source, c)).collect()
@@ -103,6 +111,11 @@
 }
 
 impl Want {
+    /// Everything from window `oldest` on: what is relayed to peers.
+    pub fn everything(oldest: Window) -> Self {
+        Self { shard: 0, shards: 1, oldest, newest: Window::MAX - 1 }
+    }
+
     fn part(&self, source: &Source, copy: &Copy) -> Part {
         let wanted = |w: Window, org: &str| {
             (self.oldest..=self.newest).contains(&w) && shard_of(org, self.shards) == self.shard
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -5,8 +5,9 @@
 //! gathers both, seals each window once in the store ([`sealed`]), and reports from the sealed
 //! record only ([`sealer`]).
 //!
-//! What is lost when an instance is killed is at most what it counted since its last round that a
-//! peer took in, always to the caller's favour. A sealed window never changes; what comes later is
+//! Copies of silent instances are relayed on, and a graceful stop hands on everything. What is lost
+//! when an instance is killed is at most what it counted since its last round that a peer took in,
+//! always to the caller's favour. A sealed window never changes; what comes later is
 //! an adjustment in a later window.
 
 pub mod clock;
