--- /dev/null
+++ b/crates/once/tests/claim_cases.rs
@@ -0,0 +1,221 @@
+//! Each case in which one booking key is used more than once, or the store fails.
+
+mod common;
+
+use {
+    agate_once::{Claim, Once, Settings, Verdict},
+    agate_store::memory::Faults,
+    common::{claim, label, memory, settings, spawn, win},
+    futures_util::{FutureExt, future::join},
+    rstest::rstest,
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+#[tokio::test(start_paused = true)]
+async fn racing_instances() {
+    let m = memory();
+    let (a, b) = (spawn(&m, 1), spawn(&m, 2));
+    let run = |once: Once| async move {
+        let got = claim(&once, 1).await;
+        let text = label(&got);
+        if let Ok(Claim::Won(permit)) = got {
+            sleep(Duration::from_secs(1)).await;
+            permit.finish(201, vec![("a".into(), "b".into())], b"done".to_vec());
+        } else if let Ok(Claim::Replay(answer)) = got {
+            assert_eq!((answer.status, answer.body), (201, Some(b"done".to_vec())));
+        }
+        text
+    };
+    let (x, y) = join(run(a), run(b)).await;
+    let mut both = [x, y];
+    both.sort();
+    assert_eq!(both, ["replay", "won"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn other_body() {
+    let m = memory();
+    let (a, b) = (spawn(&m, 1), spawn(&m, 2));
+    let permit = win(&a).await;
+    assert_eq!(label(&claim(&b, 2).await), "conflict");
+    permit.finish(200, vec![], vec![]);
+    assert!(a.drain().await);
+    assert_eq!(label(&claim(&b, 2).await), "conflict");
+}
+
+#[rstest]
+#[case::dropped(false)]
+#[case::killed(true)]
+#[tokio::test(start_paused = true)]
+async fn vanished_holder(#[case] killed: bool) {
+    let m = memory();
+    let (a, b) = (spawn(&m, 1), spawn(&m, 2));
+    let permit = win(&a).await;
+    match killed {
+        true => std::mem::forget(permit),
+        false => drop(permit),
+    }
+    assert_eq!(label(&claim(&b, 1).await), "unknown");
+    assert_eq!(label(&claim(&a, 1).await), "unknown");
+}
+
+#[rstest]
+#[case::answer(|f: &mut Faults| f.lost_answers = 1)]
+#[case::call(|f: &mut Faults| f.lost_calls = 1)]
+#[case::always(|f: &mut Faults| f.lost_answers = u32::MAX)]
+#[tokio::test(start_paused = true)]
+async fn lost_store_answer(#[case] fault: fn(&mut Faults)) {
+    let m = memory();
+    let (a, b) = (spawn(&m, 1), spawn(&m, 2));
+    m.set_faults(fault);
+    let _permit = win(&a).await;
+    assert_eq!(label(&claim(&b, 1).await), "unknown");
+}
+
+#[rstest]
+#[case::outage(|f: &mut Faults| f.outage = true)]
+#[case::lost(|f: &mut Faults| f.lost_calls = u32::MAX)]
+#[case::limited(|f: &mut Faults| f.max_writes = Some(0))]
+#[tokio::test(start_paused = true)]
+async fn store_down(#[case] fault: fn(&mut Faults)) {
+    let m = memory();
+    let (a, b) = (spawn(&m, 1), spawn(&m, 2));
+    m.set_faults(fault);
+    assert_eq!(label(&claim(&a, 1).await), "unavailable");
+    m.set_faults(|f| *f = Faults::default());
+    assert!(a.drain().await);
+    assert_eq!(label(&claim(&b, 1).await), "won", "a refused claim leaves the key free");
+}
+
+#[tokio::test(start_paused = true)]
+async fn declared_unrun() {
+    let m = memory();
+    let (a, b) = (spawn(&m, 1), spawn(&m, 2));
+    let permit = win(&a).await;
+    let later = async {
+        sleep(Duration::from_secs(1)).await;
+        permit.release_unrun();
+    };
+    let ((), got) = join(later, claim(&b, 1)).await;
+    assert_eq!(label(&got), "won");
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_expiry() {
+    let m = memory();
+    let (a, b) = (spawn(&m, 1), spawn(&m, 2));
+    let keep = settings(0).retention;
+    win(&a).await.finish(200, vec![], vec![]);
+    assert!(a.drain().await);
+    sleep(keep - Duration::from_secs(2)).await;
+    assert_eq!(label(&claim(&b, 1).await), "replay");
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(label(&claim(&b, 1).await), "won");
+}
+
+#[tokio::test(start_paused = true)]
+async fn late_confirmation() {
+    let m = memory();
+    let late = Settings { dispatch: Duration::from_millis(300), ..settings(1) };
+    let (a, b) = (Once::spawn(m.store(), late), spawn(&m, 2));
+    m.set_faults(|f| f.latency = Duration::from_millis(400));
+    assert_eq!(label(&claim(&a, 1).await), "unavailable");
+    m.set_faults(|f| f.latency = Duration::ZERO);
+    assert!(a.drain().await);
+    assert_eq!(label(&claim(&b, 1).await), "won");
+}
+
+#[tokio::test(start_paused = true)]
+async fn paused_holder() {
+    let m = memory();
+    let a = spawn(&m, 1);
+    let permit = win(&a).await;
+    assert!(permit.may_dispatch(Instant::now()));
+    sleep(settings(1).dispatch).await;
+    assert!(!permit.may_dispatch(Instant::now()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn abandoned_claim() {
+    let m = memory();
+    let (a, b) = (spawn(&m, 1), spawn(&m, 2));
+    m.set_faults(|f| f.latency = Duration::from_millis(50));
+    let mut asking = Box::pin(claim(&a, 1));
+    assert!(asking.as_mut().now_or_never().is_none());
+    sleep(Duration::from_millis(10)).await;
+    drop(asking);
+    assert!(a.drain().await && a.drain().await);
+    assert_eq!(label(&claim(&b, 1).await), "won");
+}
+
+#[tokio::test(start_paused = true)]
+async fn sealed_answers() {
+    let m = memory();
+    let mut s = settings(1);
+    s.limits.head = 500;
+    let a = Once::spawn(m.store(), s);
+    for i in 0..50u8 {
+        let Ok(Claim::Won(p)) = a.claim("org", &i.to_string(), [i; 32]).await else { panic!() };
+        p.finish(200, vec![], vec![i; 100]);
+    }
+    assert!(a.drain().await);
+    let b = spawn(&m, 2);
+    for i in 0..50u8 {
+        let got = b.claim("org", &i.to_string(), [i; 32]).await;
+        let Ok(Claim::Replay(answer)) = got else { panic!("{got:?}") };
+        assert_eq!(answer.body, Some(vec![i; 100]));
+        assert_eq!(label(&b.claim("org", &i.to_string(), [99; 32]).await), "conflict");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn large_answer() {
+    let m = memory();
+    let a = spawn(&m, 1);
+    win(&a).await.finish(200, vec![], vec![0; 1 << 20]);
+    assert!(a.drain().await);
+    let Ok(Claim::Replay(answer)) = claim(&a, 1).await else { panic!() };
+    assert_eq!((answer.status, answer.body), (200, None));
+}
+
+/// An instance that forwards to `owner`; without an owner no message is answered.
+fn forwarding(m: &agate_store::memory::Memory, instance: u64, owner: Option<Once>) -> Once {
+    let forward: agate_once::Forward = Arc::new(move |shard, ops| {
+        let owner = owner.clone();
+        Box::pin(async move {
+            let verdicts: Option<Vec<Verdict>> = owner?.serve(shard, ops).await;
+            verdicts
+        })
+    });
+    Once::spawn(m.store(), Settings { forward: Some(forward), ..settings(instance) })
+}
+
+#[rstest]
+#[case::owner(true)]
+#[case::unreachable(false)]
+#[tokio::test(start_paused = true)]
+async fn forwarded_claim(#[case] reachable: bool) {
+    let m = memory();
+    let owner = spawn(&m, 9);
+    let a = forwarding(&m, 1, reachable.then(|| owner.clone()));
+    let b = forwarding(&m, 2, Some(owner.clone()));
+    let permit = win(&a).await;
+    assert_eq!(label(&claim(&owner, 2).await), "conflict");
+    permit.finish(200, vec![], vec![]);
+    assert!(a.drain().await);
+    assert_eq!(label(&claim(&b, 1).await), "replay");
+}
+
+#[tokio::test(start_paused = true)]
+async fn owner_loses_reply() {
+    let m = memory();
+    let owner = spawn(&m, 9);
+    let deaf: agate_once::Forward = Arc::new(move |shard, ops| {
+        let owner = owner.clone();
+        Box::pin(async move { owner.serve(shard, ops).await.and(None) })
+    });
+    let a = Once::spawn(m.store(), Settings { forward: Some(deaf), ..settings(1) });
+    let _permit = win(&a).await;
+    assert_eq!(label(&claim(&spawn(&m, 2), 1).await), "unknown");
+}
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -261,7 +261,8 @@
 
     /// Ends every running request.
     pub fn end_all(&mut self, how: RunState) {
-        for ending in self.running.values() {
+        for (entry, ending) in &self.running {
+            self.log[*entry].state = how;
             ending.send_replace(Some(how));
         }
     }
