Add the load library: open-loop arrivals and honest latencies

Cause: goodput and the worst-served organisation must be measured at the callers' side, without coordinated omission.

Change: seeded Poisson plans for both users' mixes, a caller that checks each answer to be whole and to its own request, histograms from the intended send time, organisations worst-served first, JSON and SVG.

Conclusion: against the stand-ins every planned request is counted once, and each injected fault shows as its outcome.

--- /dev/null
+++ b/crates/load/src/exchange.rs
@@ -0,0 +1,262 @@
+//! One request on the wire, and the check that its answer is whole.
+//!
+//! A stream is whole if its token indices run from zero without a gap to the asked number, and it
+//! ends with usage and the end marker. Every answer must echo the request id if it carries one.
+
+use {
+    crate::{
+        mix::{Arrival, Kind, Mix},
+        report::{Outcome, Sample},
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Request, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper::{body::Incoming, client::conn::http1},
+    hyper_util::rt::TokioIo,
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{net::TcpStream, time::Instant},
+};
+
+/// Idle connections kept per target.
+const MAX_IDLE: usize = 1024;
+/// Bytes of one answer that are read at most.
+const MAX_ANSWER: usize = 16 << 20;
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// Connections to one target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    address: SocketAddr,
+    idle: Arc<Mutex<Vec<Sender>>>,
+}
+
+impl Target {
+    /// A target without connections.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, idle: Arc::default() }
+    }
+
+    async fn take(&self) -> Option<Sender> {
+        loop {
+            let kept = self.idle.lock().expect("no panic while locked").pop();
+            match kept {
+                Some(s) if s.is_ready() => return Some(s),
+                Some(_) => continue,
+                None => break,
+            }
+        }
+        let stream = TcpStream::connect(self.address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(conn);
+        Some(sender)
+    }
+
+    fn keep(&self, sender: Sender) {
+        let mut idle = self.idle.lock().expect("no panic while locked");
+        if idle.len() < MAX_IDLE && !sender.is_closed() {
+            idle.push(sender);
+        }
+    }
+}
+
+/// A request as it is sent, with what its answer is checked against.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    request: Request<Full<Bytes>>,
+    id: String,
+    tokens: Option<u32>,
+    deadline: Duration,
+}
+
+/// Makes the request of an arrival; `run` tells runs apart in ids and booking keys.
+pub fn outgoing(arrival: &Arrival, mix: &Mix, key: &str, run: &str) -> Outgoing {
+    let share = &mix.shares[arrival.share];
+    let id = format!("{run}-{}", arrival.number);
+    let (method, path, body, tokens) = match share.kind {
+        Kind::Question | Kind::Dossier => {
+            let body = chat(&mix.model, &prompt(&id, arrival.prompt), arrival.output);
+            ("POST", "/v1/chat/completions", body, Some(arrival.output))
+        }
+        Kind::Booking => ("POST", mix.bookings.as_str(), json!({ "booking": id }), None),
+        Kind::Lookup => ("GET", mix.lookups.as_str(), Value::Null, None),
+    };
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "load")
+        .header("x-request-id", &id);
+    if !key.is_empty() {
+        builder = builder.header("authorization", format!("Bearer {key}"));
+    }
+    if share.kind == Kind::Booking {
+        builder = builder.header("idempotency-key", &id);
+    }
+    let text = if body.is_null() { String::new() } else { body.to_string() };
+    if !text.is_empty() {
+        builder = builder.header("content-type", "application/json");
+    }
+    let request = builder.body(Full::new(Bytes::from(text))).expect("parts are valid");
+    Outgoing { request, id, tokens, deadline: share.deadline }
+}
+
+fn chat(model: &str, prompt: &str, tokens: u32) -> Value {
+    let messages = json!([{ "role": "user", "content": prompt }]);
+    json!({ "model": model, "messages": messages, "max_tokens": tokens, "stream": true })
+}
+
+/// Text of about `size` bytes that begins with the request's id, so that no two prompts are equal.
+fn prompt(id: &str, size: usize) -> String {
+    const WORDS: &str = "kiln glaze tile board saw chain felling notch ";
+    let mut out = format!("{id} ");
+    while out.len() < size {
+        out += WORDS;
+    }
+    out
+}
+
+/// Sends a request that was intended to start at `intended`.
+pub async fn exchange(target: &Target, out: Outgoing, intended: Instant) -> Sample {
+    let mut sample =
+        Sample { outcome: Outcome::Lost, whole: Duration::ZERO, first: None, between: None };
+    let deadline = out.deadline;
+    sample.outcome = attempt(target, out, intended, &mut sample).await;
+    sample.whole = intended.elapsed();
+    if sample.outcome == Outcome::Good && sample.whole > deadline {
+        sample.outcome = Outcome::Late;
+    }
+    sample
+}
+
+async fn attempt(
+    target: &Target,
+    out: Outgoing,
+    intended: Instant,
+    sample: &mut Sample,
+) -> Outcome {
+    let Some(mut sender) = target.take().await else { return Outcome::Lost };
+    let Ok(reply) = sender.send_request(out.request).await else { return Outcome::Lost };
+    let (head, mut body) = reply.into_parts();
+    if !head.status.is_success() {
+        let text = read(&mut body).await.unwrap_or_default();
+        target.keep(sender);
+        return refusal(head.status, &head.headers, &text);
+    }
+    let echoed = head.headers.get("x-request-id");
+    let crossed = echoed.is_some_and(|v| v.as_bytes() != out.id.as_bytes());
+    let whole = match out.tokens {
+        Some(n) => stream(&mut body, n, intended, sample).await,
+        None => read(&mut body).await.is_some(),
+    };
+    match whole && !crossed {
+        true => {
+            target.keep(sender);
+            Outcome::Good
+        }
+        false => Outcome::Broken,
+    }
+}
+
+/// Whether a refusal states that nothing ran.
+fn refusal(status: StatusCode, headers: &HeaderMap, text: &[u8]) -> Outcome {
+    let stated = headers.get("x-not-run").is_some_and(|v| v == "true");
+    let body: Value = serde_json::from_slice(text).unwrap_or(Value::Null);
+    let outcome = body["outcome"].as_str().or(body["error"]["outcome"].as_str());
+    log::trace!("refused with {status}");
+    match stated || outcome == Some("not_run") {
+        true => Outcome::NotRun,
+        false => Outcome::Refused,
+    }
+}
+
+/// The whole body, or `None` if it broke off or is too large.
+async fn read(body: &mut Incoming) -> Option<Vec<u8>> {
+    let mut out = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            out.extend_from_slice(&data);
+        }
+        if out.len() > MAX_ANSWER {
+            return None;
+        }
+    }
+    Some(out)
+}
+
+/// Reads a token stream; whether it was whole.
+async fn stream(body: &mut Incoming, tokens: u32, intended: Instant, sample: &mut Sample) -> bool {
+    let mut check = StreamCheck::default();
+    let mut rest = Vec::new();
+    let mut last: Option<Instant> = None;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        let Ok(data) = frame.into_data() else { continue };
+        rest.extend_from_slice(&data);
+        let before = check.tokens;
+        check.take(&mut rest);
+        if rest.len() > MAX_ANSWER {
+            return false;
+        }
+        if check.tokens == before {
+            continue;
+        }
+        sample.first = sample.first.or(Some(intended.elapsed()));
+        let now = Instant::now();
+        let gap = last.replace(now).map(|l| now - l);
+        sample.between = sample.between.max(gap);
+    }
+    check.whole(tokens)
+}
+
+/// What a stream has shown so far.
+#[derive(Clone, Debug, Default)]
+pub struct StreamCheck {
+    tokens: u32,
+    usage: bool,
+    done: bool,
+    faulty: bool,
+}
+
+impl StreamCheck {
+    /// Takes the whole events from the front of `rest`.
+    pub fn take(&mut self, rest: &mut Vec<u8>) {
+        while let Some(end) = rest.windows(2).position(|w| w == b"\n\n") {
+            let event: Vec<u8> = rest.drain(..end + 2).collect();
+            let text = event.strip_prefix(b"data: ").unwrap_or(&event).trim_ascii();
+            self.event(text);
+        }
+    }
+
+    fn event(&mut self, text: &[u8]) {
+        if text.is_empty() || text.starts_with(b":") {
+            return;
+        }
+        if self.done {
+            self.faulty = true;
+            return;
+        }
+        if text == b"[DONE]" {
+            self.done = true;
+            return;
+        }
+        let value: Value = serde_json::from_slice(text).unwrap_or(Value::Null);
+        if value["usage"].is_object() {
+            self.usage = true;
+        } else if value["token_index"].as_u64() == Some(u64::from(self.tokens)) {
+            self.tokens += 1;
+        } else {
+            self.faulty = true;
+        }
+    }
+
+    /// Whether the stream brought `tokens` tokens in order, usage, and the end marker last.
+    pub fn whole(&self, tokens: u32) -> bool {
+        !self.faulty && self.done && self.usage && self.tokens == tokens
+    }
+}
--- /dev/null
+++ b/crates/load/tests/pure_parts.rs
@@ -0,0 +1,78 @@
+//! The plan, the order of the report, and the check of streams.
+
+use {
+    agate_load::{
+        Mix, Organisation, Outcome, exchange::StreamCheck, mix::Kind, plan, report::Sample,
+        report::Tallies,
+    },
+    rstest::rstest,
+    std::time::Duration,
+};
+
+fn organisations() -> Vec<Organisation> {
+    let make = |name: &str, weight| Organisation { name: name.into(), key: String::new(), weight };
+    vec![make("a", 9.0), make("b", 1.0)]
+}
+
+#[test]
+fn seeded_plan() {
+    let draw = |seed| plan(seed, 500.0, Duration::from_secs(20), &organisations(), &Mix::board());
+    let p = draw(5);
+    assert_eq!(p, draw(5));
+    assert_ne!(p, draw(6));
+    assert!(p.is_sorted_by_key(|a| a.at));
+    // Four standard deviations of a Poisson count around its mean of 10,000.
+    assert!(p.len().abs_diff(10_000) < 400, "{}", p.len());
+    let small = p.iter().filter(|a| a.organisation == 1).count();
+    assert!(small.abs_diff(1_000) < 120, "{small}");
+}
+
+#[test]
+fn worst_first() {
+    let mut t = Tallies::default();
+    let sample = |outcome, ms| Sample {
+        outcome,
+        whole: Duration::from_millis(ms),
+        first: Some(Duration::from_millis(ms)),
+        between: None,
+    };
+    t.add("fast", Kind::Lookup, &sample(Outcome::Good, 1));
+    t.add("slow", Kind::Lookup, &sample(Outcome::Good, 100));
+    t.add("poor", Kind::Lookup, &sample(Outcome::Lost, 1));
+    let report = t.report(1, 1.0, Duration::from_secs(1));
+    let names: Vec<_> = report.organisations.iter().map(|r| r.name.as_str()).collect();
+    assert_eq!(names, ["poor", "slow", "fast"]);
+    assert!((report.total.goodput - 2.0 / 3.0).abs() < 1e-9);
+}
+
+const USAGE: &str = "data: {\"usage\":{}}\n\n";
+const DONE: &str = "data: [DONE]\n\n";
+
+#[rstest]
+#[case::whole(&[0, 1], true, true, "", true)]
+#[case::gap(&[0, 2], true, true, "", false)]
+#[case::doubled(&[0, 0, 1], true, true, "", false)]
+#[case::short(&[0], true, true, "", false)]
+#[case::unended(&[0, 1], true, false, "", false)]
+#[case::no_usage(&[0, 1], false, true, "", false)]
+#[case::extra(&[0, 1], true, true, "data: {\"token_index\":2}\n\n", false)]
+fn stream_check(
+    #[case] tokens: &[u32],
+    #[case] usage: bool,
+    #[case] done: bool,
+    #[case] tail: &str,
+    #[case] whole: bool,
+) {
+    let mut text: String =
+        tokens.iter().map(|i| format!("data: {{\"token_index\":{i}}}\n\n")).collect();
+    text += if usage { USAGE } else { "" };
+    text += if done { DONE } else { "" };
+    text += tail;
+    let mut check = StreamCheck::default();
+    let mut rest = Vec::new();
+    for piece in text.as_bytes().chunks(7) {
+        rest.extend_from_slice(piece);
+        check.take(&mut rest);
+    }
+    assert_eq!(check.whole(2), whole);
+}
--- /dev/null
+++ b/crates/load/tests/stand_ins.rs
@@ -0,0 +1,93 @@
+//! Load against the stand-ins: every request is counted, and faults show.
+
+use {
+    agate_load::{Mix, Organisation, Outcome, Settings, mix::Kind, plot, run},
+    agate_standin::{Engine, EngineSettings, Service},
+    rstest::rstest,
+    std::{net::SocketAddr, time::Duration},
+};
+
+fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+/// A run of about a hundred requests of the given kinds.
+fn settings(target: SocketAddr, kinds: &[Kind]) -> Settings {
+    let mut mix = Mix::savikoda();
+    mix.shares.retain(|s| kinds.contains(&s.kind));
+    mix.shares.iter_mut().for_each(|s| s.deadline = Duration::from_secs(60));
+    let organisation =
+        |name: &str, weight| Organisation { name: name.into(), key: "secret".into(), weight };
+    Settings {
+        targets: vec![target],
+        seed: 3,
+        rate: 400.0,
+        time: Duration::from_millis(250),
+        grace: Duration::from_secs(30),
+        open: 64,
+        organisations: vec![organisation("large", 3.0), organisation("small", 1.0)],
+        mix,
+    }
+}
+
+const MODEL: &[Kind] = &[Kind::Question, Kind::Dossier];
+const SERVICE: &[Kind] = &[Kind::Booking, Kind::Lookup];
+
+#[tokio::test]
+async fn whole_streams() {
+    let engine = Engine::bind(any(), EngineSettings::default()).await.unwrap();
+    let report = run(settings(engine.address(), MODEL), |_| ()).await.unwrap();
+    assert_eq!(report.total.goodput, 1.0, "{:?}", report.total);
+    assert_eq!(engine.log().len() as u64, report.total.sent);
+    let names: u64 = report.organisations.iter().map(|r| r.sent).sum();
+    let kinds: u64 = report.kinds.iter().map(|r| r.sent).sum();
+    assert_eq!((names, kinds), (report.total.sent, report.total.sent));
+    assert!(report.total.first.p50 > 0.0 && report.total.between.p50 > 0.0);
+}
+
+#[tokio::test]
+async fn counted_bookings() {
+    let service = Service::bind(any(), "desk").await.unwrap();
+    let report = run(settings(service.address(), SERVICE), |_| ()).await.unwrap();
+    assert_eq!(report.total.goodput, 1.0, "{:?}", report.total);
+    let bookings = report.kinds.iter().find(|r| r.name == "booking").unwrap().sent;
+    let runs = service.runs();
+    assert_eq!(runs.len() as u64, bookings);
+    assert!(runs.values().all(|n| *n == 1));
+}
+
+#[rstest]
+#[case::cut(|e: &Engine| e.set(|f| f.cut_after = Some(1)), Outcome::Broken)]
+#[case::short(|e: &Engine| e.set(|f| f.short_end = Some(1)), Outcome::Broken)]
+#[case::crossed(|e: &Engine| e.set(|f| f.wrong_id = true), Outcome::Broken)]
+#[case::unrun(|e: &Engine| e.set(|f| f.not_run = true), Outcome::NotRun)]
+#[case::refused(|e: &Engine| e.stop(), Outcome::Lost)]
+#[tokio::test]
+async fn counted_faults(#[case] fault: fn(&Engine), #[case] outcome: Outcome) {
+    let engine = Engine::bind(any(), EngineSettings::default()).await.unwrap();
+    fault(&engine);
+    let report = run(settings(engine.address(), MODEL), |_| ()).await.unwrap();
+    assert_eq!(report.total.outcomes.get(&outcome), Some(&report.total.sent), "{report:?}");
+}
+
+#[tokio::test]
+async fn silent_target() {
+    let engine = Engine::bind(any(), EngineSettings::default()).await.unwrap();
+    engine.set(|f| f.stall_after = Some(1));
+    let mut s = settings(engine.address(), MODEL);
+    s.grace = Duration::from_millis(100);
+    let report = run(s, |_| ()).await.unwrap();
+    assert_eq!(report.total.outcomes.get(&Outcome::Lost), Some(&report.total.sent));
+}
+
+#[tokio::test]
+async fn written_report() {
+    let service = Service::bind(any(), "desk").await.unwrap();
+    let report = run(settings(service.address(), SERVICE), |_| ()).await.unwrap();
+    assert!(report.json().contains("\"organisations\"") && !report.json().contains("secret"));
+    assert!(report.table().contains("| small |"));
+    let path = std::env::temp_dir().join(format!("agate-load-{}.svg", std::process::id()));
+    plot::write(&report, &path).unwrap();
+    assert!(std::fs::read_to_string(&path).unwrap().contains("<svg"));
+    std::fs::remove_file(&path).unwrap();
+}
