Shrink the index of retained claims and bound the segments of a large shard

Cause: with a million retained claims the names of segments alone exceeded the head's bound, so every write sealed a segment: 15,125 segments and 138 KB a write. A statement of an outcome waited longer than a forwarding instance, which then wrote it a second time.

Change: the bound counts claims only; the index shares segment names and keeps half of each fingerprint; an outcome waits 150 ms and a forwarding instance 500 ms.

--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -67,7 +67,7 @@
             incarnation,
             shards: 1,
             linger: Duration::from_millis(30),
-            settle: Duration::from_millis(250),
+            settle: Duration::from_millis(150),
             give_up: Duration::from_secs(1),
             dispatch: Duration::from_secs(2),
             retention: Duration::from_secs(600),
@@ -270,7 +270,7 @@
         shard,
         forward,
         gather: settings.gather,
-        patience: settings.give_up / 4,
+        patience: settings.give_up / 2,
         writer: writer.clone(),
     };
     tokio::spawn(task.run(queue));
--- a/crates/once/src/head.rs
+++ b/crates/once/src/head.rs
@@ -12,6 +12,7 @@
     crate::entry::{Change, Entry, KeyHash, Op, Print, Stage, Token, Verdict},
     indexmap::IndexMap,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::sync::Arc,
 };
 
 /// Version of the encoding of heads and segments.
@@ -22,7 +23,7 @@
 /// Bounds of a shard's records.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Bytes of head above which closed claims move to a segment.
+    /// Bytes of claims in the head above which the closed ones move to a segment.
     pub head: usize,
     /// Claims that may be open at once.
     pub open: usize,
@@ -61,17 +62,20 @@
     pub entries: IndexMap<KeyHash, Entry>,
 }
 
+/// First half of a fingerprint, enough to tell two requests apart.
+pub type ShortPrint = [u8; 16];
+
 /// What is kept in memory of a claim in a segment.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Indexed {
-    /// Fingerprint of the call.
-    pub print: Print,
+    /// First half of the call's fingerprint.
+    pub print: ShortPrint,
     /// Milliseconds since the Unix epoch at which the claim expires.
     pub expiry: u64,
     /// Whether the outcome is unknown.
     pub lost: bool,
-    /// Name of the segment.
-    pub segment: String,
+    /// Name of the segment, shared by its claims.
+    pub segment: Arc<str>,
 }
 
 /// Claims of the segments that a head names, by key.
@@ -149,12 +153,18 @@
     }
     let sealed = index.get(&op.key).filter(|i| i.expiry > now)?;
     Some(match sealed {
-        i if i.print != *print => Verdict::Conflict,
+        i if i.print != short(print) => Verdict::Conflict,
         i if i.lost => Verdict::Lost,
-        i => Verdict::Sealed(i.segment.clone()),
+        i => Verdict::Sealed(i.segment.to_string()),
     })
 }
 
+fn short(print: &Print) -> ShortPrint {
+    let mut out = ShortPrint::default();
+    out.copy_from_slice(&print[..16]);
+    out
+}
+
 /// Whether the key's open claim is the one with this token.
 fn held_by(head: &Head, key: &KeyHash, token: Token) -> bool {
     head.recent.get(key).is_some_and(|e| e.token == token && e.stage == Stage::Claimed)
@@ -178,13 +188,21 @@
 
 /// Adds the claims of a segment to the index.
 pub fn index_segment(index: &mut Index, name: &str, segment: &Segment) {
+    let name: Arc<str> = name.into();
     for (key, e) in &segment.entries {
         let lost = e.stage == Stage::Lost;
-        let indexed = Indexed { print: e.print, expiry: e.expiry, lost, segment: name.to_owned() };
+        let indexed =
+            Indexed { print: short(&e.print), expiry: e.expiry, lost, segment: name.clone() };
         index.insert(*key, indexed);
     }
 }
 
+/// Whether a head of `size` bytes holds so many claims that the closed ones should be sealed.
+/// The names of segments do not count, since sealing adds to them.
+pub fn is_full(head: &Head, size: usize, limits: &Limits) -> bool {
+    size.saturating_sub(encode(&head.segments).len()) > limits.head
+}
+
 /// Encodes a head or a segment.
 pub fn encode(value: &impl Serialize) -> Vec<u8> {
     let out = vec![VERSION];
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -73,7 +73,7 @@
         if gone {
             let names: indexmap::IndexSet<&str> =
                 self.head.segments.iter().map(|s| s.name.as_str()).collect();
-            self.index.retain(|_, i| names.contains(i.segment.as_str()));
+            self.index.retain(|_, i| names.contains(&*i.segment));
         }
     }
 
--- a/crates/once/src/writer.rs
+++ b/crates/once/src/writer.rs
@@ -186,7 +186,7 @@
         }
         let mut value = head::encode(&step.head);
         let mut sealed = None;
-        if value.len() > self.pace.limits.head {
+        if head::is_full(&step.head, value.len(), &self.pace.limits) {
             sealed = self.seal(&mut step.head).await?;
             value = head::encode(&step.head);
         }
