Take only a part of the free slots that instances share

Instances learn of each other's requests with a lag, so every one of them filled a slot that was seen free, and requests waited behind at the engine.

Where less than a quarter of the slots is free, an instance now takes its part of what it sees between two exchanges of counts, and at once what it freed itself.

The request path has to call it to gain from it.

--- a/crates/lab/src/setup.rs
+++ b/crates/lab/src/setup.rs
@@ -25,6 +25,8 @@
     pub report_lag: Duration,
     /// Lag of outstanding counts between instances; `None` if they are not told.
     pub gossip_lag: Option<Duration>,
+    /// Whether instances take only their part of the free slots they see.
+    pub shared: bool,
     /// Engines set apart for prefill, if any.
     pub split: Option<Split>,
     /// Cache events, if engines publish them.
@@ -65,6 +67,7 @@
             choice: Choice::Predicted,
             report_lag: Duration::from_millis(500),
             gossip_lag: Some(Duration::from_millis(200)),
+            shared: true,
             split: None,
             cache_events: None,
             seed: 1,
--- a/crates/lab/src/study/fairness.rs
+++ b/crates/lab/src/study/fairness.rs
@@ -51,10 +51,16 @@
 
 /// Runs one order.
 pub fn measure(case: &Case, order: Order) -> Figures {
+    measure_with(case, order, true)
+}
+
+/// Runs one order, with or without each instance taking only its part of scarce slots.
+pub fn measure_with(case: &Case, order: Order, shared: bool) -> Figures {
     let setup = Setup {
         engines: case.engines,
         entries: 4,
         order: Some(order),
+        shared,
         seed: case.seed,
         ..Setup::default()
     };
@@ -86,16 +92,21 @@
     let mut table = Table::new(title, &head);
     for engines in sizes {
         let case = Case { engines: *engines, length, seed };
-        let runs = [Order::Fifo, Order::RoundRobin, Order::Fair].map(|o| (o, measure(&case, o)));
+        let runs = [
+            (Order::Fifo.name(), measure(&case, Order::Fifo)),
+            (Order::RoundRobin.name(), measure(&case, Order::RoundRobin)),
+            ("weighted fair, all slots taken", measure_with(&case, Order::Fair, false)),
+            (Order::Fair.name(), measure(&case, Order::Fair)),
+        ];
         let capacity = runs.iter().map(|(_, f)| f.good_work(measured)).fold(0.0, f64::max);
-        for (order, figures) in &runs {
-            table.row(row(&case, *order, figures, capacity));
+        for (name, figures) in &runs {
+            table.row(row(&case, name, figures, capacity));
         }
     }
     table
 }
 
-fn row(case: &Case, order: Order, figures: &Figures, capacity: f64) -> [String; 12] {
+fn row(case: &Case, name: &str, figures: &Figures, capacity: f64) -> [String; 12] {
     let length = case.length.as_secs_f64();
     let (worst, org) = figures.worst_served(capacity, measured);
     let question = |r: &Request| measured(r) && r.org > 0 && r.urgent;
@@ -103,7 +114,7 @@
     let others = |r: &Request| measured(r) && r.org > 0;
     [
         case.engines.to_string(),
-        order.name().into(),
+        name.into(),
         format!("{:.2}", figures.good_work(measured) / length),
         format!("{:.1}", figures.good_count(measured) as f64 / length),
         format!("{:.2}", figures.wasted_work(measured) / length),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -11,7 +11,7 @@
         setup::Setup,
         workload::{ANSWER, Request},
     },
-    agate_admit::{Event as Ended, Ticket, queue::cost},
+    agate_admit::{Event as Ended, Share, Ticket, queue::cost, share::Exchange},
     agate_core::{EndpointId, Mono, PoolId},
     agate_route::{Ask, Distances, LoadReport, Role, Spec, Table, health::Kind, ranking::mix},
     indexmap::IndexMap,
@@ -46,6 +46,7 @@
     table: Table,
     waiting: Waiting,
     tickets: IndexMap<Ticket, usize>,
+    share: Share,
 }
 
 struct World<'a> {
@@ -116,7 +117,7 @@
             Event::Step(engine, outputs) => self.step(engine, outputs, now),
             Event::Publish => self.publish(now),
             Event::Reports(reports) => self.report(&reports, now),
-            Event::Counts(counts) => self.gossip(&counts),
+            Event::Counts(counts) => self.gossip(&counts, now),
             Event::Cached { engine, stored, evicted } => {
                 for entry in &self.entries {
                     entry.table.cache_event(engine as EndpointId, &stored, &evicted);
@@ -160,12 +161,16 @@
         if entry.waiting.is_empty() {
             return;
         }
-        let room = entry.table.room(0, 16, now);
+        let limit = if self.setup.shared { entry.share.allowed().min(16) } else { 16 };
+        let room = entry.table.room(0, limit, now);
         for event in entry.waiting.pop(now, room) {
             let (Ended::Granted(ticket) | Ended::Expired(ticket)) = event;
             let id = self.entries[i].tickets.swap_remove(&ticket).expect("a known ticket");
             match event {
-                Ended::Granted(_) => self.send(id, now),
+                Ended::Granted(_) => {
+                    self.entries[i].share.take(1);
+                    self.send(id, now);
+                }
                 Ended::Expired(_) => self.figures.records[id] = Record::Expired,
             }
         }
@@ -250,6 +255,7 @@
         self.figures.done(id, now - request.at);
         let entry = &mut self.entries[request.entry];
         entry.table.finish(to, Kind::Success, now - sent, now);
+        entry.share.on_finish();
         let estimate = cost(request.prompt, ANSWER.2);
         entry.waiting.settle(request.org, estimate, cost(request.prompt, request.output));
         self.pump(request.entry, now);
@@ -284,14 +290,20 @@
         }
     }
 
-    fn gossip(&mut self, counts: &[Vec<u32>]) {
+    fn gossip(&mut self, counts: &[Vec<u32>], now: Mono) {
         let engines = self.setup.engines as usize;
         let totals: Vec<u32> = (0..engines).map(|e| counts.iter().map(|c| c[e]).sum()).collect();
-        for (entry, own) in self.entries.iter().zip(counts) {
+        let sharers = self.entries.len() as u32;
+        let slots = self.engines.iter().map(|e| e.shape.slots).sum();
+        let lag = self.setup.gossip_lag.unwrap_or_default();
+        let pending = 1 + (lag.as_millis() / PUBLISH.as_millis()) as u32;
+        for (entry, own) in self.entries.iter_mut().zip(counts) {
             for (id, total) in totals.iter().enumerate() {
                 let live = &entry.table.endpoint(id as EndpointId).live;
                 live.foreign.store(total - own[id], Relaxed);
             }
+            let free = entry.table.free_slots(0, u32::MAX, now);
+            entry.share.on_exchange(Exchange { free, slots, sharers, pending });
         }
     }
 }
@@ -310,5 +322,5 @@
     });
     let table = Table::rebuild(&Table::new(0, Distances::default(), seed), specs);
     let waiting = Waiting::new(setup.order.unwrap_or(Order::Fifo));
-    Entry { table, waiting, tickets: IndexMap::new() }
+    Entry { table, waiting, tickets: IndexMap::new(), share: Share::default() }
 }
