Share store quotas among the instances that use them

An equal share among 1,900 instances left a watcher of the configuration with a read in three seconds and a writer of claims with one write in nineteen, and charged the seconds of a waiting watch to the same quota.

The test of the quotas also checks that the share is really given.

--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -3,8 +3,9 @@
 //! Credit is held as time: one call costs one `period`, and credit grows as time passes up to
 //! `burst` periods. In the bucket that all purposes share, a purpose may spend only the credit above
 //! the reserve that is kept for more urgent ones, so a flood of reports cannot delay a lease
-//! renewal. Each purpose also has a bucket of its own, sized for the fleet: what every instance does
-//! gets an equal share of the service's rate, what only lease holders do gets a fixed rate.
+//! renewal. Each purpose also has a bucket of its own, sized for the fleet: what a bounded
+//! number of instances does gets a share of the service's rate, what only lease holders do gets a
+//! fixed rate.
 
 use {crate::Purpose, agate_core::Mono, std::time::Duration};
 
@@ -129,10 +130,10 @@
         Ok(())
     }
 
-    /// Charges `calls` that were made without asking.
-    pub fn charge(&mut self, purpose: Purpose, calls: u32, now: Mono) {
+    /// Charges `calls` that were made without asking, to the common bucket only: the number of
+    /// waiting watches is bounded elsewhere, and must not starve the reads that follow news.
+    pub fn charge(&mut self, calls: u32, now: Mono) {
         self.common.charge(calls, now);
-        self.own[purpose as usize].charge(calls, now);
     }
 
     /// Gives up the credit of one purpose, after the service refused it a call for its rate.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -234,7 +234,7 @@
         if matches!(call, Call::Watch { .. }) {
             let waited = now.saturating_sub(start).as_secs();
             let calls = u32::try_from(waited).unwrap_or(u32::MAX);
-            gate.reads.charge(purpose, calls, now);
+            gate.reads.charge(calls, now);
         }
     }
 
--- a/crates/store/tests/call_budget.rs
+++ b/crates/store/tests/call_budget.rs
@@ -90,9 +90,10 @@
     assert!(b.is_closed());
 }
 
-/// A lease holder's calls do not shrink with the fleet; what every instance does, does.
+/// A lease holder's calls do not shrink with the fleet; shared ones do, down to their last share.
 #[rstest]
 #[case(8)]
+#[case(25)]
 #[case(1_900)]
 fn shares_follow_fleet(#[case] instances: usize) {
     let mut b = Budgets::open(quota::writes(instances), ms(0));
@@ -104,6 +105,7 @@
     }
     let fixed = [Purpose::Lease, Purpose::Record, Purpose::Report].map(|p| admitted[p as usize]);
     assert_eq!(fixed, [200; 3]);
-    let share = 200 * 20 / instances as u32;
-    assert!(admitted[Purpose::Config as usize] <= share + 20 + 1);
+    let share = 200 * 20 / instances.min(quota::CONFIG_READERS) as u32;
+    let config = admitted[Purpose::Config as usize];
+    assert!((share.min(200)..=share + 20 + 1).contains(&config), "{config} of {share}");
 }
