Count what the claim writers do, and draw unique incarnations

Cause: operators need counters of refused and repeated claim writes, and two processes with one incarnation could both hold a claim. Change: a tally per instance, and a function that draws an incarnation from name, time, process id and the process's random seed.

--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -7,10 +7,12 @@
         head::Limits,
         owner::{self, ShardId},
         shard,
+        tally::{Tally, count},
         writer::{Item, Pace, WallClock, Writer},
     },
     agate_store::Store,
     std::{
+        hash::{BuildHasher, RandomState},
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -29,7 +31,8 @@
 /// How claims are made and kept.
 #[derive(Clone)]
 pub struct Settings {
-    /// Distinguishes this start of the process from every other start of any instance.
+    /// Distinguishes this start of the process from every other start of any instance; see
+    /// [`fresh_incarnation`]. Two that are equal could both hold one claim.
     pub incarnation: u64,
     /// Number of claim shards; equal on all instances.
     pub shards: u32,
@@ -82,6 +85,11 @@
     }
 }
 
+/// Draws an incarnation from the instance's name, the time, and the process's random seed.
+pub fn fresh_incarnation(name: &str) -> u64 {
+    RandomState::new().hash_one((name, std::process::id(), SystemTime::now()))
+}
+
 /// Why a call with a booking key was refused; nothing was sent for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ClaimError {
@@ -110,6 +118,7 @@
     settings: Settings,
     store: Store,
     serial: AtomicU64,
+    tally: Arc<Tally>,
     writers: Vec<mpsc::Sender<Item>>,
     senders: Vec<mpsc::Sender<Item>>,
 }
@@ -129,7 +138,9 @@
 impl Once {
     /// Starts the tasks of every shard.
     pub fn spawn(store: Store, settings: Settings) -> Once {
-        let writers: Vec<_> = (0..settings.shards).map(|s| writer(&store, &settings, s)).collect();
+        let tally = Arc::new(Tally::default());
+        let writers: Vec<_> =
+            (0..settings.shards).map(|s| writer(&store, &settings, s, &tally)).collect();
         let senders = match &settings.forward {
             None => writers.clone(),
             Some(f) => {
@@ -138,7 +149,7 @@
             }
         };
         let serial = AtomicU64::new(0);
-        Once { shared: Arc::new(Shared { settings, store, serial, writers, senders }) }
+        Once { shared: Arc::new(Shared { settings, store, serial, tally, writers, senders }) }
     }
 
     /// Claims a booking key of an organisation for the request with this fingerprint.
@@ -178,6 +189,11 @@
         }
     }
 
+    /// What the writers of this instance did so far.
+    pub fn tally(&self) -> &Tally {
+        &self.shared.tally
+    }
+
     /// Decides changes that another instance forwarded; `None` if they were not confirmed.
     pub async fn serve(&self, shard: ShardId, ops: Vec<Op>) -> Option<Vec<Verdict>> {
         let writer = self.shared.writers.get(shard as usize)?;
@@ -246,7 +262,12 @@
     }
 }
 
-fn writer(store: &Store, settings: &Settings, shard: ShardId) -> mpsc::Sender<Item> {
+fn writer(
+    store: &Store,
+    settings: &Settings,
+    shard: ShardId,
+    tally: &Arc<Tally>,
+) -> mpsc::Sender<Item> {
     let (to, queue) = mpsc::channel(QUEUE);
     let pace = Pace {
         linger: settings.linger,
@@ -255,7 +276,8 @@
         limits: settings.limits,
         wall: settings.wall.clone(),
     };
-    tokio::spawn(Writer::new(store.clone(), shard, pace, settings.incarnation).run(queue));
+    let writer = Writer::new(store.clone(), shard, pace, settings.incarnation, tally.clone());
+    tokio::spawn(writer.run(queue));
     to
 }
 
@@ -325,6 +347,7 @@
         let item = Item { op: Op { change, ..self.op.clone() }, reply: None, foreign: false };
         let sender = &self.once.shared.senders[self.shard as usize];
         if sender.try_send(item).is_err() {
+            count(&self.once.shared.tally.dropped, 1);
             log::warn!("claim shard {}: a statement was dropped, its claim stays open", self.shard);
         }
     }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`owner`]: the pure choice of shard and owner.
 //! - [`writer`]: one task per shard that batches changes and writes the head.
 //! - [`forward`]: one task per shard that hands batches to the owner.
+//! - [`tally`]: counters of the writers, for metrics.
 //! - [`claim`]: the handle [`Once`], and the [`Permit`] that its winner holds.
 //!
 //! Invariants:
@@ -29,10 +30,12 @@
 pub mod head;
 pub mod owner;
 mod shard;
+pub mod tally;
 pub mod writer;
 
 pub use {
-    claim::{Claim, ClaimError, Once, Permit, Settings},
+    claim::{Claim, ClaimError, Once, Permit, Settings, fresh_incarnation},
     entry::{Answer, Change, KeyHash, Op, Print, Token, Verdict},
     forward::Forward,
+    tally::Tally,
 };
--- a/crates/once/src/writer.rs
+++ b/crates/once/src/writer.rs
@@ -14,6 +14,7 @@
         head::{self, Limits},
         owner::ShardId,
         shard::{self, View},
+        tally::{Tally, count},
     },
     agate_core::Wall,
     agate_store::{Error, Purpose, Store},
@@ -63,6 +64,7 @@
     pub shard: ShardId,
     pub pace: Pace,
     pub incarnation: u64,
+    tally: Arc<Tally>,
     view: Option<View>,
     owed: VecDeque<Op>,
     orphans: Vec<String>,
@@ -71,12 +73,19 @@
 }
 
 impl Writer {
-    pub fn new(store: Store, shard: ShardId, pace: Pace, incarnation: u64) -> Self {
+    pub fn new(
+        store: Store,
+        shard: ShardId,
+        pace: Pace,
+        incarnation: u64,
+        tally: Arc<Tally>,
+    ) -> Self {
         Self {
             store,
             shard,
             pace,
             incarnation,
+            tally,
             view: None,
             owed: VecDeque::new(),
             orphans: Vec::new(),
@@ -144,12 +153,15 @@
         let mut ops: Vec<Op> = self.owed.drain(..).collect();
         let owed = ops.len();
         ops.extend(batch.iter().map(|i| i.op.clone()));
+        count(&self.tally.batches, 1);
+        count(&self.tally.changes, ops.len() as u64);
         let mut fresh = false;
         loop {
             match self.attempt(&ops, &mut fresh).await {
                 Ok(Some(verdicts)) => return self.deliver(batch, verdicts.into_iter().skip(owed)),
                 Ok(None) => {}
                 Err(e) => {
+                    count(&self.tally.failed, 1);
                     log::debug!("claim shard {}: {e}", self.shard);
                     sleep(RETRY_PAUSE).await;
                 }
@@ -205,6 +217,7 @@
                 Ok(Some(step.verdicts))
             }
             Ok(Err(present)) => {
+                count(&self.tally.overtaken, 1);
                 *fresh = true;
                 // A view that could not be completed must not be decided on.
                 let mut view = self.view.take().expect("read above");
@@ -231,7 +244,10 @@
         let key = shard::segment_key(self.shard, &name);
         let value = head::encode(&segment);
         match self.store.swap(Purpose::Claim, key.clone(), 0, value).await? {
-            Ok(_) => Ok(Some((name, segment))),
+            Ok(_) => {
+                count(&self.tally.sealed, 1);
+                Ok(Some((name, segment)))
+            }
             Err(_) => Err(malformed("segment name taken")),
         }
     }
@@ -255,6 +271,7 @@
 
     /// Refuses the batch's claims, and keeps what must still be stated.
     fn give_up(&mut self, mut ops: Vec<Op>, batch: &[Item]) {
+        count(&self.tally.abandoned, 1);
         self.view = None;
         let own = ops.len() - batch.len();
         let fresh = ops.split_off(own);
@@ -273,6 +290,7 @@
     /// Keeps a statement for a later batch.
     fn owe(&mut self, op: Op) {
         if self.owed.len() == MAX_OWED {
+            count(&self.tally.dropped, 1);
             log::warn!("claim shard {}: a statement was dropped, its claim stays open", self.shard);
             return;
         }
--- a/crates/once/tests/claim_cases.rs
+++ b/crates/once/tests/claim_cases.rs
@@ -83,6 +83,8 @@
     let (a, b) = (spawn(&m, 1), spawn(&m, 2));
     m.set_faults(fault);
     assert_eq!(label(&claim(&a, 1).await), "unavailable");
+    let failed = a.tally().read().into_iter().find(|(n, _)| *n == "abandoned");
+    assert_eq!(failed, Some(("abandoned", 1)));
     m.set_faults(|f| *f = Faults::default());
     assert!(a.drain().await);
     assert_eq!(label(&claim(&b, 1).await), "won", "a refused claim leaves the key free");
