Honour priorities in the engine stand-in

Cause: real engines take requests by priority, the stand-in took them in order of arrival. Change: a slot goes to the greatest x-priority, then to the earliest.

--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        slots::Slot,
         state::{EngineFaults, RunEntry, RunState, Shared},
         text,
     },
@@ -12,7 +13,7 @@
     serde::Deserialize,
     serde_json::json,
     std::{future::pending, sync::Arc, time::Duration},
-    tokio::sync::{OwnedSemaphorePermit, watch},
+    tokio::sync::watch,
     volo_http::{body::Body, response::Response},
 };
 
@@ -76,7 +77,7 @@
     sent_end: u8,
     faults: EngineFaults,
     ending: watch::Receiver<Option<RunState>>,
-    _permit: OwnedSemaphorePermit,
+    _slot: Slot,
 }
 
 impl Drop for Run {
@@ -163,7 +164,8 @@
     faults: EngineFaults,
 ) -> Option<Run> {
     let waiting = Waiting::enter(shared);
-    let permit = shared.slots.clone().acquire_owned().await.expect("slots are never closed");
+    let priority = call.header("x-priority").parse().unwrap_or(0);
+    let slot = shared.slots.take(priority).await;
     drop(waiting);
     let prompt = prompt(&request.messages);
     let blocks = text::blocks(&prompt, call.header("x-cache-salt"));
@@ -200,7 +202,7 @@
         sent_end: 0,
         faults,
         ending: ended,
-        _permit: permit,
+        _slot: slot,
     })
 }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -1,15 +1,16 @@
 //! Stand-in of a model engine.
 //!
 //! The engine batches continuously in a simple form: a fixed number of slots, one token per slot
-//! and gap, a prefill time for the uncached part of the prompt, and a first-come queue before the
-//! slots. The text is a function of prompt and token index alone, so a stream that was resumed on
-//! another engine can be compared with an unbroken one.
+//! and gap, a prefill time for the uncached part of the prompt, and a queue before the slots that
+//! takes greater priorities first. The text is a function of prompt and token index alone, so a
+//! stream that was resumed on another engine can be compared with an unbroken one.
 //!
-//! `state` holds everything as plain data behind one lock, `chat` runs requests, `control` serves
-//! the other calls, and [`text`] is the deterministic model.
+//! `slots` queues requests, `state` holds everything as plain data behind one lock, `chat` runs
+//! requests, `control` serves the other calls, and [`text`] is the deterministic model.
 
 mod chat;
 mod control;
+mod slots;
 mod state;
 pub mod text;
 
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -1,7 +1,7 @@
 //! Everything an engine knows, behind one lock that is never held across an await.
 
 use {
-    super::EngineSettings,
+    super::{EngineSettings, slots::Slots},
     crate::tap::Tap,
     indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
@@ -10,7 +10,7 @@
         sync::{Arc, Mutex, MutexGuard, OnceLock},
         time::{Duration, Instant},
     },
-    tokio::sync::{Semaphore, watch},
+    tokio::sync::watch,
 };
 
 /// Cache events that are kept for readers.
@@ -282,7 +282,7 @@
 
 pub(super) struct Shared {
     pub settings: EngineSettings,
-    pub slots: Arc<Semaphore>,
+    pub slots: Slots,
     state: Mutex<State>,
     tap: OnceLock<Tap>,
 }
@@ -314,7 +314,7 @@
             exports: IndexMap::new(),
             settings: settings.clone(),
         };
-        let slots = Arc::new(Semaphore::new(settings.slots));
+        let slots = Slots::new(settings.slots);
         Self { settings, slots, state: Mutex::new(state), tap: OnceLock::new() }
     }
 
--- a/crates/standin/tests/engine_stream.rs
+++ b/crates/standin/tests/engine_stream.rs
@@ -67,6 +67,25 @@
     assert_eq!(engine.log()[0].state, RunState::Cancelled);
 }
 
+#[tokio::test]
+async fn priority_order() {
+    let engine = Engine::bind(any(), slow()).await.unwrap();
+    let first = send(engine.address(), CHAT, "x-request-id: r0\r\n", &chat("a", 10_000, 0)).await;
+    until(|| engine.load().running == 1).await;
+    let mut waiting = Vec::new();
+    for (n, priority) in [0, 5, 5, 9].into_iter().enumerate() {
+        let head = format!("x-request-id: w{n}\r\nx-priority: {priority}\r\n");
+        waiting.push(send(engine.address(), CHAT, &head, &chat("b", 1, 0)).await);
+        until(|| engine.load().waiting == n + 1).await;
+    }
+    drop(first);
+    for conn in waiting {
+        read(conn).await;
+    }
+    let order: Vec<_> = engine.log().into_iter().map(|e| e.id).collect();
+    assert_eq!(order, ["r0", "w3", "w1", "w2", "w0"]);
+}
+
 #[tokio::test]
 async fn cached_prefix() {
     let engine = Engine::bind(any(), EngineSettings::default()).await.unwrap();
