Join instances and claim bookings on the request path

Cause: each instance watched the store on its own, no instance refused work on a stale configuration, suspicions stayed on one instance, a key that got a new digest still counted as in force, and booking keys were passed through without a guard. Change: instances join over UDP and TCP, follow the configuration through the spread machine, answer each other's questions and pass suspicions on at once; keyed work needs a proof of freshness; calls with a booking key are claimed in the store, go on if their caller leaves, and replay their answer. The store is reached through the shared client. Settings gain the region, the peers and their secrets.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -4,17 +4,29 @@
     crate::{
         configs::edit,
         instance::Instance,
-        settings::{Bounds, Log, Settings, Stop},
+        settings::{Bounds, Log, Peers, Settings, Stop},
     },
     agate_config::{Document, doc::PoolKind, publish, section::Section},
-    agate_standin::{Engine, EngineSettings, Platform, Service},
+    agate_standin::{Engine, EngineSettings, Platform, Service, platform::Instance as Listed},
     eyre::{Result, WrapErr, bail, eyre},
-    std::{fs, net::SocketAddr, path::Path},
+    std::{
+        fs::{self, OpenOptions},
+        io::{self, Write},
+        net::SocketAddr,
+        os::unix::fs::OpenOptionsExt,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
 };
 
 /// Document that the demo runs when none is named.
 const BUILT_IN: &str = include_str!("../../../examples/savikoda.yaml");
 
+/// Distance between the ports for callers and for operators.
+const OPERATOR_SHIFT: u16 = 1000;
+/// Time for which a stopping instance still takes new requests.
+const GRACE: Duration = Duration::from_millis(100);
+
 /// Everything that the demo runs.
 pub struct Demo {
     /// The instances.
@@ -27,6 +39,7 @@
     pub services: Vec<Service>,
     /// The document in force.
     pub document: Document,
+    _secret: Secret,
 }
 
 impl Demo {
@@ -57,18 +70,41 @@
             document.fleet.endpoints[&name].address = address;
         }
         let store = agate_platform::store::open(platform.address());
-        publish::apply(&store, &edit("demo", document.clone(), Section::ALL.to_vec()))
-            .await
-            .wrap_err("applying the document")?;
+        let change = edit("demo", document.clone(), Section::ALL.to_vec());
+        publish::apply(&store, &change).await.wrap_err("applying the document")?;
+        let secret = Secret::create().wrap_err("writing the demo's shared secret")?;
         let zones: Vec<String> = document.fleet.zones.keys().cloned().collect();
         let mut instances = Vec::new();
         for i in 0..count {
             let zone = &zones[usize::from(i) % zones.len()];
-            let settings = instance_settings(i, zone, listen, platform.address());
-            let settings = Settings { limits: bounds.clone(), ..settings };
+            let region = &document.fleet.zones[zone].region;
+            let settings = Settings {
+                name: format!("entry-{}", i + 1),
+                zone: zone.clone(),
+                region: region.clone(),
+                listen: shift(listen, i),
+                operator: shift(shift(listen, OPERATOR_SHIFT), i),
+                platform: platform.address(),
+                peers: Some(Peers { listen: loopback(), secrets: vec![secret.0.clone()] }),
+                limits: bounds.clone(),
+                stop: Stop { grace: GRACE },
+                log: Log::default(),
+            };
             instances.push(Instance::spawn(&settings, store.clone()).await?);
         }
-        Ok(Self { instances, platform, engines, services, document })
+        let demo = Self { instances, platform, engines, services, document, _secret: secret };
+        demo.list_instances();
+        Ok(demo)
+    }
+
+    /// Puts every instance on the platform's list.
+    fn list_instances(&self) {
+        let listed = self.instances.iter().filter_map(|i| {
+            let identity = i.mesh.member()?.identity().clone();
+            let (zone, state) = (i.gate.zone.clone(), "live".to_owned());
+            Some(Listed { name: identity.name.to_string(), zone, address: identity.address, state })
+        });
+        self.platform.set_instances(listed.collect());
     }
 
     /// Lines of text that tell a person how to try the system.
@@ -169,20 +205,31 @@
     }
 }
 
-fn instance_settings(i: u16, zone: &str, listen: SocketAddr, platform: SocketAddr) -> Settings {
-    let port = |base: u16| if listen.port() == 0 { 0 } else { base + i };
-    Settings {
-        name: format!("entry-{}", i + 1),
-        zone: zone.to_owned(),
-        listen: SocketAddr::new(listen.ip(), port(listen.port())),
-        operator: SocketAddr::new(listen.ip(), port(listen.port().saturating_add(1000))),
-        platform,
-        limits: Bounds::default(),
-        stop: Stop { grace: std::time::Duration::from_millis(100) },
-        log: Log::default(),
+/// A file with a random shared secret, removed when dropped.
+struct Secret(PathBuf);
+
+impl Secret {
+    fn create() -> io::Result<Self> {
+        let name = format!("agatetrack-demo-{:016x}", rand::random::<u64>());
+        let path = std::env::temp_dir().join(name);
+        let mut file = OpenOptions::new().write(true).create_new(true).mode(0o600).open(&path)?;
+        file.write_all(format!("{:032x}", rand::random::<u128>()).as_bytes())?;
+        Ok(Self(path))
     }
 }
 
+impl Drop for Secret {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+/// The address `by` ports higher; any free port stays so.
+fn shift(address: SocketAddr, by: u16) -> SocketAddr {
+    let port = if address.port() == 0 { 0 } else { address.port().saturating_add(by) };
+    SocketAddr::new(address.ip(), port)
+}
+
 fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -1,20 +1,34 @@
-//! One running instance: configuration, request path, listeners and graceful shutdown.
+//! One running instance: the parts put together, and its graceful shutdown.
 
 use {
     crate::{
+        mesh::Mesh,
         operator::{Operator, View},
-        settings::Settings,
+        settings::{self, Settings},
     },
     agate_config::{
-        Document,
-        head::{HEAD_KEY, Head},
-        publish,
+        Document, follow,
         snapshot::{Current, Names, Snapshot},
+        spread,
     },
-    agate_flow::{gate::Gate, server::Front, suspect::Suspects},
-    agate_platform::{http::Http, instances},
-    agate_store::{Purpose, Revision, Store},
-    eyre::{Result, WrapErr},
+    agate_flow::{
+        desk::Clock,
+        gate::{Gate, Parts},
+        server::Front,
+        suspect::Suspects,
+    },
+    agate_member::{Listing, Server},
+    agate_once::{Once, Settings as Claims},
+    agate_platform::{
+        http::Http,
+        instances::{self, Entry, State},
+    },
+    agate_store::{
+        Store,
+        client::{Client, Settings as StoreSettings},
+    },
+    agate_wire::{Keys, Name, Peer, Place},
+    eyre::{Result, WrapErr, eyre},
     rand::RngExt,
     std::{
         net::SocketAddr,
@@ -22,26 +36,31 @@
             Arc, Mutex,
             atomic::{AtomicBool, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
-    tokio::{task::JoinHandle, time::sleep},
+    tokio::{sync::watch, task::JoinHandle, time::sleep},
     tokio_util::sync::CancellationToken,
 };
 
 /// Time between two reads of the platform's instance list.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
-/// Longest wait of one watch on the configuration.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// Bounds of the pause after a failed read of the configuration.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
+/// Time between two looks at the members.
+const MEMBERS_PERIOD: Duration = Duration::from_millis(500);
+/// Instances among which the store's rates are divided until the members are known.
+const ASSUMED_FLEET: usize = 8;
+/// Domain separation of the key of request fingerprints.
+const PRINT_DERIVATION: &str = "agatetrack request fingerprint v1";
 
 /// Handle of a running instance.
 pub struct Instance {
     /// State of its request path.
     pub gate: Arc<Gate>,
+    /// Its connection to the other instances.
+    pub mesh: Arc<Mesh>,
     front: Front,
     operator: Operator,
     stop: Stop,
+    _peers: Option<Server>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -49,44 +68,60 @@
 #[derive(Clone)]
 struct Stop {
     view: Arc<View>,
+    mesh: Arc<Mesh>,
     grace: Duration,
     started: Arc<AtomicBool>,
     ended: CancellationToken,
 }
 
 impl Instance {
-    /// Starts an instance: waits for a configuration, then binds its listeners.
+    /// Starts an instance: joins the others, waits for a configuration, then binds its listeners.
     pub async fn spawn(settings: &Settings, store: Store) -> Result<Self> {
-        let mut names = Names::default();
-        let (revision, first) = first_snapshot(&store, &mut names).await;
-        let current = Arc::new(Current::new(first));
-        let gate = {
-            let (limits, suspects) = (settings.limits.limits(), Suspects::open(|_, _| {}));
-            Gate::open(current, &settings.zone, limits, suspects, [0; 32])
+        let origin = Instant::now();
+        let clock: Clock = Arc::new(move || origin.elapsed());
+        let client = Client::open(store, StoreSettings::for_fleet(ASSUMED_FLEET), rand::random());
+        let store = client.store();
+        let suspects = open_suspects();
+        let mesh = Mesh::open(&settings.zone, suspects.0.clone(), clock.clone());
+        let _ = suspects.1.set(Arc::downgrade(&mesh));
+        let keys = open_keys(settings)?;
+        let peers = match (&settings.peers, &keys) {
+            (Some(peers), Some(keys)) => {
+                let place = place(settings, peers.listen);
+                Some(mesh.join(&settings.name, place, keys.keys.clone()).await?)
+            }
+            _ => None,
         };
-        let view = View {
-            name: settings.name.clone(),
+        let parts = Parts {
+            current: Arc::new(Current::new(Snapshot::compile(
+                &Document::default(),
+                0,
+                &mut Names::default(),
+            ))),
             zone: settings.zone.clone(),
-            gate: gate.clone(),
-            ready: AtomicBool::new(true),
+            limits: settings.limits.limits(),
+            suspects: suspects.0,
+            secret: keys.map_or([0; 32], |k| k.print),
+            once: Once::spawn(store.clone(), Claims::new(rand::random())),
+            fresh: fresh(&mesh),
+            clock,
         };
-        let stop = Stop {
-            view: Arc::new(view),
-            grace: settings.stop.grace,
-            started: Arc::default(),
-            ended: CancellationToken::new(),
-        };
-        let operator = Operator::bind(settings.operator, stop.view.clone(), stop.clone().run());
-        let operator = operator.await?;
+        let gate = Gate::open(parts);
+        let installed = follow_config(settings, store, &mesh, &gate);
+        let mut tasks = vec![
+            tokio::spawn(follow_members(settings.name.as_str().into(), mesh.clone())),
+            tokio::spawn(follow_list(settings.clone(), gate.clone(), mesh.clone())),
+        ];
+        wait_installed(installed).await?;
+        let stop = Stop::open(settings, &gate, &mesh);
+        let (view, drain) = (stop.view.clone(), stop.clone().run());
+        let operator = Operator::bind(settings.operator, view, drain).await?;
         let front = Front::bind(settings.listen, gate.clone(), stop.clone().run())
             .await
             .wrap_err_with(|| format!("binding the callers' address {}", settings.listen))?;
         log::info!("instance {} serves callers at {}", settings.name, front.address());
-        let tasks = vec![
-            tokio::spawn(watch(store, gate.clone(), Mutex::new(names), revision)),
-            tokio::spawn(follow_list(Http::open(settings.platform), gate.clone())),
-        ];
-        Ok(Self { gate, front, operator, stop, tasks })
+        tasks.push(tokio::spawn(hold(client)));
+        Ok(Self { gate, mesh, front, operator, stop, _peers: peers, tasks })
     }
 
     /// Address for callers.
@@ -114,6 +149,22 @@
 }
 
 impl Stop {
+    fn open(settings: &Settings, gate: &Arc<Gate>, mesh: &Arc<Mesh>) -> Self {
+        let view = View {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            gate: gate.clone(),
+            ready: AtomicBool::new(true),
+        };
+        Self {
+            view: Arc::new(view),
+            mesh: mesh.clone(),
+            grace: settings.stop.grace,
+            started: Arc::default(),
+            ended: CancellationToken::new(),
+        }
+    }
+
     /// Carries out the shutdown once; later callers wait for the same end.
     async fn run(self) {
         if self.started.swap(true, Ordering::SeqCst) {
@@ -122,74 +173,126 @@
         log::info!("instance {} is stopping", self.view.name);
         self.view.ready.store(false, Ordering::SeqCst);
         sleep(self.grace).await;
-        let flight = &self.view.gate.flight;
-        flight.close();
-        flight.drained().await;
+        let gate = &self.view.gate;
+        gate.flight.close();
+        gate.flight.drained().await;
+        if !gate.once.drain().await {
+            log::warn!("the outcome of some calls could not be recorded in the store");
+        }
+        if let Some(member) = self.mesh.member()
+            && let Err(e) = member.leave().await
+        {
+            log::warn!("leaving the other instances: {e}");
+        }
         log::info!("instance {} finished its last request", self.view.name);
         self.ended.cancel();
     }
 }
 
-async fn first_snapshot(store: &Store, names: &mut Names) -> (Revision, Snapshot) {
-    loop {
-        match read(store).await {
-            Ok(Some((revision, head, document))) => {
-                let snapshot = Snapshot::compile(&document, head.generation, names);
-                return (revision, snapshot);
-            }
-            Ok(None) => log::info!("no configuration has been applied yet; waiting"),
-            Err(e) => log::warn!("reading the configuration: {e}"),
-        }
-        pause().await;
-    }
+/// Keys derived from the shared secrets.
+struct Secrets {
+    keys: Keys,
+    print: [u8; 32],
 }
 
-/// Reads the configuration with a revision of its head that is not newer than it.
-async fn read(store: &Store) -> publish::Result<Option<(Revision, Head, Document)>> {
-    let Some((revision, _)) = publish::newest(store).await? else { return Ok(None) };
-    let loaded = publish::load(store).await?;
-    Ok(loaded.map(|(head, document)| (revision, head, document)))
+fn open_keys(settings: &Settings) -> Result<Option<Secrets>> {
+    let Some(peers) = &settings.peers else { return Ok(None) };
+    let read = |file| settings::read_secret(file).map_err(|e| eyre!(e));
+    let secrets: Vec<Vec<u8>> = peers.secrets.iter().map(|f| read(f)).collect::<Result<_>>()?;
+    let keys = Keys::new(&secrets).wrap_err("peers.secrets")?;
+    Ok(Some(Secrets { keys, print: blake3::derive_key(PRINT_DERIVATION, &secrets[0]) }))
 }
 
-async fn watch(store: Store, gate: Arc<Gate>, names: Mutex<Names>, mut revision: u64) {
-    loop {
-        match store.watch(Purpose::Config, HEAD_KEY, revision, WATCH_WAIT).await {
-            Ok(Some(record)) => match install(&store, &gate, &names).await {
-                Ok(()) => revision = record.revision,
-                Err(e) => {
-                    log::warn!("installing a configuration: {e}");
-                    pause().await;
-                }
-            },
-            Ok(None) => {}
-            Err(e) => {
-                log::warn!("watching the configuration: {e}");
-                pause().await;
-            }
+type LateMesh = Arc<std::sync::OnceLock<std::sync::Weak<Mesh>>>;
+
+/// Makes the quarantine; its announcements go to the mesh, which is set after it.
+fn open_suspects() -> (Arc<Suspects>, LateMesh) {
+    let late = LateMesh::default();
+    let mesh = late.clone();
+    let suspects = Suspects::open(move |print, crashes| {
+        if let Some(mesh) = mesh.get().and_then(std::sync::Weak::upgrade) {
+            mesh.spread_suspicion(print, crashes);
         }
-    }
+    });
+    (suspects, late)
+}
+
+fn place(settings: &Settings, address: SocketAddr) -> Place {
+    let (zone, region) = (settings.zone.as_str().into(), settings.region.as_str().into());
+    Place { zone, region, address }
+}
+
+fn fresh(mesh: &Arc<Mesh>) -> agate_flow::gate::Fresh {
+    let mesh = Arc::downgrade(mesh);
+    Arc::new(move || {
+        let mesh = mesh.upgrade();
+        mesh.is_some_and(|m| m.follower().is_some_and(|f| f.standing().serves()))
+    })
 }
 
-async fn install(store: &Store, gate: &Gate, names: &Mutex<Names>) -> Result<()> {
-    let Some((head, document)) = publish::load(store).await? else { return Ok(()) };
-    let snapshot = {
-        let mut names = names.lock().expect("no panic while compiling");
-        Snapshot::compile(&document, head.generation, &mut names)
+/// Starts to follow the configuration; the receiver tells the generation in force.
+fn follow_config(
+    settings: &Settings,
+    store: Store,
+    mesh: &Arc<Mesh>,
+    gate: &Arc<Gate>,
+) -> watch::Receiver<u64> {
+    let (tell, installed) = watch::channel(0);
+    let (names, gate) = (Mutex::new(Names::default()), gate.clone());
+    let install = move |head: &agate_config::head::Head, document: Document| {
+        let snapshot = {
+            let mut names = names.lock().expect("no panic while compiling");
+            Snapshot::compile(&document, head.generation, &mut names)
+        };
+        if gate.current.advance(snapshot) {
+            gate.refresh();
+            log::info!("configuration {} is in force", head.generation);
+            tell.send_replace(head.generation);
+        }
     };
-    let generation = snapshot.generation;
-    if gate.current.advance(snapshot) {
-        gate.refresh();
-        log::info!("configuration {generation} is in force");
+    let own: Name = settings.name.as_str().into();
+    let follower = follow::spawn(own, spread::Settings::default(), store, mesh.peers(), install);
+    mesh.follow(follower);
+    installed
+}
+
+async fn wait_installed(mut installed: watch::Receiver<u64>) -> Result<()> {
+    if *installed.borrow() == 0 {
+        log::info!("waiting for a configuration");
     }
+    installed.wait_for(|g| *g > 0).await.wrap_err("following the configuration")?;
     Ok(())
 }
 
-/// Keeps leaving endpoints from new work by the platform's list.
-async fn follow_list(http: Http, gate: Arc<Gate>) {
+/// Keeps the store's client while the instance runs.
+async fn hold(client: Client) {
+    std::future::pending::<()>().await;
+    drop(client);
+}
+
+async fn follow_members(own: Name, mesh: Arc<Mesh>) {
+    let mut known = None;
+    loop {
+        let members = mesh.member().map(|m| m.members()).unwrap_or_default();
+        if known.as_ref() != Some(&members) {
+            mesh.update_members(&own);
+            known = Some(members);
+        }
+        sleep(MEMBERS_PERIOD).await;
+    }
+}
+
+/// Follows the platform's list: endpoints that leave get no new work, and other instances are
+/// pointed out to the membership.
+async fn follow_list(settings: Settings, gate: Arc<Gate>, mesh: Arc<Mesh>) {
+    let http = Http::open(settings.platform);
     loop {
         match instances::list(&http).await {
             Ok(entries) => {
-                let leaving = entries.into_iter().filter(|e| e.state == instances::State::Leaving);
+                if let Some(member) = mesh.member() {
+                    let _ = member.listed(listings(&settings, &gate, &entries)).await;
+                }
+                let leaving = entries.into_iter().filter(|e| e.state == State::Leaving);
                 gate.set_leaving(leaving.map(|e| e.name).collect());
             }
             // An old list is better than none: what was leaving stays so.
@@ -200,8 +303,21 @@
     }
 }
 
-/// Waits a random time, so that instances that failed together do not call together again.
-async fn pause() {
-    let wait = rand::rng().random_range(PAUSE.0..PAUSE.1);
-    sleep(wait).await;
+/// Entries of the list that are other instances: those which the configuration does not name as
+/// endpoints.
+fn listings(settings: &Settings, gate: &Gate, entries: &[Entry]) -> Vec<Listing> {
+    let snapshot = gate.current.load();
+    let endpoint = |name: &str| snapshot.endpoints().any(|(_, e)| *e.name == *name);
+    let region = |zone: &str| {
+        let known = snapshot.zones().find(|(_, z)| *z.name == *zone);
+        known.map_or_else(|| settings.region.as_str().into(), |(_, z)| z.region.clone())
+    };
+    let others = entries.iter().filter(|e| e.name != settings.name && !endpoint(&e.name));
+    let listing = |e: &Entry| {
+        let (zone, region) = (e.zone.as_str().into(), region(&e.zone));
+        let place = Place { zone, region, address: e.address };
+        let peer = Peer { name: e.name.as_str().into(), place };
+        Listing { peer, leaving: e.state == State::Leaving }
+    };
+    others.map(listing).collect()
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod diff;
 pub mod instance;
 pub mod logs;
+pub mod mesh;
 pub mod operator;
 pub mod settings;
 pub mod standins;
--- /dev/null
+++ b/crates/cli/src/mesh.rs
@@ -0,0 +1,282 @@
+//! What an instance shares with the other instances.
+//!
+//! Membership runs over UDP and carries the digests of the configuration and of the quarantine;
+//! requests over TCP ask for proofs of freshness and fetch heads and chunks. Everything here only
+//! moves data between the pure machines: [`agate_member`] decides on members,
+//! [`agate_config::spread`] on the configuration and [`agate_flow::quarantine`] on suspects.
+
+use {
+    agate_config::{
+        follow::{Follower, Peers},
+        head::{HEAD_KEY, Head},
+    },
+    agate_flow::{desk::Clock, suspect::Suspects},
+    agate_member::{self as member, Client, Handle, Hooks, Scope, Server, Settings},
+    agate_wire::{Answer, Digest, Keys, Name, Place, Query, Status},
+    eyre::{Result, WrapErr},
+    futures_util::FutureExt,
+    indexmap::IndexMap,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
+};
+
+/// Topic of a question for the generation in force and the age of its proof.
+const ASK: &str = "config/ask";
+/// Topic of the announcement of a generation.
+const ANNOUNCE: &str = "config/announce";
+/// Topic of a new suspicion.
+const SUSPECT: &str = "quarantine";
+/// Suspicions that ride on one message.
+const CARRIED: usize = 4;
+/// Members of each other availability zone that the configuration is asked of.
+const SAMPLE: usize = 4;
+/// Attempts to find a port that is free for both UDP and TCP.
+const BIND_TRIES: u32 = 16;
+
+/// A suspicion as instances send it: fingerprint, crashes, time left in milliseconds.
+type Suspicion = (u64, u8, u64);
+
+/// Connection to the other instances. Parts that are made later are set once.
+pub struct Mesh {
+    follower: OnceLock<Follower>,
+    member: OnceLock<Handle>,
+    client: OnceLock<Client>,
+    suspects: Arc<Suspects>,
+    clock: Clock,
+    zone: Name,
+}
+
+impl Mesh {
+    /// Makes a mesh that knows no other instance yet.
+    pub fn open(zone: &str, suspects: Arc<Suspects>, clock: Clock) -> Arc<Self> {
+        Arc::new(Self {
+            follower: OnceLock::new(),
+            member: OnceLock::new(),
+            client: OnceLock::new(),
+            suspects,
+            clock,
+            zone: zone.into(),
+        })
+    }
+
+    /// Joins the other instances: binds `place`'s address for UDP and TCP.
+    pub async fn join(self: &Arc<Self>, name: &str, place: Place, keys: Keys) -> Result<Server> {
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let settings = Settings { scope: Scope::Region, ..Settings::new(name, place.clone()) };
+            let joined = member::bind(settings, keys.clone(), self.hooks()).await?;
+            let identity = joined.identity().clone();
+            let mesh = self.clone();
+            let handler = move |from, query| {
+                let mesh = mesh.clone();
+                async move { mesh.serve(&from, query) }.boxed()
+            };
+            match member::serve(identity.clone(), keys.clone(), handler).await {
+                Ok(server) => {
+                    let _ = self.client.set(Client::new(identity, keys));
+                    let _ = self.member.set(joined);
+                    return Ok(server);
+                }
+                // A free UDP port may be taken for TCP.
+                Err(_) if place.address.port() == 0 && tries < BIND_TRIES => {}
+                Err(e) => return Err(e).wrap_err("listening to other instances"),
+            }
+        }
+    }
+
+    /// Membership, once joined.
+    pub fn member(&self) -> Option<&Handle> {
+        self.member.get()
+    }
+
+    /// Follower of the configuration, once started.
+    pub fn follower(&self) -> Option<&Follower> {
+        self.follower.get()
+    }
+
+    /// Sets the follower, which needs [`Mesh::peers`] to be made first.
+    pub fn follow(&self, follower: Follower) {
+        let _ = self.follower.set(follower);
+    }
+
+    /// Ways to other instances for the follower of the configuration.
+    pub fn peers(self: &Arc<Self>) -> Peers {
+        let (ask, announce, head, chunk) = (self.clone(), self.clone(), self.clone(), self.clone());
+        Peers {
+            ask: Arc::new(move |name| {
+                let mesh = ask.clone();
+                async move { decode(&mesh.fetch(&name, other(ASK, &())).await?) }.boxed()
+            }),
+            announce: Arc::new(move |name, generation| {
+                let mesh = announce.clone();
+                tokio::spawn(async move { mesh.fetch(&name, other(ANNOUNCE, &generation)).await });
+            }),
+            head: Arc::new(move |name| {
+                let mesh = head.clone();
+                async move {
+                    let bytes = mesh.fetch(&name, Query::Head).await?;
+                    Head::decode(HEAD_KEY, &bytes).inspect_err(|e| log::warn!("{name}: {e}")).ok()
+                }
+                .boxed()
+            }),
+            chunk: Arc::new(move |name, id| {
+                let mesh = chunk.clone();
+                async move {
+                    let hash = blake3::Hash::from_hex(&id).ok()?;
+                    mesh.fetch(&name, Query::Chunk { hash: *hash.as_bytes() }).await
+                }
+                .boxed()
+            }),
+        }
+    }
+
+    /// Hands the members to the follower.
+    pub fn update_members(&self, own: &Name) {
+        let Some(follower) = self.follower.get() else { return };
+        let mut zone = vec![own.clone()];
+        let mut far: IndexMap<Name, Vec<Name>> = IndexMap::new();
+        for member in self.live() {
+            if member.place.zone == self.zone {
+                zone.push(member.name);
+            } else {
+                far.entry(member.place.zone).or_default().push(member.name);
+            }
+        }
+        let fleet = zone.len() * (far.len() + 1);
+        zone.sort();
+        let far = far.into_values().map(|mut names| {
+            names.sort();
+            names.truncate(SAMPLE);
+            names
+        });
+        follower.set_members(zone, far.collect(), fleet);
+    }
+
+    /// Tells every known member of a suspicion at once; digests spread it to the others.
+    pub fn spread_suspicion(self: &Arc<Self>, print: u64, crashes: u8) {
+        let left = agate_flow::quarantine::MEMORY.as_millis() as u64;
+        let suspicion: Suspicion = (print, crashes, left);
+        for member in self.live() {
+            let mesh = self.clone();
+            tokio::spawn(async move { mesh.fetch(&member.name, other(SUSPECT, &suspicion)).await });
+        }
+    }
+
+    fn live(&self) -> Vec<member::Member> {
+        let members = self.member.get().map(|m| m.members()).unwrap_or_default();
+        let live = |s| matches!(s, Status::Alive | Status::Suspect);
+        members.iter().filter(|m| live(m.status)).cloned().collect()
+    }
+
+    fn address(&self, name: &str) -> Option<SocketAddr> {
+        let members = self.member.get()?.members();
+        members.iter().find(|m| *m.name == *name).map(|m| m.place.address)
+    }
+
+    async fn fetch(&self, name: &str, query: Query) -> Option<Vec<u8>> {
+        let address = self.address(name)?;
+        match self.client.get()?.fetch(address, query).await {
+            Ok(Answer::Bytes(bytes)) => Some(bytes),
+            Ok(_) => None,
+            Err(e) => {
+                log::debug!("asking instance {name}: {e}");
+                None
+            }
+        }
+    }
+
+    /// Answers a request of another instance.
+    fn serve(&self, from: &Name, query: Query) -> Answer {
+        let Some(follower) = self.follower.get() else { return Answer::Absent };
+        match query {
+            Query::Head => follower.head().map_or(Answer::Absent, |h| Answer::Bytes(h.encode())),
+            Query::Chunk { hash } => {
+                let id = blake3::Hash::from_bytes(hash).to_hex();
+                follower.chunk(&id).map_or(Answer::Absent, |c| Answer::Bytes(c.to_vec()))
+            }
+            Query::Other { topic, bytes } => self.serve_other(follower, from, &topic, &bytes),
+            _ => Answer::Refused,
+        }
+    }
+
+    fn serve_other(&self, follower: &Follower, from: &Name, topic: &str, bytes: &[u8]) -> Answer {
+        match topic {
+            ASK => Answer::Bytes(encode(&follower.digest())),
+            ANNOUNCE => {
+                let Some(generation) = decode(bytes) else { return Answer::Refused };
+                follower.hear(from.clone(), (generation, None), None);
+                Answer::Accepted
+            }
+            SUSPECT => {
+                let Some((print, crashes, left)) = decode(bytes) else { return Answer::Refused };
+                self.take_suspicion(print, crashes, Duration::from_millis(left));
+                Answer::Accepted
+            }
+            _ => Answer::Refused,
+        }
+    }
+
+    fn take_suspicion(&self, print: u64, crashes: u8, left: Duration) {
+        let now = (self.clock)();
+        self.suspects.state().merge(print, crashes, left, now);
+    }
+
+    fn hooks(self: &Arc<Self>) -> Hooks {
+        let (supply, deliver) = (Arc::downgrade(self), Arc::downgrade(self));
+        Hooks {
+            supply: Arc::new(move || supply.upgrade().map_or_else(Vec::new, |m| m.digests())),
+            deliver: Arc::new(move |from, digests, since| {
+                if let Some(mesh) = deliver.upgrade() {
+                    mesh.hear(from, digests, since);
+                }
+            }),
+        }
+    }
+
+    fn digests(&self) -> Vec<Digest> {
+        let config = self.follower.get().map(|f| {
+            let (generation, age) = f.digest();
+            Digest::Config { generation, age }
+        });
+        let newest = self.suspects.state().newest(CARRIED, (self.clock)());
+        let suspects = newest.into_iter().map(|(fingerprint, crashes, left)| Digest::Quarantine {
+            fingerprint,
+            crashes,
+            left,
+        });
+        config.into_iter().chain(suspects).collect()
+    }
+
+    fn hear(&self, from: &Name, digests: &[Digest], since: Option<Duration>) {
+        for digest in digests {
+            match digest {
+                Digest::Config { generation, age } => {
+                    if let Some(follower) = self.follower.get() {
+                        follower.hear(from.clone(), (*generation, *age), since);
+                    }
+                }
+                Digest::Quarantine { fingerprint, crashes, left } => {
+                    self.take_suspicion(*fingerprint, *crashes, *left);
+                }
+                Digest::Outstanding { .. } => {}
+            }
+        }
+    }
+}
+
+fn other(topic: &str, content: &impl Serialize) -> Query {
+    Query::Other { topic: topic.into(), bytes: encode(content) }
+}
+
+fn encode(content: &impl Serialize) -> Vec<u8> {
+    postcard::to_stdvec(content).expect("plain values encode")
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    postcard::from_bytes(bytes).ok()
+}
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -6,7 +6,13 @@
 use {
     agate_flow::gate::Limits,
     serde::Deserialize,
-    std::{fmt, fs, net::SocketAddr, path::Path, time::Duration},
+    std::{
+        fmt, fs,
+        net::SocketAddr,
+        os::unix::fs::PermissionsExt,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
 };
 
 /// Settings that a running instance takes over when told to reload.
@@ -20,12 +26,17 @@
     pub name: String,
     /// Availability zone in which it runs.
     pub zone: String,
+    /// Region that the availability zone belongs to.
+    pub region: String,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address for operators: metrics, health, status.
     pub operator: SocketAddr,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// The other instances; an instance without them serves alone.
+    #[serde(default)]
+    pub peers: Option<Peers>,
     /// Bounds on requests.
     #[serde(default)]
     pub limits: Bounds,
@@ -37,6 +48,16 @@
     pub log: Log,
 }
 
+/// How the instance reaches the other instances.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    /// Address of datagrams and of requests between instances.
+    pub listen: SocketAddr,
+    /// Files with the shared secrets: the first signs, a second one is accepted for rotation.
+    pub secrets: Vec<PathBuf>,
+}
+
 /// Bounds on requests.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -152,10 +173,11 @@
 
 /// Lists what is wrong with settings that were read.
 pub fn check(settings: &Settings) -> Vec<String> {
-    let Settings { name, zone, listen, operator, limits, log, .. } = settings;
-    let rules: [(bool, &str); 9] = [
+    let Settings { name, zone, region, listen, operator, limits, log, .. } = settings;
+    let rules: [(bool, &str); 10] = [
         (!is_name(name), "name: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
         (!is_name(zone), "zone: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
+        (!is_name(region), "region: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
         (listen == operator && listen.port() != 0, "operator: must differ from `listen`"),
         (limits.body == 0, "limits.body: accepted are 1 byte and more"),
         (limits.answer == 0, "limits.answer: accepted are 1 byte and more"),
@@ -169,9 +191,36 @@
     if let Err(e) = flexi_logger::LogSpecification::parse(&log.level) {
         out.push(format!("log.level: {e}"));
     }
+    let secrets = settings.peers.iter().flat_map(|p| &p.secrets);
+    out.extend(secrets.filter_map(|file| read_secret(file).err()));
+    if settings.peers.as_ref().is_some_and(|p| !(1..=2).contains(&p.secrets.len())) {
+        out.push("peers.secrets: accepted are one or two files".into());
+    }
     out
 }
 
+/// Permission bits of a file that others than its owner may use.
+const OTHERS: u32 = 0o077;
+/// Shortest secret, in bytes.
+const SECRET_LENGTH: usize = 16;
+
+/// Reads a shared secret.
+///
+/// Errors: a text for the operator if the file cannot be read, is open to others or too short.
+pub fn read_secret(file: &Path) -> Result<Vec<u8>, String> {
+    let fail = |cause: String| format!("peers.secrets: {}: {cause}", file.display());
+    let meta = fs::metadata(file).map_err(|e| fail(e.to_string()))?;
+    if meta.permissions().mode() & OTHERS != 0 {
+        return Err(fail("others may read it; accepted is mode 0600".into()));
+    }
+    let secret = fs::read(file).map_err(|e| fail(e.to_string()))?;
+    let secret = secret.trim_ascii_end().to_vec();
+    if secret.len() < SECRET_LENGTH {
+        return Err(fail(format!("accepted are {SECRET_LENGTH} bytes and more")));
+    }
+    Ok(secret)
+}
+
 fn is_name(text: &str) -> bool {
     let fits = (1..=64).contains(&text.len());
     fits && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -123,7 +123,7 @@
         .expect("the binary runs");
     assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
     let settings = format!(
-        "name: entry-1\nzone: harju-a\nlisten: {free}\noperator: 127.0.0.1:0\nplatform: {to}\n\
+        "name: entry-1\nzone: harju-a\nregion: harju\nlisten: {free}\noperator: 127.0.0.1:0\nplatform: {to}\n\
          stop: {{grace: 100ms}}\n"
     );
     let settings = write("settings.yaml", settings);
--- a/crates/flow/src/caller.rs
+++ b/crates/flow/src/caller.rs
@@ -6,10 +6,9 @@
         reply::{Refused, Result},
         truth::Untouched,
     },
-    agate_config::snapshot::{Current, RouteEntry, Snapshot},
+    agate_config::snapshot::{Current, KeyMatch, RouteEntry, Snapshot},
     agate_core::{OrgId, Refusal},
     http::HeaderMap,
-    std::sync::Arc,
 };
 
 /// Sender of a request.
@@ -18,12 +17,7 @@
     /// No key is needed on the route.
     Open,
     /// An organisation, through one of its keys.
-    Keyed {
-        /// The organisation.
-        org: OrgId,
-        /// Public identifier of the key.
-        id: Arc<str>,
-    },
+    Keyed(KeyMatch),
 }
 
 impl Caller {
@@ -42,7 +36,7 @@
             return Err(Refused::not_run(Refusal::KeyMissing, text, proof));
         };
         match snapshot.find_key(key) {
-            Some(found) => Ok((Caller::Keyed { org: found.org, id: found.id }, proof)),
+            Some(found) => Ok((Caller::Keyed(found), proof)),
             None => {
                 let text = "the key is not known or was withdrawn";
                 Err(Refused::not_run(Refusal::KeyInvalid, text, proof))
@@ -54,7 +48,7 @@
     pub fn org(&self) -> Option<OrgId> {
         match self {
             Caller::Open => None,
-            Caller::Keyed { org, .. } => Some(*org),
+            Caller::Keyed(found) => Some(found.org),
         }
     }
 
@@ -62,7 +56,7 @@
     pub fn in_force(&self, current: &Current) -> bool {
         match self {
             Caller::Open => true,
-            Caller::Keyed { org, id } => current.load().holds_key(*org, id),
+            Caller::Keyed(found) => current.load().holds(found),
         }
     }
 }
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        caller::Caller,
         desk::{Denied, Entry, Slot},
         exchange::{Failure, Step},
         gate::{Gate, Stay},
@@ -166,6 +167,10 @@
 
 /// Refuses the request if its key was withdrawn since it arrived.
 pub fn check_key(gate: &Gate, job: &Job, grant: Grant) -> Result<Grant> {
+    if !matches!(job.caller, Caller::Open) && !(gate.fresh)() {
+        let text = "this instance cannot tell whether the key is still in force";
+        return Err(Refused::either(Refusal::ConfigStale, text, grant.untouched()));
+    }
     if job.caller.in_force(&gate.current) {
         return Ok(grant);
     }
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -18,16 +18,16 @@
         snapshot::{Current, EndpointEntry, Snapshot},
     },
     agate_core::{EndpointId, Mono, PoolId, ZoneId},
+    agate_once::Once,
     agate_route::{
         health::Kind,
         live::LoadReport,
         table::{Distances, Role, Spec, Table},
     },
     arc_swap::ArcSwap,
-    http::response::Parts,
     std::{
         sync::{Arc, Mutex, atomic::Ordering},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -67,58 +67,68 @@
 /// Connections by endpoint.
 type Links = Vec<Option<Arc<Pool>>>;
 
-/// Shared state of one instance.
-pub struct Gate {
+/// What the state of an instance is made from.
+pub struct Parts {
     /// Configuration in force.
     pub current: Arc<Current>,
+    /// Name of the availability zone of this instance.
+    pub zone: String,
     /// Bounds of this instance.
     pub limits: Limits,
+    /// Requests that were in flight when endpoints crashed.
+    pub suspects: Arc<Suspects>,
+    /// Key of request fingerprints, shared by all instances.
+    pub secret: [u8; 32],
+    /// Claims of calls that may not be repeated.
+    pub once: Once,
+    /// Whether the configuration is fresh enough to serve keyed work.
+    pub fresh: Fresh,
+    /// Monotonic time since this instance started.
+    pub clock: Clock,
+}
+
+/// Tells whether the configuration is fresh enough to serve keyed work.
+pub type Fresh = Arc<dyn Fn() -> bool + Send + Sync>;
+
+/// Shared state of one instance.
+pub struct Gate {
+    /// What it was made from.
+    pub parts: Parts,
     /// Metrics.
     pub meter: Meter,
     /// Requests in progress.
     pub flight: Flight,
-    /// Requests that were in flight when endpoints crashed.
-    pub suspects: Arc<Suspects>,
-    /// Key of request fingerprints, shared by all instances.
-    pub print_key: [u8; 32],
     /// Endpoints with their load and health.
     pub table: ArcSwap<Table>,
-    zone: String,
     /// Names of endpoints that the platform's list shows as leaving.
     leaving: ArcSwap<Vec<String>>,
     links: ArcSwap<Links>,
     desks: ArcSwap<Vec<Arc<Desk>>>,
-    clock: Clock,
     /// Held while the tables are rebuilt.
     rebuild: Mutex<()>,
 }
 
+/// The parts can be read as if they were the gate's own fields.
+impl std::ops::Deref for Gate {
+    type Target = Parts;
+
+    fn deref(&self) -> &Parts {
+        &self.parts
+    }
+}
+
 impl Gate {
-    /// Makes the state of an instance in the availability zone named `zone`.
-    ///
-    /// `suspects` and `print_key` tie it to the other instances' quarantines.
-    pub fn open(
-        current: Arc<Current>,
-        zone: &str,
-        limits: Limits,
-        suspects: Arc<Suspects>,
-        print_key: [u8; 32],
-    ) -> Arc<Self> {
-        let origin = Instant::now();
-        let seed = rand::random();
+    /// Makes the state of an instance from its parts.
+    pub fn open(parts: Parts) -> Arc<Self> {
+        let table = Table::new(ZoneId::MAX, Distances::default(), rand::random());
         let gate = Self {
-            current,
-            limits,
+            parts,
             meter: Meter::open(),
             flight: Flight::default(),
-            suspects,
-            print_key,
-            table: ArcSwap::from_pointee(Table::new(0, Distances::default(), seed)),
-            zone: zone.to_owned(),
+            table: ArcSwap::from_pointee(table),
             leaving: ArcSwap::default(),
             links: ArcSwap::default(),
             desks: ArcSwap::default(),
-            clock: Arc::new(move || origin.elapsed()),
             rebuild: Mutex::default(),
         };
         gate.refresh();
@@ -174,7 +184,7 @@
     }
 
     /// Takes over the load that an endpoint reported on an answer.
-    pub fn note_load(&self, id: EndpointId, head: &Parts) {
+    pub fn note_load(&self, id: EndpointId, head: &http::response::Parts) {
         let Some(value) = head.headers.get(header::LOAD).and_then(|v| v.to_str().ok()) else {
             return;
         };
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -9,6 +9,7 @@
 //! a caller's key ([`header::for_endpoint`] is the only way to build its headers); a model stream
 //! ends cleanly only if it is whole ([`token`]).
 
+pub mod booking;
 pub mod caller;
 pub mod desk;
 pub mod dispatch;
--- a/crates/flow/src/serve.rs
+++ b/crates/flow/src/serve.rs
@@ -19,11 +19,14 @@
     bytes::{Bytes, BytesMut},
     http::{Request, Response, request::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     tokio::time::timeout,
     volo_http::body::Body,
 };
 
+/// Delay that a refusal for a stale configuration suggests.
+const STALE_PAUSE: Duration = Duration::from_secs(1);
+
 /// A request after its caller was identified and its body read.
 pub struct Job {
     /// Identifier in logs, headers and error bodies.
@@ -86,17 +89,27 @@
     let kind = entry.kind;
     let deadline = start + entry.deadline;
     let (caller, proof) = Caller::identify(&snapshot, entry, &head.headers, proof)?;
+    let proof = check_fresh(gate, &caller, proof)?;
     let (body, proof) = read_body(gate, body, proof).await?;
     let id = id.to_owned();
     let print = 0;
     let mut job = Job { id, snapshot, route, caller, head, body, start, deadline, print, guard };
-    job.print = suspect::fingerprint(&job, &gate.print_key);
+    job.print = suspect::fingerprint(&job, &gate.secret);
     match kind {
         RouteKind::Model => model::run(gate, job, proof).await,
         RouteKind::Service => service::run(gate, job, proof).await,
     }
 }
 
+/// Refuses keyed work while this instance may have missed the withdrawal of a key.
+fn check_fresh(gate: &Gate, caller: &Caller, proof: Untouched) -> Result<Untouched> {
+    if matches!(caller, Caller::Open) || (gate.fresh)() {
+        return Ok(proof);
+    }
+    let text = "this instance cannot tell whether its configuration is the newest";
+    Err(Refused::not_run(Refusal::ConfigStale, text, proof).retry_after(STALE_PAUSE))
+}
+
 fn find_route(snapshot: &Snapshot, head: &Parts, proof: Untouched) -> Result<(RouteId, Untouched)> {
     let path = head.uri.path();
     let Some((id, route)) = snapshot.find_route(path) else {
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        booking::{self, Claimed},
         dispatch::{Shape, Target, admit, blame, check_key, left, next_target, repeat},
         exchange::{self, Patience},
         gate::Gate,
@@ -14,7 +15,8 @@
         serve::Job,
         truth::{Grant, Repeatable, Untouched},
     },
-    agate_core::{EndpointId, PoolId, Refusal},
+    agate_core::{EndpointId, Outcome, PoolId, Refusal},
+    agate_once::Permit,
     agate_route::health::Kind,
     bytes::Bytes,
     http::{Request, Response, request::Parts},
@@ -32,12 +34,52 @@
 pub async fn run(gate: &Arc<Gate>, job: Job, proof: Untouched) -> Result<Response<Body>> {
     let pool = job.entry().pool.expect("a verified service route names its pool");
     let proof = authorise(&job, pool, proof)?;
-    let (head, body) = attempt(gate, &job, pool, proof).await?;
+    let (key, proof) = booking::find_key(&job, proof)?;
+    let Some(key) = key else {
+        let answer = attempt(gate, &job, pool, None, proof).await?;
+        return Ok(respond(gate, &job, answer));
+    };
+    // The call goes on if its caller leaves, so that the answer is there when it asks again.
+    let gate = gate.clone();
+    let task = tokio::spawn(async move { booked(&gate, &job, pool, &key, proof).await });
+    task.await.unwrap_or_else(|_| {
+        let text = "the call ended without a known outcome";
+        Err(Refused::unknown(Refusal::EndpointFailed, text))
+    })
+}
+
+/// Runs a call with a booking key: at most once, or answers what its one run answered.
+async fn booked(
+    gate: &Arc<Gate>,
+    job: &Job,
+    pool: PoolId,
+    key: &str,
+    proof: Untouched,
+) -> Result<Response<Body>> {
+    let (permit, proof) = match booking::claim(gate, job, key, proof).await? {
+        Claimed::Run(permit, proof) => (permit, proof),
+        Claimed::Answer(answer) => return Ok(answer),
+    };
+    match attempt(gate, job, pool, Some(&permit), proof).await {
+        Ok((head, body)) => {
+            booking::finish(permit, &head, &body);
+            Ok(respond(gate, job, (head, body)))
+        }
+        Err(refused) if refused.outcome() == Outcome::NotRun => {
+            permit.release_unrun();
+            Err(refused)
+        }
+        // Dropping the permit states that the outcome will never be known.
+        Err(refused) => Err(refused),
+    }
+}
+
+fn respond(gate: &Gate, job: &Job, (head, body): (http::response::Parts, Bytes)) -> Response<Body> {
     gate.meter.answers.inc();
     let mut out = Response::new(Body::from(body));
     *out.status_mut() = head.status;
     *out.headers_mut() = header::for_caller(&head.headers, &job.id);
-    Ok(out)
+    out
 }
 
 fn authorise(job: &Job, pool: PoolId, proof: Untouched) -> Result<Untouched> {
@@ -54,6 +96,7 @@
     gate: &Arc<Gate>,
     job: &Job,
     pool: PoolId,
+    permit: Option<&Permit>,
     proof: Untouched,
 ) -> Result<(http::response::Parts, Bytes)> {
     let shape = Shape { cost: 1, ..Shape::default() };
@@ -65,6 +108,7 @@
         grant = check_key(gate, job, grant)?;
         let (target, granted) = next_target(gate, job, pool, &shape, &tried, grant).await?;
         tried.push(target.id);
+        let granted = booking::check_permit(permit, granted)?;
         let left = left(gate, job);
         let failure = match once(gate, job, &target, granted, patience(job, left, silent)).await {
             Ok(whole) => {
