--- a/crates/load/tests/stand_ins.rs
+++ b/crates/load/tests/stand_ins.rs
@@ -91,3 +91,17 @@
     assert!(std::fs::read_to_string(&path).unwrap().contains("<svg"));
     std::fs::remove_file(&path).unwrap();
 }
+
+/// Requests that wait for their turn count their waiting: with one open at a time and a fixed time
+/// for each, the last of n cannot end before n times that, whatever the machine does.
+#[tokio::test]
+async fn honest_latency() {
+    let delay = Duration::from_millis(20);
+    let service = Service::bind(any(), "desk").await.unwrap();
+    service.set(|f| f.delay = delay);
+    let s = Settings { open: 1, ..settings(service.address(), &[Kind::Lookup]) };
+    let plan = s.time;
+    let report = run(s, |_| ()).await.unwrap();
+    let least = delay * report.total.sent as u32 - plan;
+    assert!(report.total.whole.max >= least.as_secs_f64() * 1e3, "{:?}", report.total.whole);
+}
