List index chunks in the configuration's head

The head listed every chunk, 15.5 KB at 6,500 organisations, and moved whole to each watcher at each change.

The head (version 2; others are refused) now lists index chunks, which list the chunks. A change moves a head of 1.6 KB, an index chunk of 2.2 KB and a chunk of 4.7 KB; the spread machine learns of chunks as index chunks arrive. Watchers are one for 16 members, not 32.

The difference of heads is removed with the test of its patch: nothing sent it, and with a short head it saves little. The test's other half, that chunks join to the section they came from, now covers the index. The test of an apply's calls counts 4 writes and one read more, since an index chunk is read and written.

--- a/crates/config/examples/scale.rs
+++ b/crates/config/examples/scale.rs
@@ -9,7 +9,7 @@
     agate_config::{
         Document, Section, apply,
         doc::Key,
-        head::Head,
+        index::Tree,
         load, parse,
         publish::{Edit, newest},
         section::split,
@@ -17,6 +17,7 @@
         verify,
     },
     agate_store::{Memory, Store, meter::Kind},
+    indexmap::IndexMap,
     std::{
         hint::black_box,
         time::{Duration, Instant},
@@ -88,7 +89,7 @@
     let start = Instant::now();
     let (head, _) = load(&store).await.expect("read").expect("present");
     let loading = start.elapsed().as_secs_f64() * 1e3;
-    let chunks: usize = head.chunks.values().map(Vec::len).sum();
+    let chunks: usize = Section::ALL.iter().map(|s| split(&doc, *s).len()).sum();
     println!(
         "| {count} | {} | {parsing:.1} | {verifying:.2} | {compiling:.2} | {applying:.1} | {chunks} | {:.1} | {loading:.1} | {} |",
         text.len() >> 10,
@@ -127,7 +128,8 @@
     apply(&store, &edit).await.expect("accepted");
     let took = start.elapsed().as_secs_f64() * 1e3;
     let (_, after) = newest(&store).await.expect("read").expect("present");
-    let (bytes, moved) = new_chunks(&before, &after, &changed);
+    let (bytes, moved) = new_chunks(&doc, &changed);
+    assert_eq!(after.generation, before.generation + 1);
     let done = memory.counts();
     println!(
         "| {count} | {took:.1} | {} | {} | {bytes} | {moved} | {} |",
@@ -137,10 +139,14 @@
     );
 }
 
-fn new_chunks(before: &Head, after: &Head, doc: &Document) -> (usize, usize) {
-    let old = before.section(Section::Organisations);
-    let fresh = split(doc, Section::Organisations);
-    let fresh = fresh.iter().filter(|c| !old.contains(&c.id));
-    assert_eq!(after.generation, before.generation + 1);
-    fresh.fold((0, 0), |(bytes, n), c| (bytes + c.bytes.len(), n + 1))
+/// Bytes and number of the chunks and index chunks that a change brings.
+fn new_chunks(before: &Document, after: &Document) -> (usize, usize) {
+    let records = |doc| {
+        let tree = Tree::new(doc, Section::Organisations);
+        let index = tree.index.into_iter().map(|c| (c.id, c.bytes));
+        index.chain(tree.leaves).collect::<IndexMap<_, _>>()
+    };
+    let (old, new) = (records(before), records(after));
+    let fresh = new.iter().filter(|(id, _)| !old.contains_key(*id));
+    fresh.fold((0, 0), |(bytes, n), (_, c)| (bytes + c.len(), n + 1))
 }
--- a/crates/config/src/follow.rs
+++ b/crates/config/src/follow.rs
@@ -10,13 +10,14 @@
         doc::Document,
         freshness::{PROOF_BOUND, Standing},
         head::{HEAD_KEY, Head, check_chunk, chunk_key},
+        index,
         section::ChunkId,
         spread::{Action, Found, Input, Peer, Settings, Source, State},
     },
     agate_core::{Generation, Mono},
     agate_store::{Purpose, Revision, Store},
     futures_util::future::BoxFuture,
-    indexmap::{IndexMap, IndexSet},
+    indexmap::IndexMap,
     std::{
         sync::{
             Arc, Mutex, MutexGuard,
@@ -83,6 +84,20 @@
     chunks: IndexMap<ChunkId, Arc<Vec<u8>>>,
 }
 
+impl Held {
+    fn chunk(&self, id: &str) -> Option<&[u8]> {
+        self.chunks.get(id).map(|c| c.as_slice())
+    }
+
+    /// Holds a chunk; returns those that it lists and that are not held.
+    fn add(&mut self, id: &str, bytes: Vec<u8>) -> Vec<ChunkId> {
+        let mut ids = index::listed(&bytes).unwrap_or_default();
+        self.chunks.insert(id.into(), Arc::new(bytes));
+        ids.retain(|id| !self.chunks.contains_key(id));
+        ids
+    }
+}
+
 /// Starts to follow the configuration; `install` puts one in force, and refuses one that is older
 /// than the present one, since two may be put in force at the same time.
 ///
@@ -291,7 +306,7 @@
 
     fn found(&self, head: Head) -> Found {
         let mut held = self.lock();
-        let missing = head.missing(|id| held.chunks.contains_key(id));
+        let missing = head.missing(|id| held.chunk(id));
         let generation = head.generation;
         held.heads.insert(generation, head);
         if held.heads.len() > MAX_HEADS {
@@ -320,8 +335,8 @@
         let checked = got.map(|bytes| check_chunk(&id, &bytes).map(|()| bytes));
         let input = match checked {
             Some(Ok(bytes)) => {
-                self.lock().chunks.insert(id.clone(), Arc::new(bytes));
-                Input::Chunk(id)
+                let missing = self.lock().add(&id, bytes);
+                Input::Chunk { id, missing }
             }
             Some(Err(e)) => {
                 self.refuse(&e);
@@ -336,9 +351,9 @@
         let mut held = self.lock();
         let Some(head) = held.heads.swap_remove(&generation) else { return };
         held.heads.retain(|g, _| *g > generation);
-        let doc = head.assemble(|id| held.chunks.get(id).map(|c| c.as_slice()));
+        let doc = head.assemble(|id| held.chunk(id));
         if held.heads.is_empty() {
-            let needed: IndexSet<&ChunkId> = head.chunks.values().flatten().collect();
+            let needed = head.listed(|id| held.chunk(id));
             held.chunks.retain(|id, _| needed.contains(id));
         }
         held.head = Some(Arc::new(head.clone()));
--- a/crates/config/src/head.rs
+++ b/crates/config/src/head.rs
@@ -1,21 +1,22 @@
 //! The one record that names the configuration in force.
 //!
-//! The head lists the chunks of every section, so replacing it by compare-and-swap puts a whole
+//! The head lists the index chunks of every section, and these list its chunks, so replacing it by compare-and-swap puts a whole
 //! document in force at once and gives all changes one order. Each head names its parent, an
 //! immutable copy under [`history_key`].
 
 use {
     crate::{
         doc::{Document, SCHEMA},
+        index,
         section::{self, ChunkId, Section},
     },
     agate_core::{Generation, Wall},
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
 };
 
 /// Version of the head record that this build reads and writes.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// Key of the head.
 pub const HEAD_KEY: &str = "config/head";
 
@@ -36,8 +37,8 @@
     pub version: u32,
     /// Number of the configuration.
     pub generation: Generation,
-    /// Chunks of each section, in order.
-    pub chunks: IndexMap<Section, Vec<ChunkId>>,
+    /// Index chunks of each section, in order.
+    pub index: IndexMap<Section, Vec<ChunkId>>,
     /// Who applied it.
     pub author: String,
     /// Key of the head that it replaced.
@@ -107,14 +108,33 @@
         serde_json::to_vec(self).expect("a head has only string keys")
     }
 
-    /// Chunks of one section.
+    /// Index chunks of one section.
     pub fn section(&self, section: Section) -> &[ChunkId] {
-        self.chunks.get(&section).map(Vec::as_slice).unwrap_or_default()
+        self.index.get(&section).map(Vec::as_slice).unwrap_or_default()
     }
 
-    /// Chunks of all sections that `have` does not hold.
-    pub fn missing(&self, have: impl Fn(&str) -> bool) -> Vec<ChunkId> {
-        self.chunks.values().flatten().filter(|id| !have(id)).cloned().collect()
+    /// Chunks that are known to belong to the head and that `get` lacks: index chunks, and chunks
+    /// that the index chunks at hand list. Nothing is missing once this is empty.
+    pub fn missing<'a>(&self, get: impl Fn(&str) -> Option<&'a [u8]>) -> Vec<ChunkId> {
+        let mut out = IndexSet::new();
+        for id in self.index.values().flatten() {
+            let Some(bytes) = get(id) else {
+                out.insert(id.clone());
+                continue;
+            };
+            // One that is no index chunk is refused when the document is put together.
+            let ids = index::listed(bytes).unwrap_or_default();
+            out.extend(ids.into_iter().filter(|id| get(id).is_none()));
+        }
+        out.into_iter().collect()
+    }
+
+    /// Chunks of the head, as far as its index chunks are at hand.
+    pub fn listed<'a>(&self, get: impl Fn(&str) -> Option<&'a [u8]>) -> IndexSet<ChunkId> {
+        let ids = self.index.values().flatten();
+        let lists = ids.clone().filter_map(|id| index::listed(get(id)?));
+        let leaves: Vec<ChunkId> = lists.flatten().collect();
+        ids.cloned().chain(leaves).collect()
     }
 
     /// Puts the document together from its chunks; `get` returns the bytes of one.
@@ -123,18 +143,28 @@
         get: impl Fn(&str) -> Option<&'a [u8]>,
     ) -> Result<Document, BadRecord> {
         let mut doc = Document { schema: SCHEMA, ..Document::default() };
-        for (section, ids) in &self.chunks {
-            for id in ids {
-                let key = chunk_key(id);
-                let Some(bytes) = get(id) else { return Err(BadRecord::Absent { key }) };
-                check_chunk(id, bytes)?;
-                section::join(&mut doc, *section, bytes).map_err(|e| BadRecord::corrupt(key, e))?;
+        for (section, roots) in &self.index {
+            for root in roots {
+                let bytes = checked(root, &get)?;
+                let Some(ids) = index::listed(bytes) else {
+                    return Err(BadRecord::corrupt(chunk_key(root), "it is no index chunk"));
+                };
+                for id in ids {
+                    let joined = section::join(&mut doc, *section, checked(&id, &get)?);
+                    joined.map_err(|e| BadRecord::corrupt(chunk_key(&id), e))?;
+                }
             }
         }
         Ok(doc)
     }
 }
 
+fn checked<'a>(id: &str, get: impl Fn(&str) -> Option<&'a [u8]>) -> Result<&'a [u8], BadRecord> {
+    let Some(bytes) = get(id) else { return Err(BadRecord::Absent { key: chunk_key(id) }) };
+    check_chunk(id, bytes)?;
+    Ok(bytes)
+}
+
 /// Refuses bytes that are not those of the chunk `id`.
 pub fn check_chunk(id: &str, bytes: &[u8]) -> Result<(), BadRecord> {
     if section::chunk_id(bytes) == id {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,16 +7,16 @@
 //! other.
 //!
 //! In the store the document is a set of content-addressed chunks ([`section`]) under one [`head`]
-//! that is replaced by compare-and-swap ([`publish`]). [`spread`] decides how each instance learns
-//! a new head and [`follow`] carries that out, [`mod@delta`] keeps the messages of that small, and
+//! that is replaced by compare-and-swap ([`publish`]); [`index`] chunks between them keep the head
+//! short. [`spread`] decides how each instance learns a new head and [`follow`] carries that out, and
 //! [`freshness`] says whether the configuration in force may still decide on keyed work.
 
-pub mod delta;
 pub mod doc;
 pub mod follow;
 pub mod freshness;
 pub mod hash;
 pub mod head;
+pub mod index;
 pub mod parse;
 pub mod place;
 pub mod publish;
--- a/crates/config/src/publish/apply.rs
+++ b/crates/config/src/publish/apply.rs
@@ -8,12 +8,13 @@
     crate::{
         doc::{Document, SCHEMA},
         head::{HEAD_KEY, Head, VERSION, chunk_key, history_key},
-        section::{self, ChunkId, Section},
+        index::{Tree, listed},
+        section::{ChunkId, Section},
         verify::verify,
     },
     agate_core::{Generation, Wall},
     agate_store::{Purpose, Revision, Store, port},
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
 };
 
 /// Most times that an apply starts over because other changes came first.
@@ -75,18 +76,19 @@
 struct Run<'a> {
     store: &'a Store,
     edit: &'a Edit,
-    /// New chunks of the edited sections.
-    fresh: IndexMap<Section, Vec<section::Chunk>>,
+    /// Records of the edited sections.
+    fresh: IndexMap<Section, Tree>,
     /// Head that the author started from; its edited sections must still be in force.
     base: Option<Option<Head>>,
     /// Lost answer of a compare-and-swap of the head.
     lost: Option<port::Error>,
+    /// Chunks read so far.
     chunks: Chunks,
 }
 
 impl<'a> Run<'a> {
     async fn start(store: &'a Store, edit: &'a Edit) -> Result<Run<'a>> {
-        let fresh = edit.sections.iter().map(|s| (*s, section::split(&edit.doc, *s))).collect();
+        let fresh = edit.sections.iter().map(|s| (*s, Tree::new(&edit.doc, *s))).collect();
         let base = match edit.base {
             None => None,
             Some(0) => Some(None),
@@ -139,7 +141,7 @@
     async fn prepare(&mut self, head: Option<&Head>) -> Result<Option<Head>> {
         self.check_race(head).await?;
         let next = self.follow(head);
-        if head.is_some_and(|h| h.chunks == next.chunks) {
+        if head.is_some_and(|h| h.index == next.index) {
             return Ok(None);
         }
         let mut doc = match head {
@@ -156,7 +158,7 @@
     /// Reads the sections that are not edited.
     async fn others(&mut self, head: &Head) -> Result<Document> {
         let mut rest = head.clone();
-        rest.chunks.retain(|section, _| !self.edit.sections.contains(section));
+        rest.index.retain(|section, _| !self.edit.sections.contains(section));
         read::document(self.store, &rest, &mut self.chunks).await
     }
 
@@ -177,17 +179,14 @@
     }
 
     fn follow(&self, head: Option<&Head>) -> Head {
-        let mut chunks = head.map(|h| h.chunks.clone()).unwrap_or_default();
-        for (section, list) in &self.fresh {
-            let ids: Vec<ChunkId> = list.iter().map(|c| c.id.clone()).collect();
-            chunks.insert(*section, ids);
-        }
-        chunks.retain(|_, ids| !ids.is_empty());
-        chunks.sort_unstable_keys();
+        let mut index = head.map(|h| h.index.clone()).unwrap_or_default();
+        index.extend(self.fresh.iter().map(|(section, tree)| (*section, tree.ids())));
+        index.retain(|_, ids| !ids.is_empty());
+        index.sort_unstable_keys();
         Head {
             version: VERSION,
             generation: head.map_or(0, |h| h.generation) + 1,
-            chunks,
+            index,
             author: self.edit.author.clone(),
             parent: head.map(|h| history_key(h.generation)),
             token: self.edit.token.clone(),
@@ -199,16 +198,9 @@
     /// Writes chunks, the copy of the head and last the head; false if another change came first
     /// or the answer was lost.
     async fn commit(&mut self, head: Option<&(Revision, Head)>, next: &Head) -> Result<bool> {
-        let held = |section| head.map(|(_, h)| h.section(section)).unwrap_or_default();
-        for (section, list) in &self.fresh {
-            for chunk in list {
-                // Chunks of the head are present, and those that were written here before too.
-                if held(*section).contains(&chunk.id) || self.chunks.contains_key(&chunk.id) {
-                    continue;
-                }
-                write_once(self.store, chunk_key(&chunk.id), &chunk.bytes).await?;
-                self.chunks.insert(chunk.id.clone(), chunk.bytes.clone());
-            }
+        for (section, tree) in &self.fresh {
+            let old = head.map(|(_, h)| h.section(*section)).unwrap_or_default();
+            write_tree(self.store, tree, old).await?;
         }
         if let Some((_, h)) = head {
             write_once(self.store, history_key(h.generation), &h.encode()).await?;
@@ -227,6 +219,24 @@
     }
 }
 
+/// Writes the records that a section whose index chunks are `old` lacks.
+async fn write_tree(store: &Store, tree: &Tree, old: &[ChunkId]) -> Result<()> {
+    // Chunks of the head are present, so index chunks that stay need nothing.
+    let (kept, fresh): (Vec<_>, Vec<_>) = tree.index.iter().partition(|c| old.contains(&c.id));
+    let mut held = IndexSet::new();
+    for id in old.iter().filter(|id| !kept.iter().any(|c| c.id == **id)) {
+        held.extend(listed(&read::chunk(store, id).await?).unwrap_or_default());
+    }
+    for chunk in fresh {
+        let ids = listed(&chunk.bytes).expect("an index chunk made here");
+        for id in ids.iter().filter(|id| !held.contains(*id)) {
+            write_once(store, chunk_key(id), &tree.leaves[id]).await?;
+        }
+        write_once(store, chunk_key(&chunk.id), &chunk.bytes).await?;
+    }
+    Ok(())
+}
+
 /// Returns the newest head, from `head` backwards, that changed `section`.
 async fn changer(store: &Store, head: &Head, section: Section) -> Result<Head> {
     let mut newer = head.clone();
--- a/crates/config/src/publish/read.rs
+++ b/crates/config/src/publish/read.rs
@@ -41,12 +41,24 @@
 
 /// Reads the chunks of `head` that `chunks` lacks and puts the document together.
 pub(super) async fn document(store: &Store, head: &Head, chunks: &mut Chunks) -> Result<Document> {
-    for id in head.missing(|id| chunks.contains_key(id)) {
-        let key = chunk_key(&id);
-        let record = store.get(Purpose::Config, key.clone()).await?;
-        let bytes = record.ok_or(BadRecord::Absent { key })?.value;
-        check_chunk(&id, &bytes)?;
-        chunks.insert(id, bytes);
+    loop {
+        let missing = head.missing(|id| chunks.get(id).map(Vec::as_slice));
+        if missing.is_empty() {
+            break;
+        }
+        for id in missing {
+            let bytes = chunk(store, &id).await?;
+            chunks.insert(id, bytes);
+        }
     }
     Ok(head.assemble(|id| chunks.get(id).map(Vec::as_slice))?)
 }
+
+/// Reads one chunk.
+pub(super) async fn chunk(store: &Store, id: &str) -> Result<Vec<u8>> {
+    let key = chunk_key(id);
+    let record = store.get(Purpose::Config, key.clone()).await?;
+    let bytes = record.ok_or(BadRecord::Absent { key })?.value;
+    check_chunk(id, &bytes)?;
+    Ok(bytes)
+}
--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -14,11 +14,11 @@
 /// Largest chunk, in bytes.
 pub const MAX_CHUNK: usize = 256 << 10;
 /// Fewest entries in a chunk that is not the last of its section.
-pub const MIN_ENTRIES: usize = 16;
+pub const MIN_ENTRIES: usize = 8;
 /// Most entries in a chunk.
-pub const MAX_ENTRIES: usize = 48;
+pub const MAX_ENTRIES: usize = 24;
 /// One name in so many ends a chunk.
-pub const CUT_RATE: u32 = 16;
+pub const CUT_RATE: u32 = 8;
 
 /// Hexadecimal BLAKE3 digest of a chunk.
 pub type ChunkId = String;
--- a/crates/config/src/spread/fetch.rs
+++ b/crates/config/src/spread/fetch.rs
@@ -42,11 +42,15 @@
         }
     }
 
-    /// Strikes a chunk off; a source that makes progress is given more time.
-    pub fn arrived(&mut self, id: &str, now: Mono) {
-        if self.missing.as_mut().is_some_and(|m| m.swap_remove(id)) {
-            self.since = now;
+    /// Strikes a chunk off and takes in those that it lists, which are returned unless they are
+    /// known already; a source that makes progress is given more time.
+    pub fn arrived(&mut self, id: &str, listed: Vec<ChunkId>, now: Mono) -> Vec<ChunkId> {
+        let Some(missing) = &mut self.missing else { return Vec::new() };
+        if !missing.swap_remove(id) {
+            return Vec::new();
         }
+        self.since = now;
+        listed.into_iter().filter(|id| missing.insert(id.clone())).collect()
     }
 
     /// Moves to another source after the present one failed.
--- a/crates/config/src/spread/mod.rs
+++ b/crates/config/src/spread/mod.rs
@@ -72,7 +72,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            share: 32,
+            share: 16,
             min_watchers: 2,
             wait: Duration::from_secs(1),
             ask: Duration::from_secs(1),
@@ -102,7 +102,7 @@
 pub struct Found {
     /// Its generation; zero if the store holds no head.
     pub generation: Generation,
-    /// Chunks that this instance lacks.
+    /// Chunks that this instance lacks, as far as they are known.
     pub missing: Vec<ChunkId>,
 }
 
@@ -141,7 +141,12 @@
         found: Found,
     },
     /// A chunk arrived and is held.
-    Chunk(ChunkId),
+    Chunk {
+        /// The chunk.
+        id: ChunkId,
+        /// Chunks that it lists and that this instance lacks.
+        missing: Vec<ChunkId>,
+    },
     /// A fetch of a head or of a chunk failed.
     FetchFailed(Source),
     /// The time of [`State::due`] has come.
--- a/crates/config/src/spread/step.rs
+++ b/crates/config/src/spread/step.rs
@@ -23,9 +23,10 @@
         Input::Unchanged => unchanged(s, now, out),
         Input::StoreFailed => store_failed(s, now),
         Input::PeerHead { peer, found } => peer_head(s, peer, found, now, out),
-        Input::Chunk(id) => {
+        Input::Chunk { id, missing } => {
             if let Some(fetch) = &mut s.fetch {
-                fetch.arrived(&id, now);
+                let asked = fetch.arrived(&id, missing, now).into_iter();
+                out.extend(asked.map(|id| Action::FetchChunk(id, fetch.source.clone())));
             }
             finish(s, now, out);
         }
