--- a/crates/once/src/writer.rs
+++ b/crates/once/src/writer.rs
@@ -17,7 +17,7 @@
         tally::{Tally, count},
     },
     agate_core::Wall,
-    agate_store::{Error, Purpose, Store},
+    agate_store::{Call, Error, Purpose, Reply, Store},
     std::{collections::VecDeque, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, oneshot},
@@ -68,6 +68,7 @@
     view: Option<View>,
     owed: VecDeque<Op>,
     orphans: Vec<String>,
+    swept: bool,
     sealed: u64,
     started: Option<Instant>,
 }
@@ -89,6 +90,7 @@
             view: None,
             owed: VecDeque::new(),
             orphans: Vec::new(),
+            swept: false,
             sealed: 0,
             started: None,
         }
@@ -179,6 +181,7 @@
         fresh: &mut bool,
     ) -> Result<Option<Vec<Verdict>>, Error> {
         if self.view.is_none() {
+            self.sweep().await?;
             let mut view = View::default();
             view.refresh(&self.store, self.shard).await?;
             self.view = Some(view);
@@ -252,6 +255,23 @@
         }
     }
 
+    /// Looks once for segments that a writer left behind. Those that the head does not name are
+    /// deleted after this writer's next head: a writer that was about to name one had read an
+    /// earlier head, so its own write fails from then on.
+    async fn sweep(&mut self) -> Result<(), Error> {
+        if self.swept {
+            return Ok(());
+        }
+        let prefix = shard::segment_key(self.shard, "");
+        let call = Call::List { prefix: prefix.clone() };
+        if let Reply::Keys(keys) = self.store.call(Purpose::Claim, call).await? {
+            let names = keys.iter().filter_map(|k| k.strip_prefix(&prefix));
+            self.orphans.extend(names.map(str::to_owned));
+        }
+        self.swept = true;
+        Ok(())
+    }
+
     /// Deletes segments that no head names any more. Called right after a head was written, which
     /// makes it impossible for an earlier write of unknown result to name one of them.
     fn discard(&mut self, mut names: Vec<String>) {
@@ -310,7 +330,7 @@
 
 async fn delete(store: &Store, key: String) {
     let Ok(Some(record)) = store.get(Purpose::Claim, key.clone()).await else { return };
-    let call = agate_store::Call::Swap { key, expect: record.revision, value: None, lease: None };
+    let call = Call::Swap { key, expect: record.revision, value: None, lease: None };
     if let Err(e) = store.call(Purpose::Claim, call).await {
         log::debug!("an unused segment stays: {e}");
     }
--- a/crates/once/tests/claim_cases.rs
+++ b/crates/once/tests/claim_cases.rs
@@ -4,7 +4,7 @@
 
 use {
     agate_once::{Claim, Once, Settings, Verdict},
-    agate_store::memory::Faults,
+    agate_store::{Purpose, memory::Faults},
     common::{claim, label, memory, settings, spawn, win},
     futures_util::{FutureExt, future::join},
     rstest::rstest,
@@ -171,6 +171,28 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn left_segment() {
+    let m = memory();
+    let store = m.store();
+    store.swap(Purpose::Claim, "claim/0/left-1", 0, vec![1]).await.unwrap().unwrap();
+    let mut s = settings(1);
+    s.limits.head = 500;
+    let a = Once::spawn(store.clone(), s);
+    for i in 0..20u8 {
+        let Ok(Claim::Won(p)) = a.claim("org", &i.to_string(), [i; 32]).await else { panic!() };
+        p.finish(200, vec![], vec![i; 100]);
+    }
+    assert!(a.drain().await);
+    let b = spawn(&m, 2);
+    assert_eq!(label(&claim(&b, 1).await), "won");
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(store.get(Purpose::Claim, "claim/0/left-1").await.unwrap(), None);
+    for i in 0..20u8 {
+        assert_eq!(label(&b.claim("org", &i.to_string(), [i; 32]).await), "replay");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn large_answer() {
     let m = memory();
