--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -15,11 +15,13 @@
 mod piece;
 mod plan;
 mod record;
+mod settings;
 
 pub use {
     change::{Change, Phase},
     forecast::{Demand, Forecast},
-    piece::{Action, Engine, Grant, Input, Outcome, Piece, Reading, Role, Settings, Verb, step},
+    piece::{Action, Engine, Grant, Input, Outcome, Piece, Reading, Role, Verb, step},
     plan::{Split, choose_split, served_share},
     record::{MAX_CHANGES, MAX_RECORD, RecordError, Saved, decode, encode},
+    settings::Settings,
 };
