Delete old generations of the configuration

Chunks and archived heads were never deleted, so the store grew with each change. A chunk is deleted only in a later pass than the one that marked it, after the head was replaced in between, and only at the revision marked; an apply rewrites every chunk that its head does not list. So an apply that pauses anywhere loses nothing, without clocks.

A search for an apply's token that meets a deleted head is refused instead of applying again.

--- a/crates/config/src/publish/apply.rs
+++ b/crates/config/src/publish/apply.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Error, Result,
+        collect::{EVERY, KEPT, collect},
         read::{self, Chunks, archived, newest},
     },
     crate::{
@@ -49,7 +50,21 @@
 }
 
 /// Applies a change. A repeat with the same token and base does not apply it twice.
+///
+/// Generations older than [`KEPT`] and their chunks are deleted by some of the applies.
 pub async fn apply(store: &Store, edit: &Edit) -> Result<Applied> {
+    let done = replace(store, edit).await?;
+    if done.changed && done.generation.is_multiple_of(EVERY) {
+        // The change is in force all the same; a later pass makes up for this one.
+        match collect(store, KEPT).await {
+            Ok(count) => log::debug!("deleted {count} records of old configurations"),
+            Err(e) => log::warn!("deleting old configurations: {e}"),
+        }
+    }
+    Ok(done)
+}
+
+async fn replace(store: &Store, edit: &Edit) -> Result<Applied> {
     let mut run = Run::start(store, edit).await?;
     for _ in 0..MAX_TRIES {
         if let Some(done) = run.attempt().await.map_err(|e| run.blame(e))? {
@@ -129,8 +144,9 @@
         let Some(base) = &self.base else { return Ok(None) };
         let first = base.as_ref().map_or(0, |h| h.generation) + 1;
         for generation in (first..head.generation).rev() {
+            // One that was deleted meanwhile may be the one that holds the token.
             let past = archived(self.store, generation).await?;
-            if past.is_some_and(|h| h.token == self.edit.token) {
+            if past.ok_or(Error::NoGeneration(generation))?.token == self.edit.token {
                 return Ok(Some(generation));
             }
         }
@@ -203,7 +219,7 @@
             write_tree(self.store, tree, old).await?;
         }
         if let Some((_, h)) = head {
-            write_once(self.store, history_key(h.generation), &h.encode()).await?;
+            rewrite(self.store, history_key(h.generation), &h.encode()).await?;
         }
         let expect = head.map_or(0, |(r, _)| *r);
         let done = self.store.swap(Purpose::Config, HEAD_KEY, expect, next.encode()).await;
@@ -230,9 +246,9 @@
     for chunk in fresh {
         let ids = listed(&chunk.bytes).expect("an index chunk made here");
         for id in ids.iter().filter(|id| !held.contains(*id)) {
-            write_once(store, chunk_key(id), &tree.leaves[id]).await?;
+            rewrite(store, chunk_key(id), &tree.leaves[id]).await?;
         }
-        write_once(store, chunk_key(&chunk.id), &chunk.bytes).await?;
+        rewrite(store, chunk_key(&chunk.id), &chunk.bytes).await?;
     }
     Ok(())
 }
@@ -256,13 +272,12 @@
     }
 }
 
-/// Creates an immutable record; one that is present is overwritten only if it is damaged.
-async fn write_once(store: &Store, key: String, bytes: &[u8]) -> Result<()> {
+/// Writes an immutable record, also if it is present: its new revision keeps it from deletion.
+async fn rewrite(store: &Store, key: String, bytes: &[u8]) -> Result<()> {
     let mut expect = 0;
     loop {
         match store.swap(Purpose::Config, key.clone(), expect, bytes.to_vec()).await {
             Ok(Ok(_)) => return Ok(()),
-            Ok(Err(Some(present))) if present.value == bytes => return Ok(()),
             Ok(Err(present)) => expect = present.map_or(0, |r| r.revision),
             Err(e) => return Err(e.into()),
         }
--- a/crates/config/src/publish/mod.rs
+++ b/crates/config/src/publish/mod.rs
@@ -6,13 +6,17 @@
 //! taken in and verified again; a change to the same section refuses the apply. Each apply carries
 //! a unique token, so a lost answer is resolved by reading the head and its history.
 //!
+//! Every so often an apply deletes what the heads that are kept do not refer to ([`mod@collect`]).
+//!
 //! Nothing here repeats a call for its own sake: the store's client is the one retry layer.
 
 mod apply;
+pub mod collect;
 mod read;
 
 pub use {
     apply::{Applied, Edit, apply, revert},
+    collect::collect,
     read::{archived, load, newest},
 };
 
--- a/crates/config/tests/support/faults.rs
+++ b/crates/config/tests/support/faults.rs
@@ -1,5 +1,7 @@
 //! Stores with faults at the replacement of the head.
 
+#![allow(dead_code, reason = "each test file uses its own part of the support")]
+
 use {
     agate_config::head::HEAD_KEY,
     agate_store::{Call, Error, Store},
