Name lines, bases and tokens in the config commands

`config check` listed faults without lines, an apply could not name the generation that its file was made from, and one whose outcome stayed unknown could not be repeated safely.

`config check` names lines.

Run as processes against a platform on loopback: lines, a stale base, and a repeat after another change. The printing after a lost answer is not covered by a test.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -13,7 +13,8 @@
   1  the command failed
   2  the command line is wrong
   3  a file or document is invalid
-  4  another author changed the same section first";
+  4  another author changed the same section first
+  5  the change may or may not be in force; apply it again with its token";
 
 /// Serving system for model and application traffic on a limited fleet.
 #[derive(Debug, Parser)]
@@ -159,6 +160,12 @@
         /// Who makes the change.
         #[arg(long, env = "USER", default_value = "operator")]
         author: String,
+        /// Generation that the document was made from; the newest one if absent.
+        #[arg(long, value_name = "GENERATION")]
+        base: Option<u64>,
+        /// Token of an earlier apply whose outcome is unknown, to settle it; needs its base.
+        #[arg(long, requires = "base")]
+        token: Option<String>,
         /// Form of the output.
         #[arg(long, value_enum, default_value_t)]
         output: Output,
--- a/crates/cli/src/configs.rs
+++ b/crates/cli/src/configs.rs
@@ -11,7 +11,7 @@
         publish::{self, Edit},
         section::Section,
     },
-    agate_core::Wall,
+    agate_core::{Generation, Wall},
     agate_store::Store,
     eyre::{Result, WrapErr, eyre},
     indexmap::IndexMap,
@@ -30,13 +30,16 @@
 /// Exit code for a change that another author overtook.
 pub const OVERTAKEN: u8 = 4;
 
+/// Exit code for a change that may or may not be in force.
+pub const UNRESOLVED: u8 = 5;
+
 /// Carries out one command; the result is the exit code.
 pub async fn run(action: Config) -> Result<ExitCode> {
     match action {
         Config::Check { file, output } => check(&file, output),
         Config::Diff { file, platform } => diff(&file, platform).await,
-        Config::Apply { file, platform, author, output } => {
-            apply(&file, platform, &author, output).await
+        Config::Apply { file, platform, author, base, token, output } => {
+            apply(&file, platform, &author, (base, token), output).await
         }
         Config::Show { platform, output } => show(platform, output).await,
         Config::History { platform, limit, output } => history(platform, limit, output).await,
@@ -47,10 +50,7 @@
 }
 
 fn check(file: &Path, output: Output) -> Result<ExitCode> {
-    let problems = match read(file)? {
-        Ok(document) => agate_config::verify(&document),
-        Err(problems) => problems,
-    };
+    let problems = agate_config::check(&text(file)?).err().unwrap_or_default();
     match output {
         Output::Json => {
             let list = problems.iter().map(|p| json!({"place": p.place, "message": p.message}));
@@ -66,8 +66,11 @@
 }
 
 fn read(file: &Path) -> Result<std::result::Result<Document, Vec<Problem>>> {
-    let text = fs::read_to_string(file).wrap_err_with(|| format!("reading {}", file.display()))?;
-    Ok(agate_config::parse(&text))
+    Ok(agate_config::parse(&text(file)?))
+}
+
+fn text(file: &Path) -> Result<String> {
+    fs::read_to_string(file).wrap_err_with(|| format!("reading {}", file.display()))
 }
 
 fn print_problems(file: &Path, problems: &[Problem]) {
@@ -97,9 +100,10 @@
     file: &Path,
     platform: SocketAddr,
     author: &str,
+    (base, token): (Option<Generation>, Option<String>),
     output: Output,
 ) -> Result<ExitCode> {
-    let text = fs::read_to_string(file).wrap_err_with(|| format!("reading {}", file.display()))?;
+    let text = text(file)?;
     let doc = match agate_config::parse(&text) {
         Ok(doc) => doc,
         Err(problems) => {
@@ -108,7 +112,14 @@
         }
     };
     let store = agate_platform::store::open(platform);
-    let edit = edit(author, doc, named_sections(&text)?);
+    let mut edit = edit(author, doc, named_sections(&text)?);
+    edit.token = token.unwrap_or(edit.token);
+    // A repeat must name the generation that the first try started from, so it is settled here.
+    let base = match base {
+        Some(base) => base,
+        None => publish::newest(&store).await?.map_or(0, |(_, head)| head.generation),
+    };
+    edit.base = Some(base);
     match publish::apply(&store, &edit).await {
         Ok(applied) => {
             match output {
@@ -133,6 +144,10 @@
             eprintln!("{e}");
             Ok(ExitCode::from(OVERTAKEN))
         }
+        Err(e @ publish::Error::Unresolved(_)) => {
+            eprintln!("{e}\napply again with --base {base} --token {}", edit.token);
+            Ok(ExitCode::from(UNRESOLVED))
+        }
         Err(e) => Err(eyre!(e)),
     }
 }
