Add the adapter of the platform's usage interface

Sealed usage windows had no way to the platform. The adapter sends one report and tells a refusal for other figures, which is final, from a failure or lost answer, after which the same sealed record may be sent again.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod http;
 pub mod instances;
 pub mod store;
+pub mod usage;
