Count, copy, seal and report usage on running instances

Cause: counters, sealer and lease existed, but no running instance counted anything, and nothing was reported.

Change: a model request is counted once when it ends in any way, with the tokens read from engines; the prompt only if the engine stated its length, so figures never exceed what ran. A service call is counted once it was answered whole. Requests hand their work to an unbounded channel and never wait. Few candidates stand for each shard's lease; the holder asks all live members, seals and reports. A graceful stop hands everything to peers, or leaves it in the store if there is none, and frees its leases. Copies of silent instances are handed on.

Conclusion: a stop loses nothing; a crash loses at most what no peer had taken in, and never reports above what ran.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -4,7 +4,7 @@
     crate::{
         configs::edit,
         instance::Instance,
-        settings::{Bounds, Log, Peers, Settings, Stop},
+        settings::{Bounds, Log, Peers, Settings, Stop, Usage},
     },
     agate_config::{Document, doc::PoolKind, publish, section::Section},
     agate_standin::{Engine, EngineSettings, Platform, Service, platform::Instance as Listed},
@@ -27,6 +27,9 @@
 /// Time for which a stopping instance still takes new requests.
 const GRACE: Duration = Duration::from_millis(100);
 
+/// Length of a usage window in the demo.
+const WINDOW: Duration = Duration::from_secs(10);
+
 /// Everything that the demo runs.
 pub struct Demo {
     /// The instances.
@@ -46,10 +49,22 @@
     /// Starts the stand-ins that `document` calls for, applies it, and starts `count` instances from
     /// `listen` upwards (port zero for any) with `bounds` on requests.
     pub async fn spawn(
+        document: Document,
+        listen: SocketAddr,
+        count: u16,
+        bounds: Bounds,
+    ) -> Result<Self> {
+        let usage = Usage { window: WINDOW, ..Usage::default() };
+        Self::spawn_metered(document, listen, count, bounds, usage).await
+    }
+
+    /// As [`Demo::spawn`], with settings of usage windows.
+    pub async fn spawn_metered(
         mut document: Document,
         listen: SocketAddr,
         count: u16,
         bounds: Bounds,
+        usage: Usage,
     ) -> Result<Self> {
         let platform = Platform::bind(loopback()).await?;
         let (mut engines, mut services) = (Vec::new(), Vec::new());
@@ -88,6 +103,7 @@
                 peers: Some(Peers { listen: loopback(), secrets: vec![secret.0.clone()] }),
                 limits: bounds.clone(),
                 stop: Stop { grace: GRACE },
+                usage: usage.clone(),
                 log: Log::default(),
             };
             instances.push(Instance::spawn(&settings, store.clone()).await?);
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -5,6 +5,7 @@
         mesh::Mesh,
         operator::{Operator, View},
         settings::{self, Settings},
+        usage::Usage,
     },
     agate_config::{
         Document, follow,
@@ -57,6 +58,8 @@
     pub gate: Arc<Gate>,
     /// Its connection to the other instances.
     pub mesh: Arc<Mesh>,
+    /// Its usage counters.
+    pub usage: Arc<Usage>,
     front: Front,
     operator: Operator,
     stop: Stop,
@@ -69,6 +72,7 @@
 struct Stop {
     view: Arc<View>,
     mesh: Arc<Mesh>,
+    usage: Arc<Usage>,
     grace: Duration,
     started: Arc<AtomicBool>,
     ended: CancellationToken,
@@ -92,6 +96,7 @@
             }
             _ => None,
         };
+        let usage = Usage::open(settings, mesh.clone());
         let parts = Parts {
             current: Arc::new(Current::new(Snapshot::compile(
                 &Document::default(),
@@ -104,16 +109,18 @@
             secret: keys.map_or([0; 32], |k| k.print),
             once: Once::spawn(store.clone(), Claims::new(rand::random())),
             fresh: fresh(&mesh),
+            count: usage.counting(),
             clock,
         };
         let gate = Gate::open(parts);
+        usage.start(&store, &gate.meter.registry);
         let installed = follow_config(settings, store, &mesh, &gate);
         let mut tasks = vec![
             tokio::spawn(follow_members(settings.name.as_str().into(), mesh.clone())),
             tokio::spawn(follow_list(settings.clone(), gate.clone(), mesh.clone())),
         ];
         wait_installed(installed).await?;
-        let stop = Stop::open(settings, &gate, &mesh);
+        let stop = Stop::open(settings, &gate, &mesh, usage.clone());
         let (view, drain) = (stop.view.clone(), stop.clone().run());
         let operator = Operator::bind(settings.operator, view, drain).await?;
         let front = Front::bind(settings.listen, gate.clone(), stop.clone().run())
@@ -121,7 +128,7 @@
             .wrap_err_with(|| format!("binding the callers' address {}", settings.listen))?;
         log::info!("instance {} serves callers at {}", settings.name, front.address());
         tasks.push(tokio::spawn(hold(client)));
-        Ok(Self { gate, mesh, front, operator, stop, _peers: peers, tasks })
+        Ok(Self { gate, mesh, usage, front, operator, stop, _peers: peers, tasks })
     }
 
     /// Address for callers.
@@ -141,6 +148,13 @@
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 
+    /// Ends at once, as a crash would: nothing is finished or handed over.
+    pub fn kill(self) {
+        self.usage.halt();
+        self.front.close();
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+
     /// Waits until the instance stopped after a signal.
     pub async fn ended(self) {
         self.front.ended().await;
@@ -149,7 +163,7 @@
 }
 
 impl Stop {
-    fn open(settings: &Settings, gate: &Arc<Gate>, mesh: &Arc<Mesh>) -> Self {
+    fn open(settings: &Settings, gate: &Arc<Gate>, mesh: &Arc<Mesh>, usage: Arc<Usage>) -> Self {
         let view = View {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -159,6 +173,7 @@
         Self {
             view: Arc::new(view),
             mesh: mesh.clone(),
+            usage,
             grace: settings.stop.grace,
             started: Arc::default(),
             ended: CancellationToken::new(),
@@ -179,6 +194,7 @@
         if !gate.once.drain().await {
             log::warn!("the outcome of some calls could not be recorded in the store");
         }
+        self.usage.hand_over().await;
         if let Some(member) = self.mesh.member()
             && let Err(e) = member.leave().await
         {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod settings;
 pub mod standins;
+pub mod usage;
 
 use {
     args::{Args, Command, Output, Settings},
--- a/crates/cli/src/mesh.rs
+++ b/crates/cli/src/mesh.rs
@@ -40,12 +40,16 @@
 /// A suspicion as instances send it: fingerprint, crashes, time left in milliseconds.
 type Suspicion = (u64, u8, u64);
 
+/// Answers a request of another instance by topic and content; none if it is not understood.
+pub type Serve = Arc<dyn Fn(&str, &[u8]) -> Option<Vec<u8>> + Send + Sync>;
+
 /// Connection to the other instances. Parts that are made later are set once.
 pub struct Mesh {
     follower: OnceLock<Follower>,
     member: OnceLock<Handle>,
     client: OnceLock<Client>,
     suspects: Arc<Suspects>,
+    usage: OnceLock<Serve>,
     clock: Clock,
     zone: Name,
 }
@@ -58,6 +62,7 @@
             member: OnceLock::new(),
             client: OnceLock::new(),
             suspects,
+            usage: OnceLock::new(),
             clock,
             zone: zone.into(),
         })
@@ -104,6 +109,21 @@
         let _ = self.follower.set(follower);
     }
 
+    /// Sets what answers the requests about usage, whose topics begin with `usage/`.
+    pub fn serve_usage(&self, serve: Serve) {
+        let _ = self.usage.set(serve);
+    }
+
+    /// Asks another instance about `topic`.
+    pub async fn ask<T: DeserializeOwned>(
+        &self,
+        name: &str,
+        topic: &str,
+        content: &impl Serialize,
+    ) -> Option<T> {
+        decode(&self.fetch(name, other(topic, content)).await?)
+    }
+
     /// Ways to other instances for the follower of the configuration.
     pub fn peers(self: &Arc<Self>) -> Peers {
         let (ask, announce, head, chunk) = (self.clone(), self.clone(), self.clone(), self.clone());
@@ -167,7 +187,8 @@
         }
     }
 
-    fn live(&self) -> Vec<member::Member> {
+    /// Other instances that are live as far as is known.
+    pub fn live(&self) -> Vec<member::Member> {
         let members = self.member.get().map(|m| m.members()).unwrap_or_default();
         let live = |s| matches!(s, Status::Alive | Status::Suspect);
         members.iter().filter(|m| live(m.status)).cloned().collect()
@@ -217,7 +238,10 @@
                 self.take_suspicion(print, crashes, Duration::from_millis(left));
                 Answer::Accepted
             }
-            _ => Answer::Refused,
+            _ => {
+                let answer = self.usage.get().and_then(|serve| serve(topic, bytes));
+                answer.map_or(Answer::Refused, Answer::Bytes)
+            }
         }
     }
 
@@ -273,10 +297,12 @@
     Query::Other { topic: topic.into(), bytes: encode(content) }
 }
 
-fn encode(content: &impl Serialize) -> Vec<u8> {
+/// Encodes content of a request between instances.
+pub fn encode(content: &impl Serialize) -> Vec<u8> {
     postcard::to_stdvec(content).expect("plain values encode")
 }
 
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+/// Decodes content of a request between instances.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
     postcard::from_bytes(bytes).ok()
 }
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -43,6 +43,9 @@
     /// Graceful shutdown.
     #[serde(default)]
     pub stop: Stop,
+    /// Usage windows.
+    #[serde(default)]
+    pub usage: Usage,
     /// Logging.
     #[serde(default)]
     pub log: Log,
@@ -116,6 +119,34 @@
     }
 }
 
+/// Usage windows; the same for all instances.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Usage {
+    /// Length of a window; must never change once windows were sealed.
+    #[serde(with = "humantime_serde")]
+    pub window: Duration,
+    /// Shards among which organisations are divided; must never change once windows were sealed.
+    pub shards: u32,
+    /// Time from the end of a window to asking the instances for their counters.
+    #[serde(with = "humantime_serde")]
+    pub gather: Duration,
+    /// Time from the end of a window to its sealing.
+    #[serde(with = "humantime_serde")]
+    pub grace: Duration,
+}
+
+impl Default for Usage {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(60),
+            shards: 4,
+            gather: Duration::from_secs(1),
+            grace: Duration::from_secs(3),
+        }
+    }
+}
+
 /// Form of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -173,8 +204,8 @@
 
 /// Lists what is wrong with settings that were read.
 pub fn check(settings: &Settings) -> Vec<String> {
-    let Settings { name, zone, region, listen, operator, limits, log, .. } = settings;
-    let rules: [(bool, &str); 10] = [
+    let Settings { name, zone, region, listen, operator, limits, log, usage, .. } = settings;
+    let rules: [(bool, &str); 13] = [
         (!is_name(name), "name: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
         (!is_name(zone), "zone: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
         (!is_name(region), "region: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
@@ -185,6 +216,9 @@
         (limits.first.is_zero(), "limits.first: accepted are durations above zero"),
         (limits.between.is_zero(), "limits.between: accepted are durations above zero"),
         (limits.attempts == 0, "limits.attempts: accepted are 1 and more"),
+        (usage.window.is_zero(), "usage.window: accepted are durations above zero"),
+        (usage.shards == 0, "usage.shards: accepted are 1 and more"),
+        (usage.gather > usage.grace, "usage.grace: must not be below `usage.gather`"),
     ];
     let mut out: Vec<String> =
         rules.iter().filter(|(broken, _)| *broken).map(|(_, text)| (*text).to_owned()).collect();
--- /dev/null
+++ b/crates/cli/tests/usage_reports.rs
@@ -0,0 +1,166 @@
+//! What is reported is what the engines ran, once, through stops, crashes and outages.
+
+mod support;
+
+use {
+    agate_cli::{
+        demo::{Demo, read},
+        instance::Instance,
+        settings::{Log, Settings, Stop, Usage},
+    },
+    agate_standin::Platform,
+    indexmap::IndexMap,
+    rstest::rstest,
+    std::{net::SocketAddr, time::Duration},
+    support::{Call, ask, bounds, until},
+};
+
+/// Requests and output tokens.
+type Sum = (u64, u64);
+
+fn usage() -> Usage {
+    let ms = Duration::from_millis;
+    Usage { window: ms(800), shards: 1, gather: ms(100), grace: ms(300) }
+}
+
+/// Settings of an instance without peers.
+fn settings(platform: SocketAddr) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        name: "entry-1".into(),
+        zone: "a".into(),
+        region: "a".into(),
+        listen: any,
+        operator: any,
+        platform,
+        peers: None,
+        limits: bounds(),
+        stop: Stop::default(),
+        usage: usage(),
+        log: Log::default(),
+    }
+}
+
+async fn start(count: u16) -> Demo {
+    let document = read(None).expect("the built-in document is valid");
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let demo = Demo::spawn_metered(document, listen, count, bounds(), usage()).await;
+    let demo = demo.expect("the demo starts");
+    let all = |d: &Demo| d.instances.iter().all(|i| i.mesh.live().len() + 1 == usize::from(count));
+    until("all instances know each other", || all(&demo)).await;
+    until("some instance holds the shard", || holder(&demo).is_some()).await;
+    demo
+}
+
+fn holder(demo: &Demo) -> Option<usize> {
+    demo.instances.iter().position(|i| i.usage.is_holder())
+}
+
+/// Sums of the figures that the platform has, each window once; another figure for a window fails.
+fn reported(platform: &Platform) -> Sum {
+    let mut windows = IndexMap::new();
+    for entry in platform.usage() {
+        assert!(!entry.conflict, "window {} has two figures", entry.window);
+        windows.insert((entry.window, entry.shard), entry.figures);
+    }
+    let rows = windows.values().flat_map(|f| f.as_array().expect("figures are a list"));
+    let add = |sum: Sum, row: &serde_json::Value| {
+        let field = |name: &str| row[name].as_u64().expect("figures are numbers");
+        (sum.0 + field("requests"), sum.1 + field("output"))
+    };
+    rows.fold((0, 0), add)
+}
+
+/// Output tokens that the engines ran.
+fn ran(demo: &Demo) -> u64 {
+    let logs = demo.engines.iter().flat_map(|e| e.log());
+    logs.map(|r| u64::from(r.tokens)).sum()
+}
+
+async fn work(to: SocketAddr, count: u32) {
+    for i in 0..count {
+        let reply = ask(&format!("q{i}"), 5 + i, i % 2 == 0).send(to).await;
+        assert!(reply.status.is_success(), "{reply:?}");
+    }
+}
+
+async fn all_reported(demo: &Demo, requests: u64) {
+    let due = (requests, ran(demo));
+    until("everything is reported", || reported(&demo.platform) >= due).await;
+    assert_eq!(reported(&demo.platform), due);
+}
+
+#[rstest]
+#[case::alone(1)]
+#[case::three(3)]
+#[tokio::test]
+async fn sums_match(#[case] count: u16) {
+    let demo = start(count).await;
+    for instance in &demo.instances {
+        work(instance.address(), 4).await;
+    }
+    let service = Call::new("POST", "/deposits", "{}")
+        .header("idempotency-key", "d-1")
+        .send(demo.instances[0].address())
+        .await;
+    assert!(service.status.is_success(), "{service:?}");
+    all_reported(&demo, u64::from(count) * 4 + 1).await;
+}
+
+#[tokio::test]
+async fn outage_bridged() {
+    let demo = start(1).await;
+    demo.platform.set(|f| f.fleet_outage = true);
+    work(demo.instances[0].address(), 3).await;
+    let tries = || demo.platform.counts().get("/usage/v1/report").copied().unwrap_or_default();
+    let before = tries();
+    until("reports fail", || tries() >= before + 2).await;
+    demo.platform.set(|f| {
+        f.fleet_outage = false;
+        f.lose_acks = 2;
+    });
+    all_reported(&demo, 3).await;
+}
+
+#[rstest]
+#[case::holder(true)]
+#[case::other(false)]
+#[tokio::test]
+async fn stop_loses_nothing(#[case] held: bool) {
+    let mut demo = start(3).await;
+    let holder = holder(&demo).expect("just seen");
+    let stopping = demo.instances.remove(if held { holder } else { (holder + 1) % 3 });
+    work(stopping.address(), 4).await;
+    stopping.stop().await;
+    all_reported(&demo, 4).await;
+}
+
+#[tokio::test]
+async fn lone_stop() {
+    let mut demo = start(1).await;
+    work(demo.instances[0].address(), 4).await;
+    demo.instances.remove(0).stop().await;
+    let next = settings(demo.platform.address());
+    let next = Instance::spawn(&next, agate_platform::store::open(demo.platform.address())).await;
+    let _next = next.expect("the next instance starts");
+    all_reported(&demo, 4).await;
+}
+
+#[tokio::test]
+async fn crash_bounded() {
+    let mut demo = start(3).await;
+    let other = (holder(&demo).expect("just seen") + 1) % 3;
+    let crashing = demo.instances.remove(other);
+    let to = crashing.address();
+    work(to, 3).await;
+    until("a peer has everything", || crashing.usage.is_shipped()).await;
+    let least = (3, ran(&demo));
+    work(to, 2).await;
+    crashing.kill();
+    until("what was shipped is reported", || reported(&demo.platform) >= least).await;
+    let most = (5, ran(&demo));
+    let windows = demo.platform.usage().len();
+    until("more windows are reported", || demo.platform.usage().len() > windows + 1).await;
+    let sum = reported(&demo.platform);
+    assert!(sum >= least && sum <= most, "{sum:?} is not from {least:?} to {most:?}");
+}
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -83,10 +83,16 @@
     pub once: Once,
     /// Whether the configuration is fresh enough to serve keyed work.
     pub fresh: Fresh,
+    /// Takes in work that ended.
+    pub count: Count,
     /// Monotonic time since this instance started.
     pub clock: Clock,
 }
 
+/// Takes in one request that ran: names of the organisation and of the model or pool, then prompt and
+/// output tokens. It must not block.
+pub type Count = Arc<dyn Fn(&str, &str, u64, u64) + Send + Sync>;
+
 /// Tells whether the configuration is fresh enough to serve keyed work.
 pub type Fresh = Arc<dyn Fn() -> bool + Send + Sync>;
 
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -46,6 +46,8 @@
     pub delivered: u32,
     /// Counts reported by the engine that finished.
     pub usage: Usage,
+    /// Whether the answer came to its proper end.
+    finished: bool,
     shape: Shape,
     tried: Vec<EndpointId>,
     /// Longest idle time of a connection that may be used; none after one went silent.
@@ -68,6 +70,7 @@
         pool,
         delivered: 0,
         usage: Usage::default(),
+        finished: false,
         shape,
         tried: Vec::new(),
         rest: IDLE_LIMIT,
@@ -187,7 +190,8 @@
     }
 
     /// Ends a request whose stream was whole.
-    pub fn finish(&self, source: Source) {
+    pub fn finish(&mut self, source: Source) {
+        self.finished = true;
         source.target.stay.end(Kind::Success);
         self.gate.suspects.state().clear(self.job.print);
         self.gate.meter.answers.inc();
@@ -223,6 +227,22 @@
     }
 }
 
+/// Counts what ran, however the request ended; until then it is among the requests in progress.
+impl Drop for Run {
+    fn drop(&mut self) {
+        if !self.finished && self.delivered == 0 {
+            return;
+        }
+        let Some(org) = self.job.caller.org().and_then(|o| self.job.snapshot.org(o)) else {
+            return;
+        };
+        // The engine states the length of the prompt at the end. An estimate could be above it, so
+        // the prompt of a broken stream is not counted.
+        let prompt = self.usage.prompt_tokens.into();
+        (self.gate.count)(&org.name, &self.ask.model, prompt, self.delivered.into());
+    }
+}
+
 /// Collects the whole stream into one JSON answer.
 async fn whole(mut run: Run, mut source: Source) -> Result<Response<Body>> {
     let mut text = String::new();
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -113,6 +113,7 @@
         let failure = match once(gate, job, &target, granted, patience(job, left, silent)).await {
             Ok(whole) => {
                 target.stay.end(Kind::Success);
+                count(gate, job, pool);
                 gate.suspects.state().clear(job.print);
                 return Ok(whole);
             }
@@ -126,6 +127,14 @@
     }
 }
 
+/// Counts a call that was answered whole; one that may not have run is not counted.
+fn count(gate: &Gate, job: &Job, pool: PoolId) {
+    let org = job.caller.org().and_then(|o| job.snapshot.org(o));
+    if let (Some(org), Some(pool)) = (org, job.snapshot.pool(pool)) {
+        (gate.count)(&org.name, &pool.name, 0, 0);
+    }
+}
+
 /// Sends the request to one endpoint and reads the whole answer.
 async fn once(
     gate: &Gate,
