Measure a cold start of the whole fleet

The figures of a start were those of a document of one chunk. The cure, one paced reader in an availability zone, is not built.

--- a/crates/config/examples/spread.rs
+++ b/crates/config/examples/spread.rs
@@ -34,11 +34,28 @@
         "| instances | zones | watchers | in force p50 ms | in force max ms | reads in an idle minute | polls in an idle minute | share of time fresh | reads a change | peak reads/s at start | idle B/s mean | idle B/s most | B/s mean at 20,000 a day | B/s most |"
     );
     println!(
-        "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |"
+        "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |"
     );
     for (count, zones) in FLEETS {
         row(count, zones, sizes);
     }
+    println!("\n| instances | peak reads/s at a cold start | reads | in force everywhere ms |");
+    println!("| ---: | ---: | ---: | ---: |");
+    for (count, zones) in FLEETS {
+        cold_start(count, zones, sizes);
+    }
+}
+
+/// Prints the start of all instances together while none holds a chunk.
+fn cold_start(count: usize, zones: usize, sizes: Sizes) {
+    let doc = support::document(ORGANISATIONS);
+    let tree = Tree::new(&doc, Section::Organisations);
+    let mut sim = Sim::new(count, zones, sizes, 0);
+    sim.loss = LOSS;
+    sim.tree = (tree.index.len(), tree.leaves.len() / tree.index.len());
+    let taken = sim.run_until(MINUTE, |s| s.all_at(1));
+    let taken = taken.map_or("above 60000".into(), |t| t.as_millis().to_string());
+    println!("| {count} | {} | {} | {taken} |", sim.peak.2, sim.reads);
 }
 
 fn row(count: usize, zones: usize, sizes: Sizes) {
--- a/crates/config/tests/support/sim.rs
+++ b/crates/config/tests/support/sim.rs
@@ -4,12 +4,16 @@
 //! by mistake shows. A chunk is named after the generation that brought it, and the index chunk that
 //! lists it is named so too, with an `i` before.
 
+mod messages;
+pub use messages::Sizes;
+
 use {
     agate_config::{
         freshness::Standing,
         spread::{Action, Found, Input, Peer, Proof, Settings, Source, State},
     },
     agate_core::{Generation, Mono},
+    messages::chunk,
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc, time::Duration},
 };
@@ -19,27 +23,6 @@
 /// Time until a store call to an unreachable store fails.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Bytes of one message on the wire.
-#[derive(Clone, Copy, Debug)]
-pub struct Sizes {
-    pub digest: u64,
-    pub head: u64,
-    pub index: u64,
-    pub chunk: u64,
-}
-
-impl Sizes {
-    fn of(&self, chunk: &str) -> u64 {
-        if chunk.starts_with('i') { self.index } else { self.chunk }
-    }
-}
-
-/// The arrival of a chunk or of an index chunk.
-fn chunk(id: String) -> Input {
-    let missing = id.strip_prefix('i').map(str::to_owned).into_iter().collect();
-    Input::Chunk { id, missing }
-}
-
 /// What happens at an instant.
 enum Event {
     Due(usize),
@@ -96,6 +79,8 @@
     /// Reads, waiting watches included, in the present and in the busiest second.
     pub peak: (u64, u64, u64),
     pub sizes: Sizes,
+    /// Index chunks of the first generation, and chunks that each lists; later ones bring one each.
+    pub tree: (usize, usize),
     zones: usize,
     watches: Vec<(usize, u64, Generation)>,
     queue: BinaryHeap<Reverse<(Mono, u64, usize)>>,
@@ -116,6 +101,7 @@
             reads: 0,
             peak: (0, 0, 0),
             sizes,
+            tree: (1, 1),
             zones,
             watches: Vec::new(),
             queue: BinaryHeap::new(),
@@ -220,13 +206,21 @@
                 }
             }
             Event::StoreChunk(i, id) => {
-                let held = self.store_up;
-                let input = if held { chunk(id) } else { Input::FetchFailed(Source::Store) };
+                let input = if self.store_up {
+                    self.arrival(id)
+                } else {
+                    Input::FetchFailed(Source::Store)
+                };
                 self.at(HOP, Event::Input(i, input));
             }
         }
     }
 
+    fn arrival(&self, id: String) -> Input {
+        let first = id.starts_with("i1.");
+        chunk(id, if first { self.tree.1 } else { 1 })
+    }
+
     fn watch(&mut self, i: usize, serial: u64, wait: Duration) {
         let after = self.nodes[i].state.seen();
         if self.head > after {
@@ -243,7 +237,11 @@
     }
 
     fn found(&self, i: usize, generation: Generation) -> Found {
-        let missing = (self.nodes[i].held + 1..=generation).map(|g| format!("i{g}")).collect();
+        let missing = (self.nodes[i].held + 1..=generation)
+            .flat_map(|g| {
+                (0..if g == 1 { self.tree.0 } else { 1 }).map(move |i| format!("i{g}.{i}"))
+            })
+            .collect();
         Found { generation, missing }
     }
 
@@ -367,12 +365,15 @@
                 self.input(to, Input::PeerHead { peer, found });
             }
             Mail::ChunkQuery(id) => {
-                let number = id.trim_start_matches('i');
+                let number = id.trim_start_matches('i').split('.').next().unwrap_or_default();
                 let generation: Generation = number.parse().expect("chunks are numbers");
                 let held = generation <= self.nodes[to].held;
                 self.mail(to, from, if held { Mail::Chunk(id) } else { Mail::Absent });
             }
-            Mail::Chunk(id) => self.input(to, chunk(id)),
+            Mail::Chunk(id) => {
+                let input = self.arrival(id);
+                self.input(to, input);
+            }
             Mail::Absent => self.input(to, Input::FetchFailed(Source::Peer(peer))),
         }
     }
