--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -114,6 +114,9 @@
         /// Model that the engine serves.
         #[arg(long)]
         model: String,
+        /// Requests that it runs at once.
+        #[arg(long, default_value_t = 32)]
+        slots: u16,
     },
     /// A plain service.
     Service {
