Prove the instances together: outage, quarantine, replacement, spread

Cause: nothing showed on running instances that a suspicion reaches the others, that a store outage for all does not stop keyed work, or that instances can be replaced one by one under traffic. Change: whole-path tests of these and of a change reaching every instance in order.

--- a/crates/cli/examples/path_cost.rs
+++ b/crates/cli/examples/path_cost.rs
@@ -12,7 +12,7 @@
         fs,
         io::{BufRead, BufReader, Read, Write},
         net::{SocketAddr, TcpStream},
-        path::PathBuf,
+        path::Path,
         process::{Child, Command, Stdio},
         time::Duration,
     },
@@ -164,11 +164,7 @@
     Ok(())
 }
 
-fn apply(
-    files: &PathBuf,
-    document: &agate_config::Document,
-    platform: SocketAddr,
-) -> Result<String> {
+fn apply(files: &Path, document: &agate_config::Document, platform: SocketAddr) -> Result<String> {
     let path = files.join("document.yaml");
     fs::write(&path, serde_saphyr::to_string(document)?)?;
     let binary = std::env::current_exe()?;
--- /dev/null
+++ b/crates/cli/tests/instance_faults.rs
@@ -0,0 +1,108 @@
+//! Instances that fail, are cut off or replaced while others serve.
+
+mod support;
+
+use {
+    agate_cli::{configs::edit, demo::Demo, instance::Instance},
+    agate_config::{freshness::Standing, publish, section::Section},
+    support::{Call, answer, ask, keep, start, until},
+};
+
+/// A request that crashed two engines through one instance is refused by the others.
+#[tokio::test]
+async fn quarantine_everywhere() {
+    let demo = start(3, |d| keep(d, "glaze-oracle", 6)).await;
+    until("the instances know each other", || joined(&demo, 2)).await;
+    demo.engines.iter().for_each(|e| e.set(|f| f.crash_mark = Some("poison".into())));
+    let first = ask("poison", 5, false).send(demo.instances[0].address()).await;
+    assert_eq!(first.code(), "request_quarantined", "{}", first.body);
+    let knows = || demo.instances.iter().all(|i| !i.gate.suspects.state().is_empty());
+    until("every instance knows of it", knows).await;
+    for instance in &demo.instances {
+        let reply = ask("poison", 5, false).send(instance.address()).await;
+        assert_eq!(
+            (reply.code().as_str(), reply.run().as_str()),
+            ("request_quarantined", "not_run")
+        );
+    }
+    assert_eq!(demo.engines.iter().map(|e| e.crashes()).sum::<u64>(), 2);
+}
+
+/// While the store is down for all, keyed work goes on; the configuration does not go back when
+/// the store returns.
+#[tokio::test]
+async fn store_outage() {
+    let demo = start(3, |_| {}).await;
+    until("the instances know each other", || joined(&demo, 2)).await;
+    demo.platform.set(|f| f.outage = true);
+    let standing = |i: &Instance| i.mesh.follower().expect("it follows").standing();
+    let old = || demo.instances.iter().all(|i| standing(i) == Standing::StoreDown);
+    until("no instance has a recent proof", old).await;
+    for (i, instance) in demo.instances.iter().enumerate() {
+        let text = format!("q{i}");
+        let reply = ask(&text, 3, false).send(instance.address()).await;
+        assert_eq!(reply.text(), answer(&text, 3), "{}", reply.body);
+    }
+    demo.platform.set(|f| f.outage = false);
+    assert!(demo.instances.iter().all(|i| i.gate.current.load().generation == 1));
+}
+
+/// Instances are replaced one by one while traffic runs: no request is cut, none is lost.
+#[tokio::test]
+async fn rolling_replacement() {
+    let mut demo = start(3, |_| {}).await;
+    until("the instances know each other", || joined(&demo, 2)).await;
+    for round in 0..2 {
+        let leaving = demo.instances.remove(0);
+        let to = leaving.address();
+        let stream = tokio::spawn(ask("long", 400, true).send(to));
+        until("the stream runs", || leaving.gate.flight.open() == 1).await;
+        let stop = tokio::spawn(leaving.stop());
+        for instance in &demo.instances {
+            let text = format!("round {round}");
+            let reply = ask(&text, 3, false).send(instance.address()).await;
+            assert_eq!(reply.text(), answer(&text, 3), "{}", reply.body);
+        }
+        let reply = stream.await.expect("the caller gets a reply");
+        assert!(reply.ended() && reply.text() == answer("long", 400), "{}", reply.body);
+        stop.await.expect("the instance stops");
+    }
+}
+
+/// A stopping instance refuses new requests as not run.
+#[tokio::test]
+async fn stopping_refuses() {
+    let demo = start(1, |_| {}).await;
+    let instance = &demo.instances[0];
+    let stream = tokio::spawn(ask("long", 400, true).send(instance.address()));
+    until("the stream runs", || instance.gate.flight.open() == 1).await;
+    instance.gate.flight.close();
+    let reply = Call::new("GET", "/catalogue/1", "").unkeyed().send(instance.address()).await;
+    assert_eq!((reply.code().as_str(), reply.run().as_str()), ("instance_stopping", "not_run"));
+    assert!(stream.await.expect("the caller gets a reply").ended());
+}
+
+/// A change reaches every instance, and a later one never makes an earlier one come back.
+#[tokio::test]
+async fn change_in_force() {
+    let demo = start(4, |_| {}).await;
+    let store = agate_platform::store::open(demo.platform.address());
+    for weight in [7, 8, 9] {
+        let mut document = demo.document.clone();
+        document.organisations["palmse"].weight = weight;
+        let change = edit("test", document, vec![Section::Organisations]);
+        let generation = publish::apply(&store, &change).await.expect("accepted").generation;
+        let reached = || {
+            demo.instances.iter().all(|i| {
+                let snapshot = i.gate.current.load();
+                let palmse = snapshot.orgs().find(|(_, o)| &*o.name == "palmse");
+                snapshot.generation >= generation && palmse.is_some_and(|(_, o)| o.weight == weight)
+            })
+        };
+        until("the change is in force everywhere", reached).await;
+    }
+}
+
+fn joined(demo: &Demo, others: usize) -> bool {
+    demo.instances.iter().all(|i| i.mesh.member().is_some_and(|m| m.members().len() == others))
+}
