Forward claims to the owner of their shard in running instances

Every instance wrote its claims itself, so bursts through several instances made several writers compete for one shard. Batches now go over the mesh to the instance that owns the shard by rendezvous among the live members, on a topic of their own; a batch without an answer goes to the own writer.

--- /dev/null
+++ b/crates/cli/src/claims.rs
@@ -0,0 +1,52 @@
+//! Claims of booking keys between instances: batches of changes go to the owner of their shard.
+//!
+//! Every instance chooses the owner from the members it knows. A batch without an answer goes to
+//! the sender's own writer with the same tokens, so that disagreement or a lost owner costs writes
+//! and never a second run.
+
+use {
+    crate::mesh::Mesh,
+    agate_once::{
+        Once,
+        entry::{Op, Verdict},
+        forward::Forward,
+        owner::{self, ShardId},
+    },
+    agate_wire::{Answer, Name},
+    futures_util::FutureExt,
+    std::sync::{Arc, Weak},
+};
+
+/// Topic of a batch of changes for the owner of their shard.
+pub(crate) const TOPIC: &str = "claims";
+/// Changes that one message may hold.
+const MAX_OPS: usize = 256;
+
+/// Sends batches to the owner of their shard among the live instances that `mesh` knows.
+pub(crate) fn forward(own: &str, mesh: &Arc<Mesh>) -> Forward {
+    let (own, mesh): (Name, _) = (own.into(), Arc::downgrade(mesh));
+    Arc::new(move |shard, ops| send(own.clone(), mesh.clone(), shard, ops).boxed())
+}
+
+async fn send(own: Name, mesh: Weak<Mesh>, shard: ShardId, ops: Vec<Op>) -> Option<Vec<Verdict>> {
+    let mesh = mesh.upgrade()?;
+    let mut members = mesh.names();
+    members.push(own.clone());
+    let owner = owner::owner(shard, members.iter().map(|m| &**m))?;
+    if *owner == *own {
+        return None;
+    }
+    mesh.ask(owner, TOPIC, &(shard, ops)).await
+}
+
+/// Decides a batch that another instance sent.
+pub(crate) async fn serve(once: Option<Once>, batch: Option<(ShardId, Vec<Op>)>) -> Answer {
+    let Some(once) = once else { return Answer::Absent };
+    match batch {
+        Some((shard, ops)) if ops.len() <= MAX_OPS => {
+            let verdicts = once.serve(shard, ops).await;
+            verdicts.map_or(Answer::Absent, |v| Answer::Bytes(crate::mesh::encode(&v)))
+        }
+        _ => Answer::Refused,
+    }
+}
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        claims,
         mesh::Mesh,
         operator::{Operator, View},
         settings::{self, Settings},
@@ -97,6 +98,9 @@
             _ => None,
         };
         let usage = Usage::open(settings, mesh.clone());
+        let forward = Some(claims::forward(&settings.name, &mesh));
+        let once = Once::spawn(store.clone(), Claims { forward, ..Claims::new(rand::random()) });
+        mesh.decide_claims(once.clone());
         let parts = Parts {
             current: Arc::new(Current::new(Snapshot::compile(
                 &Document::default(),
@@ -107,7 +111,7 @@
             limits: settings.limits.limits(),
             suspects: suspects.0,
             secret: keys.map_or([0; 32], |k| k.print),
-            once: Once::spawn(store.clone(), Claims::new(rand::random())),
+            once,
             fresh: fresh(&mesh),
             count: usage.counting(),
             clock,
--- a/crates/cli/src/mesh.rs
+++ b/crates/cli/src/mesh.rs
@@ -6,12 +6,14 @@
 //! [`agate_config::spread`] on the configuration and [`agate_flow::quarantine`] on suspects.
 
 use {
+    crate::claims,
     agate_config::{
         follow::{Follower, Peers},
         head::{HEAD_KEY, Head},
     },
     agate_flow::{desk::Clock, suspect::Suspects},
     agate_member::{self as member, Client, Handle, Hooks, Scope, Server, Settings},
+    agate_once::Once,
     agate_wire::{Answer, Digest, Keys, Name, Place, Query, Status},
     eyre::{Result, WrapErr},
     futures_util::FutureExt,
@@ -48,6 +50,7 @@
     follower: OnceLock<Follower>,
     member: OnceLock<Handle>,
     client: OnceLock<Client>,
+    once: OnceLock<Once>,
     suspects: Arc<Suspects>,
     usage: OnceLock<Serve>,
     clock: Clock,
@@ -61,6 +64,7 @@
             follower: OnceLock::new(),
             member: OnceLock::new(),
             client: OnceLock::new(),
+            once: OnceLock::new(),
             suspects,
             usage: OnceLock::new(),
             clock,
@@ -79,7 +83,15 @@
             let mesh = self.clone();
             let handler = move |from, query| {
                 let mesh = mesh.clone();
-                async move { mesh.serve(&from, query) }.boxed()
+                async move {
+                    match query {
+                        Query::Other { topic, bytes } if &*topic == claims::TOPIC => {
+                            claims::serve(mesh.once.get().cloned(), decode(&bytes)).await
+                        }
+                        query => mesh.serve(&from, query),
+                    }
+                }
+                .boxed()
             };
             match member::serve(identity.clone(), keys.clone(), handler).await {
                 Ok(server) => {
@@ -124,6 +136,16 @@
         decode(&self.fetch(name, other(topic, content)).await?)
     }
 
+    /// Sets the claims that other instances may forward to this one.
+    pub fn decide_claims(&self, once: Once) {
+        let _ = self.once.set(once);
+    }
+
+    /// Names of the other live instances.
+    pub(crate) fn names(&self) -> Vec<Name> {
+        self.live().into_iter().map(|m| m.name).collect()
+    }
+
     /// Ways to other instances for the follower of the configuration.
     pub fn peers(self: &Arc<Self>) -> Peers {
         let (ask, announce, head, chunk) = (self.clone(), self.clone(), self.clone(), self.clone());
