Admit by the free slots, shares and run times that instances see

Cause: the running program granted up to a fixed capacity on every instance, so two instances together could send an engine twice its slots. Deadlines of grants left no time to run, output tokens were charged like prompt tokens, and nothing was learnt of caches.

Change: grants follow Table::room less grants under way, with the slots reserved for urgent requests, and of scarce slots this instance's share. Instances name their 16 busiest endpoints in their gossip; what another instance said is replaced by its next message and forgotten after 4 s or when it leaves. The latest time of a grant is the deadline less the run time by the mean pace of the pool, at least a quarter of the time left. Cost is queue::cost. Cached tokens and the time to the first token teach the table. While requests wait a task looks for free slots every 5 ms. A pool without usable near endpoints counts far ones, and one without any usable endpoint refuses at once as before.

A first burst at two instances may still fill the same free slots.

--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -46,6 +46,8 @@
 
 /// Time between two reads of the platform's instance list.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two exchanges of counts with the other instances.
+const COUNTS_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two looks at the members.
 const MEMBERS_PERIOD: Duration = Duration::from_millis(500);
 /// Instances among which the store's rates are divided until the members are known.
@@ -118,9 +120,11 @@
         };
         let gate = Gate::open(parts);
         usage.start(&store, &gate.meter.registry);
+        mesh.count(&gate);
         let installed = follow_config(settings, store, &mesh, &gate);
         let mut tasks = vec![
             tokio::spawn(follow_members(settings.name.as_str().into(), mesh.clone())),
+            tokio::spawn(exchange_counts(mesh.clone())),
             tokio::spawn(follow_list(settings.clone(), gate.clone(), mesh.clone())),
         ];
         wait_installed(installed).await?;
@@ -302,6 +306,14 @@
     }
 }
 
+/// Takes over the counts of the other instances once in every [`COUNTS_PERIOD`].
+async fn exchange_counts(mesh: Arc<Mesh>) {
+    loop {
+        mesh.exchange_counts();
+        sleep(COUNTS_PERIOD).await;
+    }
+}
+
 /// Follows the platform's list: endpoints that leave get no new work, and other instances are
 /// pointed out to the membership.
 async fn follow_list(settings: Settings, gate: Arc<Gate>, mesh: Arc<Mesh>) {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod args;
 mod claims;
 pub mod configs;
+pub mod counts;
 pub mod demo;
 pub mod diff;
 pub mod instance;
--- a/crates/cli/src/mesh.rs
+++ b/crates/cli/src/mesh.rs
@@ -6,12 +6,12 @@
 //! [`agate_config::spread`] on the configuration and [`agate_flow::quarantine`] on suspects.
 
 use {
-    crate::claims,
+    crate::{claims, counts::Counts},
     agate_config::{
         follow::{Follower, Peers},
         head::{HEAD_KEY, Head},
     },
-    agate_flow::{desk::Clock, suspect::Suspects},
+    agate_flow::{desk::Clock, gate::Gate, suspect::Suspects},
     agate_member::{self as member, Client, Handle, Hooks, Scope, Server, Settings},
     agate_once::Once,
     agate_wire::{Answer, Digest, Keys, Name, Place, Query, Status},
@@ -21,7 +21,7 @@
     serde::{Serialize, de::DeserializeOwned},
     std::{
         net::SocketAddr,
-        sync::{Arc, OnceLock},
+        sync::{Arc, Mutex, OnceLock, Weak},
         time::Duration,
     },
 };
@@ -34,6 +34,8 @@
 const SUSPECT: &str = "quarantine";
 /// Suspicions that ride on one message.
 const CARRIED: usize = 4;
+/// Busiest endpoints whose counts ride on one message.
+const BUSIEST: usize = 16;
 /// Members of each other availability zone that the configuration is asked of.
 const SAMPLE: usize = 4;
 /// Attempts to find a port that is free for both UDP and TCP.
@@ -51,6 +53,8 @@
     member: OnceLock<Handle>,
     client: OnceLock<Client>,
     once: OnceLock<Once>,
+    gate: OnceLock<Weak<Gate>>,
+    counts: Mutex<Counts>,
     suspects: Arc<Suspects>,
     usage: OnceLock<Serve>,
     clock: Clock,
@@ -65,6 +69,8 @@
             member: OnceLock::new(),
             client: OnceLock::new(),
             once: OnceLock::new(),
+            gate: OnceLock::new(),
+            counts: Mutex::default(),
             suspects,
             usage: OnceLock::new(),
             clock,
@@ -146,6 +152,11 @@
         self.live().into_iter().map(|m| m.name).collect()
     }
 
+    /// Sets the requests whose counts are exchanged.
+    pub fn count(&self, gate: &Arc<Gate>) {
+        let _ = self.gate.set(Arc::downgrade(gate));
+    }
+
     /// Ways to other instances for the follower of the configuration.
     pub fn peers(self: &Arc<Self>) -> Peers {
         let (ask, announce, head, chunk) = (self.clone(), self.clone(), self.clone(), self.clone());
@@ -295,10 +306,32 @@
             crashes,
             left,
         });
-        config.into_iter().chain(suspects).collect()
+        let busiest = self.gate().map(|g| g.outstanding(BUSIEST)).unwrap_or_default();
+        let counts =
+            busiest.into_iter().map(|(endpoint, count)| Digest::Outstanding { endpoint, count });
+        config.into_iter().chain(suspects).chain(counts).collect()
+    }
+
+    fn gate(&self) -> Option<Arc<Gate>> {
+        self.gate.get()?.upgrade()
+    }
+
+    /// Renews the counts of other instances and this instance's part of the free slots.
+    pub fn exchange_counts(&self) {
+        let Some(gate) = self.gate() else { return };
+        let live: Vec<Name> = self.live().into_iter().map(|m| m.name).collect();
+        let foreign = {
+            let mut counts = self.counts.lock().expect("no panic under the counts' lock");
+            counts.expire(&live, (self.clock)());
+            counts.total()
+        };
+        gate.exchange(&foreign, live.len() as u32 + 1);
     }
 
     fn hear(&self, from: &Name, digests: &[Digest], since: Option<Duration>) {
+        let mut counts = self.counts.lock().expect("no panic under the counts' lock");
+        counts.hear(from, digests, (self.clock)());
+        drop(counts);
         for digest in digests {
             match digest {
                 Digest::Config { generation, age } => {
--- /dev/null
+++ b/crates/cli/tests/fair_admission.rs
@@ -0,0 +1,104 @@
+//! Admission by shares and by time, over two instances.
+
+mod support;
+
+use {
+    agate_cli::demo::Demo,
+    agate_config::Document,
+    std::time::Duration,
+    support::{Reply, ask, keep, start, until},
+    tokio::task::JoinHandle,
+};
+
+/// Slots of the only engine.
+const SLOTS: u32 = 4;
+/// Tokens of each answer.
+const TOKENS: u32 = 60;
+/// Key of the organisation that asks beside the flood.
+const OTHER_KEY: &str = "Bearer demo-sagadi-key";
+
+/// One small engine behind two instances that know each other.
+async fn small(deadline: Duration) -> Demo {
+    let demo = start(2, |d: &mut Document| {
+        keep(d, "glaze-oracle", 1);
+        d.fleet.pools["glaze-oracle"].slots = SLOTS;
+        d.routes.iter_mut().for_each(|r| r.deadline = deadline);
+    })
+    .await;
+    let known = |i: usize| demo.instances[i].mesh.member().is_some_and(|m| !m.members().is_empty());
+    until("the instances know each other", || known(0) && known(1)).await;
+    demo
+}
+
+/// Sends requests of one organisation, in turn to both instances.
+fn flood(demo: &Demo, count: usize) -> Vec<JoinHandle<Reply>> {
+    let to = |i: usize| demo.instances[i % 2].address();
+    (0..count).map(|i| tokio::spawn(ask(&format!("f{i}"), TOKENS, false).send(to(i)))).collect()
+}
+
+async fn waits(demo: &Demo) {
+    let queued = |i: usize| demo.instances[i].gate.desk(pool(demo)).waiting();
+    until("both queues are long", || queued(0) > 4 && queued(1) > 4).await;
+}
+
+fn pool(demo: &Demo) -> u32 {
+    let snapshot = demo.instances[0].gate.current.load_full();
+    snapshot.find_model("tile-match").expect("the model is configured").1.pool
+}
+
+#[tokio::test]
+async fn flooded_pool() {
+    let demo = small(Duration::from_secs(30)).await;
+    let flood = flood(&demo, 120);
+    waits(&demo).await;
+    for i in 0..6 {
+        let call = ask(&format!("other {i}"), 5, false).header("authorization", OTHER_KEY);
+        let reply = call.send(demo.instances[i % 2].address()).await;
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+    let open = flood.iter().filter(|f| !f.is_finished()).count();
+    assert!(open > 30, "the others waited until all but {open} of the flood were served");
+    for reply in flood {
+        let reply = reply.await.expect("the caller gets a reply");
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+}
+
+/// What waits is far more than can be served before its deadline; what comes then is refused on
+/// arrival.
+#[tokio::test]
+async fn hopeless_queue() {
+    let demo = small(Duration::from_secs(2)).await;
+    let mut all = flood(&demo, 200);
+    until("the rate is known", || demo.engines[0].log().len() > 4 * SLOTS as usize).await;
+    all.extend(flood(&demo, 100));
+    let mut early = 0;
+    for reply in all {
+        let reply = reply.await.expect("the caller gets a reply");
+        if reply.status == 200 {
+            continue;
+        }
+        let said = (reply.code(), reply.run());
+        assert_eq!(said, ("deadline_unmet".into(), "not_run".into()), "{}", reply.body);
+        assert!(reply.headers.contains_key("retry-after"), "{reply:?}");
+        let id = &reply.headers["x-request-id"];
+        assert!(demo.engines[0].log().iter().all(|e| id != e.id.as_str()), "it ran: {reply:?}");
+        early += usize::from(reply.body.contains("the queue cannot serve"));
+    }
+    assert!(early > 0, "nothing was refused on arrival");
+}
+
+/// Two instances that begin at once may each fill all free slots. Once they know of each other's
+/// requests, no more than one request of each waits at the engine.
+#[tokio::test]
+async fn shared_slots() {
+    let demo = small(Duration::from_secs(30)).await;
+    let flood = flood(&demo, 120);
+    until("the first requests ended", || demo.engines[0].log().len() > 4 * SLOTS as usize).await;
+    let mut most = 0;
+    while flood.iter().any(|f| !f.is_finished()) {
+        most = most.max(demo.engines[0].load().waiting);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert!(most <= demo.instances.len(), "{most} requests waited at the engine");
+}
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -22,10 +22,13 @@
     agate_route::{
         health::Kind,
         live::LoadReport,
+        ranking::name_hash,
         table::{Distances, Role, Spec, Table},
     },
     arc_swap::ArcSwap,
+    indexmap::IndexMap,
     std::{
+        cmp::Reverse,
         sync::{Arc, Mutex, atomic::Ordering},
         time::Duration,
     },
@@ -64,6 +67,9 @@
     }
 }
 
+/// Exchanges of counts between a grant and its being seen by the other instances.
+const PENDING: u32 = 2;
+
 /// Connections by endpoint.
 type Links = Vec<Option<Arc<Pool>>>;
 
@@ -105,7 +111,7 @@
     /// Requests in progress.
     pub flight: Flight,
     /// Endpoints with their load and health.
-    pub table: ArcSwap<Table>,
+    pub table: Arc<ArcSwap<Table>>,
     /// Names of endpoints that the platform's list shows as leaving.
     leaving: ArcSwap<Vec<String>>,
     links: ArcSwap<Links>,
@@ -131,7 +137,7 @@
             parts,
             meter: Meter::open(),
             flight: Flight::default(),
-            table: ArcSwap::from_pointee(table),
+            table: Arc::new(ArcSwap::from_pointee(table)),
             leaving: ArcSwap::default(),
             links: ArcSwap::default(),
             desks: ArcSwap::default(),
@@ -166,13 +172,11 @@
 
     fn rebuild_desks(&self, snapshot: &Snapshot) -> Vec<Arc<Desk>> {
         let mut desks = self.desks.load().to_vec();
-        for (id, pool) in snapshot.pools() {
+        for (id, _) in snapshot.pools() {
             while desks.len() <= id as usize {
-                desks.push(Desk::open(self.clock.clone()));
+                let pool = desks.len() as PoolId;
+                desks.push(Desk::open(pool, self.table.clone(), self.clock.clone()));
             }
-            let members = pool.endpoints.iter().filter_map(|e| snapshot.endpoint(*e));
-            let members = members.filter(|e| !e.leaving).count();
-            desks[id as usize].set_capacity(members * pool.slots as usize);
         }
         desks
     }
@@ -200,6 +204,30 @@
         }
     }
 
+    /// Requests of this instance at its `most` busiest endpoints, by the hash of their names.
+    pub fn outstanding(&self, most: usize) -> Vec<(u64, u32)> {
+        let (snapshot, table) = (self.current.load(), self.table.load());
+        let count = |id| table.endpoint(id).live.outstanding.load(Ordering::Relaxed);
+        let mut busy: Vec<_> =
+            snapshot.endpoints().map(|(id, e)| (count(id), e)).filter(|(n, _)| *n > 0).collect();
+        busy.sort_by_key(|(n, _)| Reverse(*n));
+        busy.into_iter().take(most).map(|(n, e)| (name_hash(&e.name), n)).collect()
+    }
+
+    /// Takes over the requests of all other instances by endpoint, and renews this instance's part
+    /// of every pool's slots.
+    pub fn exchange(&self, foreign: &IndexMap<u64, u32>, sharers: u32) {
+        let (snapshot, table) = (self.current.load(), self.table.load());
+        for (id, endpoint) in snapshot.endpoints() {
+            let count = foreign.get(&name_hash(&endpoint.name)).copied().unwrap_or(0);
+            table.endpoint(id).live.foreign.store(count, Ordering::Relaxed);
+        }
+        for (id, pool) in snapshot.pools() {
+            let slots = pool.slots * pool.endpoints.len() as u32;
+            self.desk(id).exchange(slots, sharers, PENDING);
+        }
+    }
+
     /// Marks the endpoints named in `leaving` as taking no new work, and only those, beside the ones
     /// that the configuration marks.
     pub fn set_leaving(&self, leaving: Vec<String>) {
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -20,6 +20,7 @@
         token::{Event, Tokens, Usage},
         truth::{Grant, Repeatable, Untouched},
     },
+    agate_admit::queue::cost,
     agate_core::{EndpointId, ModelId, Mono, PoolId, Refusal},
     agate_route::{health::Kind, prefix},
     bytes::Bytes,
@@ -53,7 +54,7 @@
     /// Longest idle time of a connection that may be used; none after one went silent.
     rest: Duration,
     last: Mono,
-    _slot: Slot,
+    slot: Slot,
 }
 
 /// Runs a request on a model route.
@@ -74,7 +75,7 @@
         shape,
         tried: Vec::new(),
         rest: IDLE_LIMIT,
-        _slot: slot,
+        slot,
     };
     let stream = run.start(Grant::First(proof)).await?;
     if run.ask.stream { Ok(sse::stream(run, stream)) } else { whole(run, stream).await }
@@ -89,7 +90,7 @@
     let shared: Vec<&str> =
         model.map(|(_, m)| m.shared.iter().map(|s| &**s).collect()).unwrap_or_default();
     let prompt = ask.prompt_tokens();
-    let cost = prompt.saturating_add(ask.output);
+    let cost = cost(prompt, ask.output);
     Shape { prefix: prefix::blocks(salt, &shared, &ask.text), prompt, cost }
 }
 
@@ -118,6 +119,9 @@
 pub struct Source {
     tokens: Tokens,
     target: Target,
+    begin: Mono,
+    /// Time to its first token; of a whole answer, not of a resumed one.
+    first: Option<Duration>,
 }
 
 impl Run {
@@ -129,7 +133,9 @@
             let chosen =
                 next_target(gate, &self.job, pool, &self.shape, &self.tried, grant).await?;
             let (target, granted) = chosen;
+            self.slot.sent();
             self.tried.push(target.id);
+            let begin = gate.now();
             let limit = dispatch::left(gate, &self.job).min(gate.limits.first);
             let patience = Patience { fresh: limit, reused: limit, rest: self.rest };
             let request = self.request();
@@ -140,7 +146,7 @@
                     self.gate.note_load(target.id, &answer.head);
                     let between = self.gate.limits.between;
                     let tokens = Tokens::open(answer, self.delivered, limit, between);
-                    return Ok(Source { tokens, target });
+                    return Ok(Source { tokens, target, begin, first: None });
                 }
                 Ok(answer) => return Err(self.rejected(answer).await),
                 Err(failure) => failure,
@@ -156,6 +162,10 @@
                 Ok(event) => {
                     // Crashes come with the prompt; after a token the next suspect may follow.
                     source.target.seat = None;
+                    if self.delivered == 0 && matches!(event, Event::Token(_)) {
+                        let now = self.gate.now();
+                        source.first = Some(now.saturating_sub(source.begin));
+                    }
                     return Ok((self.accept(event, &source), source));
                 }
                 Err(failure) => failure,
@@ -192,11 +202,24 @@
     /// Ends a request whose stream was whole.
     pub fn finish(&mut self, source: Source) {
         self.finished = true;
+        self.note_cache(&source);
         source.target.stay.end(Kind::Success);
         self.gate.suspects.state().clear(self.job.print);
         self.gate.meter.answers.inc();
-        let actual = self.usage.prompt_tokens.saturating_add(self.usage.completion_tokens);
-        self.gate.desk(self.pool).settle(&self.job.caller, self.shape.cost, actual);
+        let actual = cost(self.usage.prompt_tokens, self.usage.completion_tokens);
+        let desk = self.gate.desk(self.pool);
+        desk.settle(&self.slot, &self.job.caller, self.shape.cost, actual);
+    }
+
+    /// Records what the answer says of the engine's cache and of the speed of its prefill.
+    fn note_cache(&self, source: &Source) {
+        let (table, id) = (self.gate.table.load(), source.target.id);
+        let cached = self.usage.cached_tokens;
+        table.note_cached(id, &self.shape.prefix, cached);
+        if let Some(first) = source.first {
+            let uncached = self.usage.prompt_tokens.saturating_sub(cached);
+            table.endpoint(id).live.note_prefill(uncached, first);
+        }
     }
 
     fn observe_token(&mut self, delivered: u32) {
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -100,13 +100,14 @@
     proof: Untouched,
 ) -> Result<(http::response::Parts, Bytes)> {
     let shape = Shape { cost: 1, ..Shape::default() };
-    let (_slot, proof) = admit(gate, job, pool, shape.cost, proof).await?;
+    let (slot, proof) = admit(gate, job, pool, shape.cost, proof).await?;
     let mut grant = Grant::First(proof);
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut silent = false;
     loop {
         grant = check_key(gate, job, grant)?;
         let (target, granted) = next_target(gate, job, pool, &shape, &tried, grant).await?;
+        slot.sent();
         tried.push(target.id);
         let granted = booking::check_permit(permit, granted)?;
         let left = left(gate, job);
@@ -114,6 +115,7 @@
             Ok(whole) => {
                 target.stay.end(Kind::Success);
                 count(gate, job, pool);
+                gate.desk(pool).settle(&slot, &job.caller, shape.cost, shape.cost);
                 gate.suspects.state().clear(job.print);
                 return Ok(whole);
             }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -225,14 +225,39 @@
 
     /// Counts free slots of a pool as this instance sees them, up to `limit` in all.
     ///
-    /// Looks at no more than [`SUBSET`] endpoints, beginning at a rotating one.
+    /// Looks at no more than [`SUBSET`] near endpoints, beginning at a rotating one, and at far
+    /// ones only if none of these takes requests.
     pub fn room(&self, pool: PoolId, limit: u32, now: Mono) -> Room {
-        let mut room = Room::default();
-        let Some(pool) = self.pools.get(pool as usize) else { return room };
+        let Some(pool) = self.pools.get(pool as usize) else { return Room::default() };
         let start = self.turn.fetch_add(1, Relaxed) as usize;
         let count = pool.local.len();
-        for i in 0..count {
-            let (slots, inflight) = self.use_of(pool.local[(start + i) % count], now);
+        let local = (0..count).map(|i| pool.local[(start + i) % count]);
+        match self.room_of(local, limit, now) {
+            Some(room) => room,
+            None => {
+                let rest = pool.near.iter().chain(&pool.far).copied();
+                self.room_of(rest, limit, now).unwrap_or_default()
+            }
+        }
+    }
+
+    /// Whether any member of a pool takes requests.
+    pub fn usable(&self, pool: PoolId, now: Mono) -> bool {
+        self.members(pool).any(|id| self.use_of(id, now).0 > 0)
+    }
+
+    /// Counts free slots of some endpoints; none if no endpoint takes requests.
+    fn room_of(
+        &self,
+        ids: impl Iterator<Item = EndpointId>,
+        limit: u32,
+        now: Mono,
+    ) -> Option<Room> {
+        let mut room = Room::default();
+        let mut usable = false;
+        for id in ids {
+            let (slots, inflight) = self.use_of(id, now);
+            usable |= slots > 0;
             let reserve = slots / RESERVE;
             room.free += (slots - reserve).saturating_sub(inflight);
             room.reserved += slots.saturating_sub(inflight).min(reserve);
@@ -242,7 +267,7 @@
         }
         room.free = room.free.min(limit);
         room.reserved = room.reserved.min(limit - room.free);
-        room
+        usable.then_some(room)
     }
 
     /// Counts free slots of a pool as this instance sees them, up to `limit`.
