Take work off the request path and name what stood twice

Cause: read through, the request path hashed every body for the quarantine although nothing is suspected as a rule, looked for its own availability zone in the whole list at each choice, and looked the model up twice; the platform's list was compared with every endpoint by name once a second, which grows with both; the same look-up of a request's organisation, the same hash of parts with lengths, the same test of freshness and the same delay stood in several places; a task did nothing but keep a client that its store keeps anyway; the quarantine and the mesh were tied by a cell set later. Change: fingerprints are made when they are asked for; Table::home, Job::org, hash_parts, Gate::trusts and one COME_BACK serve all; names are compared through sets; the mesh makes its own quarantine; the usage tests share one run loop, each with its check after every step as before. Behaviour is the same.

--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -17,7 +17,6 @@
         desk::Clock,
         gate::{Gate, Parts},
         server::Front,
-        suspect::Suspects,
     },
     agate_member::{Listing, Server},
     agate_once::{Once, Settings as Claims},
@@ -31,6 +30,7 @@
     },
     agate_wire::{Keys, Name, Peer, Place},
     eyre::{Result, WrapErr, eyre},
+    indexmap::IndexSet,
     rand::RngExt,
     std::{
         net::SocketAddr,
@@ -50,7 +50,7 @@
 const COUNTS_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two looks at the members.
 const MEMBERS_PERIOD: Duration = Duration::from_millis(500);
-/// Instances among which the store's rates are divided until the members are known.
+/// Instances among which the store's rates are divided.
 const ASSUMED_FLEET: usize = 8;
 /// Domain separation of the key of request fingerprints.
 const PRINT_DERIVATION: &str = "agatetrack request fingerprint v1";
@@ -86,11 +86,9 @@
     pub async fn spawn(settings: &Settings, store: Store) -> Result<Self> {
         let origin = Instant::now();
         let clock: Clock = Arc::new(move || origin.elapsed());
-        let client = Client::open(store, StoreSettings::for_fleet(ASSUMED_FLEET), rand::random());
-        let store = client.store();
-        let suspects = open_suspects();
-        let mesh = Mesh::open(&settings.zone, suspects.0.clone(), clock.clone());
-        let _ = suspects.1.set(Arc::downgrade(&mesh));
+        let rates = StoreSettings::for_fleet(ASSUMED_FLEET);
+        let store = Client::open(store, rates, rand::random()).store();
+        let mesh = Mesh::open(&settings.zone, clock.clone());
         let keys = open_keys(settings)?;
         let peers = match (&settings.peers, &keys) {
             (Some(peers), Some(keys)) => {
@@ -111,7 +109,7 @@
             ))),
             zone: settings.zone.clone(),
             limits: settings.limits.limits(),
-            suspects: suspects.0,
+            suspects: mesh.suspects().clone(),
             secret: keys.map_or([0; 32], |k| k.print),
             once,
             fresh: fresh(&mesh),
@@ -122,7 +120,7 @@
         usage.start(&store, &gate.meter.registry);
         mesh.count(&gate);
         let installed = follow_config(settings, store, &mesh, &gate);
-        let mut tasks = vec![
+        let tasks = vec![
             tokio::spawn(follow_members(settings.name.as_str().into(), mesh.clone())),
             tokio::spawn(exchange_counts(mesh.clone())),
             tokio::spawn(follow_list(settings.clone(), gate.clone(), mesh.clone())),
@@ -135,7 +133,6 @@
             .await
             .wrap_err_with(|| format!("binding the callers' address {}", settings.listen))?;
         log::info!("instance {} serves callers at {}", settings.name, front.address());
-        tasks.push(tokio::spawn(hold(client)));
         Ok(Self { gate, mesh, usage, front, operator, stop, _peers: peers, tasks })
     }
 
@@ -227,20 +224,6 @@
     Ok(Some(Secrets { keys, print: blake3::derive_key(PRINT_DERIVATION, &secrets[0]) }))
 }
 
-type LateMesh = Arc<std::sync::OnceLock<std::sync::Weak<Mesh>>>;
-
-/// Makes the quarantine; its announcements go to the mesh, which is set after it.
-fn open_suspects() -> (Arc<Suspects>, LateMesh) {
-    let late = LateMesh::default();
-    let mesh = late.clone();
-    let suspects = Suspects::open(move |print, crashes| {
-        if let Some(mesh) = mesh.get().and_then(std::sync::Weak::upgrade) {
-            mesh.spread_suspicion(print, crashes);
-        }
-    });
-    (suspects, late)
-}
-
 fn place(settings: &Settings, address: SocketAddr) -> Place {
     let (zone, region) = (settings.zone.as_str().into(), settings.region.as_str().into());
     Place { zone, region, address }
@@ -288,12 +271,6 @@
     Ok(())
 }
 
-/// Keeps the store's client while the instance runs.
-async fn hold(client: Client) {
-    std::future::pending::<()>().await;
-    drop(client);
-}
-
 async fn follow_members(own: Name, mesh: Arc<Mesh>) {
     let mut known = None;
     loop {
@@ -339,12 +316,13 @@
 /// endpoints.
 fn listings(settings: &Settings, gate: &Gate, entries: &[Entry]) -> Vec<Listing> {
     let snapshot = gate.current.load();
-    let endpoint = |name: &str| snapshot.endpoints().any(|(_, e)| *e.name == *name);
+    let endpoints: IndexSet<&str> = snapshot.endpoints().map(|(_, e)| &*e.name).collect();
     let region = |zone: &str| {
         let known = snapshot.zones().find(|(_, z)| *z.name == *zone);
         known.map_or_else(|| settings.region.as_str().into(), |(_, z)| z.region.clone())
     };
-    let others = entries.iter().filter(|e| e.name != settings.name && !endpoint(&e.name));
+    let others =
+        entries.iter().filter(|e| e.name != settings.name && !endpoints.contains(&*e.name));
     let listing = |e: &Entry| {
         let (zone, region) = (e.zone.as_str().into(), region(&e.zone));
         let place = Place { zone, region, address: e.address };
--- a/crates/cli/src/mesh.rs
+++ b/crates/cli/src/mesh.rs
@@ -63,15 +63,15 @@
 
 impl Mesh {
     /// Makes a mesh that knows no other instance yet.
-    pub fn open(zone: &str, suspects: Arc<Suspects>, clock: Clock) -> Arc<Self> {
-        Arc::new(Self {
+    pub fn open(zone: &str, clock: Clock) -> Arc<Self> {
+        Arc::new_cyclic(|mesh: &Weak<Self>| Self {
             follower: OnceLock::new(),
             member: OnceLock::new(),
             client: OnceLock::new(),
             once: OnceLock::new(),
             gate: OnceLock::new(),
             counts: Mutex::default(),
-            suspects,
+            suspects: open_suspects(mesh.clone()),
             usage: OnceLock::new(),
             clock,
             zone: zone.into(),
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Requests that were in flight when endpoints crashed.
+    pub fn suspects(&self) -> &Arc<Suspects> {
+        &self.suspects
+    }
+
     /// Membership, once joined.
     pub fn member(&self) -> Option<&Handle> {
         self.member.get()
@@ -348,6 +353,15 @@
     }
 }
 
+/// Makes the quarantine, whose new suspicions `mesh` spreads.
+fn open_suspects(mesh: Weak<Mesh>) -> Arc<Suspects> {
+    Suspects::open(move |print, crashes| {
+        if let Some(mesh) = mesh.upgrade() {
+            mesh.spread_suspicion(print, crashes);
+        }
+    })
+}
+
 fn other(topic: &str, content: &impl Serialize) -> Query {
     Query::Other { topic: topic.into(), bytes: encode(content) }
 }
--- a/crates/flow/src/booking.rs
+++ b/crates/flow/src/booking.rs
@@ -5,10 +5,12 @@
 
 use {
     crate::{
+        dispatch::COME_BACK,
         gate::Gate,
         header,
         reply::{Refused, Result},
         serve::Job,
+        suspect::hash_parts,
         truth::{Grant, Untouched},
     },
     agate_config::doc::BookingKey,
@@ -16,15 +18,12 @@
     agate_once::{Answer, Claim, ClaimError, Permit, Print},
     bytes::Bytes,
     http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, response::Parts},
-    std::time::Duration,
     tokio::time::Instant,
     volo_http::body::Body,
 };
 
 /// Longest booking key, in bytes.
 const KEY_LENGTH: usize = 255;
-/// Delay that a refusal suggests while claims cannot be made.
-const COME_BACK: Duration = Duration::from_secs(1);
 /// States that an answer is that of an earlier run.
 const REPLAYED: HeaderName = HeaderName::from_static("x-replayed");
 
@@ -58,8 +57,7 @@
 
 /// Claims the key, waiting for another call that holds it.
 pub async fn claim(gate: &Gate, job: &Job, key: &str, proof: Untouched) -> Result<Claimed> {
-    let org = job.caller.org().and_then(|o| job.snapshot.org(o)).map_or("", |o| &o.name);
-    match gate.once.claim(org, key, print(job)).await {
+    match gate.once.claim(job.org_name(), key, print(job)).await {
         Ok(Claim::Won(permit)) => Ok(Claimed::Run(permit, proof)),
         Ok(Claim::Replay(answer)) => replay(job, answer).map(Claimed::Answer),
         Ok(Claim::Conflict) => {
@@ -118,10 +116,6 @@
 /// Fingerprint of what a call asks for.
 fn print(job: &Job) -> Print {
     let target = job.head.uri.path_and_query().map_or("/", |p| p.as_str());
-    let mut hash = blake3::Hasher::new();
-    for part in [job.head.method.as_str().as_bytes(), target.as_bytes(), &job.body] {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part);
-    }
-    *hash.finalize().as_bytes()
+    let parts = [job.head.method.as_str().as_bytes(), target.as_bytes(), &job.body];
+    hash_parts(blake3::Hasher::new(), parts)
 }
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -3,11 +3,11 @@
 
 use {
     crate::{
-        caller::Caller,
         desk::{Denied, Entry, Slot},
         exchange::{Failure, Step},
         gate::{Gate, Stay},
         link::{self, Pool},
+        meter::Meter,
         quarantine::Verdict,
         reply::{Refused, Result},
         serve::Job,
@@ -25,7 +25,7 @@
 };
 
 /// Delay that a refusal suggests when no endpoint could take the request.
-const COME_BACK: Duration = Duration::from_secs(1);
+pub const COME_BACK: Duration = Duration::from_secs(1);
 
 /// What one attempt goes to.
 pub struct Target {
@@ -59,11 +59,11 @@
     proof: Untouched,
 ) -> Result<(Slot, Untouched)> {
     let desk = gate.desk(pool);
-    let weight = job.caller.org().and_then(|o| job.snapshot.org(o)).map_or(1, |o| o.weight);
+    let weight = job.org().map_or(1, |o| o.weight);
     let (caller, deadline) = (job.caller.clone(), job.deadline);
     let begin = gate.now();
     let admitted = desk.admit(Entry { caller, weight, cost, deadline }).await;
-    gate.meter.queued.observe(gate.now().saturating_sub(begin).as_secs_f64());
+    Meter::observe(&gate.meter.queued, gate.now().saturating_sub(begin));
     match admitted {
         Ok(slot) => {
             desk.retries.on_request();
@@ -107,7 +107,7 @@
         if left.is_zero() {
             return Err(exhausted(grant.untouched(), left));
         }
-        let verdict = gate.suspects.state().judge(job.print, gate.now());
+        let verdict = gate.suspects.judge(|| job.print(&gate.secret), gate.now());
         match verdict {
             Verdict::Refused => {
                 let text = "the request crashed endpoints before and is refused for some minutes";
@@ -150,7 +150,8 @@
     tried: &[EndpointId],
     never: &[EndpointId],
 ) -> Option<Target> {
-    let (table, zone, now) = (gate.table.load(), gate.zone(), gate.now());
+    let (table, now) = (gate.table.load(), gate.now());
+    let zone = table.home();
     let avoid = [tried, never].concat();
     let ask = Ask { pool, zone, prefix: &shape.prefix, tokens: shape.prompt, avoid: &avoid };
     let chosen = choose(&table, &ask, now);
@@ -167,7 +168,7 @@
 
 /// Refuses the request if its key was withdrawn since it arrived.
 pub fn check_key(gate: &Gate, job: &Job, grant: Grant) -> Result<Grant> {
-    if !matches!(job.caller, Caller::Open) && !(gate.fresh)() {
+    if !gate.trusts(&job.caller) {
         let text = "this instance cannot tell whether the key is still in force";
         return Err(Refused::either(Refusal::ConfigStale, text, grant.untouched()));
     }
@@ -250,7 +251,7 @@
     };
     if cause == Cause::Crash {
         target.links.purge();
-        gate.suspects.crash(job.print, target.id, target.seat.is_some(), gate.now());
+        gate.suspects.crash(job.print(&gate.secret), target.id, target.seat.is_some(), gate.now());
     }
     target.stay.end(kind);
     cause
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        caller::Caller,
         desk::{Clock, Desk},
         flight::Flight,
         header,
@@ -26,7 +27,7 @@
         table::{Distances, Role, Spec, Table},
     },
     arc_swap::ArcSwap,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     std::{
         cmp::Reverse,
         sync::{Arc, Mutex, atomic::Ordering},
@@ -113,7 +114,7 @@
     /// Endpoints with their load and health.
     pub table: Arc<ArcSwap<Table>>,
     /// Names of endpoints that the platform's list shows as leaving.
-    leaving: ArcSwap<Vec<String>>,
+    leaving: ArcSwap<IndexSet<String>>,
     links: ArcSwap<Links>,
     desks: ArcSwap<Vec<Arc<Desk>>>,
     /// Held while the tables are rebuilt.
@@ -188,9 +189,9 @@
         found.map_or(ZoneId::MAX, |(id, _)| id)
     }
 
-    /// Identifier of this instance's availability zone.
-    pub fn zone(&self) -> ZoneId {
-        self.home(&self.current.load())
+    /// Whether the configuration is fresh enough to serve `caller`.
+    pub fn trusts(&self, caller: &Caller) -> bool {
+        matches!(caller, Caller::Open) || (self.fresh)()
     }
 
     /// Takes over the load that an endpoint reported on an answer.
@@ -230,7 +231,7 @@
 
     /// Marks the endpoints named in `leaving` as taking no new work, and only those, beside the ones
     /// that the configuration marks.
-    pub fn set_leaving(&self, leaving: Vec<String>) {
+    pub fn set_leaving(&self, leaving: IndexSet<String>) {
         self.leaving.store(Arc::new(leaving));
         self.apply_leaving();
     }
@@ -239,7 +240,7 @@
         let (snapshot, leaving) = (self.current.load(), self.leaving.load());
         let table = self.table.load();
         for (id, endpoint) in snapshot.endpoints() {
-            let gone = endpoint.leaving || leaving.iter().any(|n| **n == *endpoint.name);
+            let gone = endpoint.leaving || leaving.contains(&*endpoint.name);
             table.endpoint(id).live.leaving.store(gone, Ordering::Relaxed);
         }
     }
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -21,6 +21,7 @@
         truth::{Grant, Repeatable, Untouched},
     },
     agate_admit::queue::cost,
+    agate_config::snapshot::ModelEntry,
     agate_core::{EndpointId, ModelId, Mono, PoolId, Refusal, Retry},
     agate_route::{health::Kind, prefix},
     bytes::Bytes,
@@ -60,8 +61,8 @@
 /// Runs a request on a model route.
 pub async fn run(gate: &Arc<Gate>, job: Job, proof: Untouched) -> Result<Response<Body>> {
     let (ask, proof) = prompt::parse(&job.body, proof)?;
-    let (pool, proof) = authorise(&job, &ask, proof)?;
-    let shape = shape(&job, &ask);
+    let (model, proof) = authorise(&job, &ask, proof)?;
+    let (pool, shape) = (model.pool, shape(&job, &ask, model));
     let (slot, proof) = admit(gate, &job, pool, shape.cost, proof).await?;
     let mut run = Run {
         gate: gate.clone(),
@@ -83,18 +84,15 @@
 
 /// Size of a request; its prefix blocks are salted so that organisations never share them unless
 /// the model declares the prefix as shared.
-fn shape(job: &Job, ask: &Ask) -> Shape {
-    let org = job.caller.org().and_then(|o| job.snapshot.org(o));
-    let salt = prefix::salt(org.map_or("", |o| &o.name));
-    let model = job.snapshot.find_model(&ask.model);
-    let shared: Vec<&str> =
-        model.map(|(_, m)| m.shared.iter().map(|s| &**s).collect()).unwrap_or_default();
+fn shape(job: &Job, ask: &Ask, model: &ModelEntry) -> Shape {
+    let salt = prefix::salt(job.org_name());
+    let shared: Vec<&str> = model.shared.iter().map(|s| &**s).collect();
     let prompt = ask.prompt_tokens();
     let cost = cost(prompt, ask.output);
     Shape { prefix: prefix::blocks(salt, &shared, &ask.text), prompt, cost }
 }
 
-fn authorise(job: &Job, ask: &Ask, proof: Untouched) -> Result<(PoolId, Untouched)> {
+fn authorise<'a>(job: &'a Job, ask: &Ask, proof: Untouched) -> Result<(&'a ModelEntry, Untouched)> {
     let Some((id, model)) = job.snapshot.find_model(&ask.model) else {
         let text = format!("no model named {:?}", ask.model);
         return Err(Refused::not_run(Refusal::ModelUnknown, text, proof));
@@ -107,12 +105,11 @@
         let text = format!("max_tokens must be between 1 and {}", model.output);
         return Err(Refused::not_run(Refusal::BodyMalformed, text, proof));
     }
-    Ok((model.pool, proof))
+    Ok((model, proof))
 }
 
 fn may_use(job: &Job, model: ModelId) -> bool {
-    let Some(org) = job.caller.org() else { return true };
-    job.snapshot.org(org).is_some_and(|o| o.models.contains(&model))
+    job.caller.org().is_none() || job.org().is_some_and(|o| o.models.contains(&model))
 }
 
 /// A stream with the exchange that it comes from.
@@ -208,7 +205,7 @@
         self.finished = true;
         self.note_cache(&source);
         source.target.stay.end(Kind::Success);
-        self.gate.suspects.state().clear(self.job.print);
+        self.gate.suspects.clear(|| self.job.print(&self.gate.secret));
         self.gate.meter.answers.inc();
         let actual = cost(self.usage.prompt_tokens, self.usage.completion_tokens);
         let desk = self.gate.desk(self.pool);
@@ -260,9 +257,7 @@
         if !self.finished && self.delivered == 0 {
             return;
         }
-        let Some(org) = self.job.caller.org().and_then(|o| self.job.snapshot.org(o)) else {
-            return;
-        };
+        let Some(org) = self.job.org() else { return };
         // The engine states the length of the prompt at the end. An estimate could be above it, so
         // the prompt of a broken stream is not counted.
         let prompt = self.usage.prompt_tokens.into();
--- a/crates/flow/src/serve.rs
+++ b/crates/flow/src/serve.rs
@@ -13,13 +13,16 @@
     },
     agate_config::{
         doc::RouteKind,
-        snapshot::{RouteEntry, Snapshot},
+        snapshot::{OrgEntry, RouteEntry, Snapshot},
     },
     agate_core::{Mono, Refusal, RouteId},
     bytes::{Bytes, BytesMut},
     http::{Request, Response, request::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
     tokio::time::timeout,
     volo_http::body::Body,
 };
@@ -45,8 +48,7 @@
     pub start: Mono,
     /// When its answer is of no more use.
     pub deadline: Mono,
-    /// Fingerprint that the quarantine knows it by.
-    pub print: Fingerprint,
+    print: OnceLock<Fingerprint>,
     /// Presence among the requests in progress.
     pub guard: Guard,
 }
@@ -56,6 +58,22 @@
     pub fn entry(&self) -> &RouteEntry {
         self.snapshot.route(self.route).expect("a matched route is in its snapshot")
     }
+
+    /// Organisation that sent the request; `None` on open routes.
+    pub fn org(&self) -> Option<&OrgEntry> {
+        self.caller.org().and_then(|id| self.snapshot.org(id))
+    }
+
+    /// Name of the organisation that sent the request; empty on open routes.
+    pub fn org_name(&self) -> &str {
+        self.org().map_or("", |org| &org.name)
+    }
+
+    /// Fingerprint that the quarantine knows the request by. It covers the whole body, so it is
+    /// made only when it is asked for.
+    pub fn print(&self, key: &[u8; 32]) -> Fingerprint {
+        *self.print.get_or_init(|| suspect::fingerprint(self, key))
+    }
 }
 
 /// Serves one request; every outcome is a response.
@@ -92,9 +110,8 @@
     let proof = check_fresh(gate, &caller, proof)?;
     let (body, proof) = read_body(gate, body, proof).await?;
     let id = id.to_owned();
-    let print = 0;
-    let mut job = Job { id, snapshot, route, caller, head, body, start, deadline, print, guard };
-    job.print = suspect::fingerprint(&job, &gate.secret);
+    let print = OnceLock::new();
+    let job = Job { id, snapshot, route, caller, head, body, start, deadline, print, guard };
     match kind {
         RouteKind::Model => model::run(gate, job, proof).await,
         RouteKind::Service => service::run(gate, job, proof).await,
@@ -103,7 +120,7 @@
 
 /// Refuses keyed work while this instance may have missed the withdrawal of a key.
 fn check_fresh(gate: &Gate, caller: &Caller, proof: Untouched) -> Result<Untouched> {
-    if matches!(caller, Caller::Open) || (gate.fresh)() {
+    if gate.trusts(caller) {
         return Ok(proof);
     }
     let text = "this instance cannot tell whether its configuration is the newest";
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -83,9 +83,8 @@
 }
 
 fn authorise(job: &Job, pool: PoolId, proof: Untouched) -> Result<Untouched> {
-    let Some(org) = job.caller.org() else { return Ok(proof) };
-    let allowed = job.snapshot.org(org).is_some_and(|o| o.services.contains(&pool));
-    if allowed {
+    let allowed = || job.org().is_some_and(|o| o.services.contains(&pool));
+    if job.caller.org().is_none() || allowed() {
         return Ok(proof);
     }
     let text = "the organisation has no access to this service";
@@ -116,7 +115,7 @@
                 target.stay.end(Kind::Success);
                 count(gate, job, pool);
                 gate.desk(pool).settle(&slot, &job.caller, shape.cost, shape.cost);
-                gate.suspects.state().clear(job.print);
+                gate.suspects.clear(|| job.print(&gate.secret));
                 return Ok(whole);
             }
             Err(failure) => failure,
@@ -134,8 +133,7 @@
 
 /// Counts a call that was answered whole; one that may not have run is not counted.
 fn count(gate: &Gate, job: &Job, pool: PoolId) {
-    let org = job.caller.org().and_then(|o| job.snapshot.org(o));
-    if let (Some(org), Some(pool)) = (org, job.snapshot.pool(pool)) {
+    if let (Some(org), Some(pool)) = (job.org(), job.snapshot.pool(pool)) {
         (gate.count)(&org.name, &pool.name, 0, 0);
     }
 }
@@ -183,7 +181,7 @@
     let key = header::find_key(&job.head.headers);
     let mut out = header::for_endpoint(&job.head.headers, key, &job.id);
     out.insert(http::header::HOST, http::HeaderValue::from_static("endpoint"));
-    if let Some(org) = job.caller.org().and_then(|o| job.snapshot.org(o))
+    if let Some(org) = job.org()
         && let Ok(name) = http::HeaderValue::from_str(&org.name)
     {
         out.insert(header::CACHE_SALT, name.clone());
--- a/crates/flow/src/suspect.rs
+++ b/crates/flow/src/suspect.rs
@@ -55,6 +55,24 @@
         self.state.lock().expect("no panic under the quarantine lock")
     }
 
+    /// Decides how a request may run; `print` is not made while nothing is suspected.
+    pub fn judge(&self, print: impl FnOnce() -> Fingerprint, now: Mono) -> Verdict {
+        if self.state().is_empty() {
+            return Verdict::Free;
+        }
+        let print = print();
+        self.state().judge(print, now)
+    }
+
+    /// Records that a request was answered whole; `print` is not made while nothing is suspected.
+    pub fn clear(&self, print: impl FnOnce() -> Fingerprint) {
+        if self.state().is_empty() {
+            return;
+        }
+        let print = print();
+        self.state().clear(print);
+    }
+
     /// Endpoints that run a suspect.
     pub fn seated(&self) -> Vec<EndpointId> {
         self.seats().iter().copied().collect()
@@ -112,12 +130,16 @@
 
 /// Fingerprint of a request, equal on every instance that shares `key`.
 pub fn fingerprint(job: &Job, key: &[u8; 32]) -> Fingerprint {
-    let org = job.caller.org().and_then(|o| job.snapshot.org(o)).map_or("", |o| &o.name);
-    let mut hash = blake3::Hasher::new_keyed(key);
-    for part in [org.as_bytes(), job.head.uri.path().as_bytes(), &job.body] {
+    let parts = [job.org_name().as_bytes(), job.head.uri.path().as_bytes(), &job.body];
+    let hash = hash_parts(blake3::Hasher::new_keyed(key), parts);
+    u64::from_le_bytes(hash[..8].try_into().expect("a hash has 32 bytes"))
+}
+
+/// Hashes parts with their lengths, so that no two lists of parts look alike.
+pub(crate) fn hash_parts<const N: usize>(mut hash: blake3::Hasher, parts: [&[u8]; N]) -> [u8; 32] {
+    for part in parts {
         hash.update(&(part.len() as u64).to_le_bytes());
         hash.update(part);
     }
-    let bytes = hash.finalize();
-    u64::from_le_bytes(bytes.as_bytes()[..8].try_into().expect("a hash has 32 bytes"))
+    *hash.finalize().as_bytes()
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -286,6 +286,11 @@
         (live.slots(endpoint.slots), live.inflight(now))
     }
 
+    /// Availability zone of this instance.
+    pub fn home(&self) -> ZoneId {
+        self.home
+    }
+
     /// Delay from zone `from` to an endpoint.
     pub fn distance(&self, from: ZoneId, id: EndpointId) -> Duration {
         self.distances.get(from, self.endpoints[id as usize].zone)
--- a/crates/usage/tests/window_faults.rs
+++ b/crates/usage/tests/window_faults.rs
@@ -51,6 +51,16 @@
     }
 }
 
+/// Runs `ops`, with a check after each, and lets the system recover.
+fn run_checked(w: &mut World, ops: &[Op]) -> Result<(), TestCaseError> {
+    for op in ops {
+        w.run(op);
+        check(w, false)?;
+    }
+    w.recover();
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(config())]
 
@@ -58,11 +68,7 @@
     #[test]
     fn reports_equal_work(ops in ops(0)) {
         let mut w = World::new(Plant::Sound, FAR, COUNT);
-        for op in &ops {
-            w.run(op);
-            check(&w, false)?;
-        }
-        w.recover();
+        run_checked(&mut w, &ops)?;
         check(&w, true)?;
         prop_assert_eq!((w.reported(0), w.reported(1)), (w.ran(0), w.ran(1)));
     }
@@ -72,11 +78,7 @@
     #[test]
     fn horizon_never_above(ops in ops(1)) {
         let mut w = World::new(Plant::Sound, 2, COUNT);
-        for op in &ops {
-            w.run(op);
-            check(&w, false)?;
-        }
-        w.recover();
+        run_checked(&mut w, &ops)?;
         check(&w, false)?;
         let Reply::Keys(kept) = w.store.apply(&Call::List { prefix: "usage/".into() }, w.now).unwrap()
         else { panic!() };
@@ -87,11 +89,7 @@
     #[test]
     fn kills_lose_unshipped(ops in ops(2)) {
         let mut w = World::new(Plant::Sound, FAR, COUNT);
-        for op in &ops {
-            w.run(op);
-            check(&w, false)?;
-        }
-        w.recover();
+        run_checked(&mut w, &ops)?;
         check(&w, true)?;
     }
 }
@@ -104,11 +102,7 @@
     let mut runner = TestRunner::new(ProptestConfig { max_shrink_iters: 0, ..config() });
     let found = runner.run(&ops(1), |ops| {
         let mut w = World::new(plant, FAR, COUNT);
-        for op in &ops {
-            w.run(op);
-            check(&w, false)?;
-        }
-        w.recover();
+        run_checked(&mut w, &ops)?;
         check(&w, true)
     });
     assert!(found.is_err(), "the checks see {plant:?}");
