End the demo on SIGTERM as on Ctrl-C

Cause: the demo waited for Ctrl-C only, and the listeners in it take SIGTERM from the default action, so a demo that was told to end went on until it was killed. The help began with the description of a crate. Change: the demo waits through the same function as the stand-ins; the help says what the system is. Measured: demo_stops::terminate failed before (no end within 30 s) and passes, with the other three process tests.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -18,7 +18,7 @@
 
 /// Serving system for model and application traffic on a limited fleet.
 #[derive(Debug, Parser)]
-#[command(name = "agatetrack", version, about, after_help = EXIT_CODES, propagate_version = true)]
+#[command(name = "agatetrack", version, after_help = EXIT_CODES, propagate_version = true)]
 pub struct Args {
     /// Command to run.
     #[command(subcommand)]
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -67,7 +67,7 @@
     let _logs = logs::open(&Log { level: "warn".into(), ..Log::default() })?;
     let demo = demo::Demo::spawn(demo::read(document)?, listen, count, Bounds::default()).await?;
     println!("{}\nCtrl-C stops the demo.", demo.guide());
-    tokio::signal::ctrl_c().await.wrap_err("waiting for Ctrl-C")?;
+    standins::stopped().await?;
     demo.stop().await;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/standins.rs
+++ b/crates/cli/src/standins.rs
@@ -38,8 +38,8 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Waits for a signal to stop.
-async fn stopped() -> Result<()> {
+/// Waits for a signal to stop the process: SIGINT or SIGTERM.
+pub async fn stopped() -> Result<()> {
     let mut term = signal(SignalKind::terminate()).wrap_err("waiting for a stop signal")?;
     tokio::select! {
         done = tokio::signal::ctrl_c() => done.wrap_err("waiting for a stop signal"),
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -3,15 +3,22 @@
 mod support;
 
 use {
+    rstest::rstest,
     std::{
-        io::{BufRead, BufReader},
+        io::{BufRead, BufReader, Read},
         net::SocketAddr,
         process::{Child, Command, Stdio},
         sync::{Arc, Mutex},
+        time::Duration,
     },
     support::{Call, answer, ask, until},
 };
 
+/// Time between two looks at a process that is to end.
+const LOOK: Duration = Duration::from_millis(20);
+/// Looks at a process that is to end before a test gives up.
+const ENDING_LOOKS: u32 = 1500;
+
 /// One child process with the address that its log names.
 struct Process {
     child: Child,
@@ -23,19 +30,20 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_agatetrack"))
             .args(args)
             .env("NO_COLOR", "1")
+            .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the binary starts");
         let lines: Arc<Mutex<Vec<String>>> = Arc::default();
-        let (log, kept) = (child.stderr.take().expect("a piped log"), lines.clone());
-        std::thread::spawn(move || {
-            for line in BufReader::new(log).lines().map_while(Result::ok) {
-                kept.lock().expect("no panic while locked").push(line);
-            }
-        });
+        keep_lines(child.stderr.take().expect("a piped log"), lines.clone());
+        keep_lines(child.stdout.take().expect("a piped output"), lines.clone());
         Self { child, lines }
     }
 
+    fn printed(&self, mark: &str) -> bool {
+        self.lines.lock().expect("no panic while locked").iter().any(|l| l.contains(mark))
+    }
+
     fn find(&self, mark: &str) -> Option<SocketAddr> {
         let lines = self.lines.lock().expect("no panic while locked");
         let line = lines.iter().find(|l| l.contains(mark))?;
@@ -55,6 +63,15 @@
     }
 }
 
+/// Keeps what a process prints until it ends.
+fn keep_lines(from: impl Read + Send + 'static, kept: Arc<Mutex<Vec<String>>>) {
+    std::thread::spawn(move || {
+        for line in BufReader::new(from).lines().map_while(Result::ok) {
+            kept.lock().expect("no panic while locked").push(line);
+        }
+    });
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -160,3 +177,23 @@
     let status = system.instance.child.wait().expect("the process ends");
     assert!(status.success(), "{status}");
 }
+
+/// The demo ends by itself on every signal to stop.
+#[rstest]
+#[case::interrupt("INT")]
+#[case::terminate("TERM")]
+#[tokio::test]
+async fn demo_stops(#[case] name: &str) {
+    let mut demo = Process::spawn(&["demo", "--listen", "127.0.0.1:0"]);
+    until("the demo runs", || demo.printed("Ctrl-C stops")).await;
+    demo.signal(name);
+    let mut status = None;
+    for _ in 0..ENDING_LOOKS {
+        status = demo.child.try_wait().expect("the process is a child");
+        if status.is_some() {
+            break;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    assert!(status.is_some_and(|s| s.success()), "{status:?}");
+}
