Run load profiles from the command line

Cause: the load crate was a library only, its two built-in mixes named pools instead of models and routes that the example documents do not have, and it demanded its own request ids back, which instances replace.

Change: a profile file (YAML, checked whole, every problem with its place) says what is sent and by whom; two example profiles fit the two example documents; `agatetrack load` carries one out with progress, table, JSON and plot. Streams of instances, which do not number tokens, are checked by count against the usage. The last chunk of a stream has no choice, as clients of this interface expect; it used to have one without a delta.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -1,7 +1,7 @@
 //! Command line of the binary.
 
 use {
-    clap::{Parser, Subcommand, ValueEnum},
+    clap::{Args as Options, Parser, Subcommand, ValueEnum},
     clap_complete::Shell,
     std::{net::SocketAddr, path::PathBuf},
 };
@@ -89,6 +89,11 @@
         #[arg(long, value_enum, default_value_t)]
         output: Output,
     },
+    /// Send an open-loop load to instances and report goodput, worst-served organisation first.
+    #[command(
+        after_help = "Example:\n  agatetrack load examples/load-savikoda.yaml --target 127.0.0.1:8080 --rate 50 --time 30s"
+    )]
+    Load(Load),
     /// Print a completion script for a shell.
     #[command(after_help = "Example:\n  agatetrack completions bash > agatetrack.bash")]
     Completions {
@@ -97,6 +102,34 @@
     },
 }
 
+/// What the load command sends, and where.
+#[derive(Debug, Options)]
+pub struct Load {
+    /// Profile that says what is sent and by whom.
+    pub profile: PathBuf,
+    /// Address of an instance for callers; several are used in turn.
+    #[arg(long, required = true, num_args = 1..)]
+    pub target: Vec<SocketAddr>,
+    /// Requests a second.
+    #[arg(long, default_value_t = 20.0)]
+    pub rate: f64,
+    /// Length of the load.
+    #[arg(long, default_value = "10s")]
+    pub time: humantime::Duration,
+    /// Seed of the arrivals; the same seed sends the same requests at the same times.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Requests open at once; the waiting of more counts as their latency.
+    #[arg(long, default_value_t = 1024)]
+    pub open: usize,
+    /// File for a plot of the report, as SVG.
+    #[arg(long, value_name = "FILE")]
+    pub plot: Option<PathBuf>,
+    /// Form of the report.
+    #[arg(long, value_enum, default_value_t)]
+    pub output: Output,
+}
+
 /// Stand-ins that run as processes.
 #[derive(Debug, Subcommand)]
 pub enum Standin {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod demo;
 pub mod diff;
 pub mod instance;
+mod loads;
 pub mod logs;
 pub mod mesh;
 pub mod operator;
@@ -40,6 +41,7 @@
         Command::Config { action } => configs::run(action).await,
         Command::Settings { action: Settings::Check { file } } => Ok(check_settings(&file)),
         Command::Status { operator, output } => status(operator, output).await,
+        Command::Load(load) => loads::carry_out(load).await,
         Command::Completions { shell } => {
             let mut command = Args::command();
             clap_complete::generate(shell, &mut command, "agatetrack", &mut std::io::stdout());
--- a/crates/flow/src/sse.rs
+++ b/crates/flow/src/sse.rs
@@ -30,7 +30,7 @@
     id: &'a str,
     object: &'static str,
     model: &'a str,
-    choices: [Choice<'a>; 1],
+    choices: &'a [Choice<'a>],
     #[serde(skip_serializing_if = "Option::is_none")]
     usage: Option<Usage>,
 }
@@ -115,7 +115,7 @@
         id: &run.job.id,
         object: "chat.completion",
         model: &run.ask.model,
-        choices: [choice],
+        choices: &[choice],
         usage: Some(run.usage),
     };
     let text = serde_json::to_string(&body).expect("answers serialise");
@@ -132,17 +132,18 @@
         Event::Usage(_) | Event::End => return None,
     };
     let delta = Some(Text { role: None, content: text });
-    Some(render(run, Choice { index: 0, delta, message: None, finish_reason }, None))
+    let choice = Choice { index: 0, delta, message: None, finish_reason };
+    Some(render(run, &[choice], None))
 }
 
+/// The last chunk: it has usage and, as clients of this interface expect, no choice.
 fn end(run: &Run) -> String {
-    let choice = Choice { index: 0, delta: None, message: None, finish_reason: None };
-    render(run, choice, Some(run.usage))
+    render(run, &[], Some(run.usage))
 }
 
-fn render(run: &Run, choice: Choice<'_>, usage: Option<Usage>) -> String {
+fn render(run: &Run, choices: &[Choice<'_>], usage: Option<Usage>) -> String {
     let (id, model) = (run.job.id.as_str(), run.ask.model.as_str());
-    let body = Chunk { id, object: "chat.completion.chunk", model, choices: [choice], usage };
+    let body = Chunk { id, object: "chat.completion.chunk", model, choices, usage };
     serde_json::to_string(&body).expect("answers serialise")
 }
 
--- a/crates/load/examples/sender_cost.rs
+++ b/crates/load/examples/sender_cost.rs
@@ -2,16 +2,17 @@
 //! stand-in's byte forwarder and without it. Only the ratio within one row is of use.
 
 use {
-    agate_load::{Mix, Organisation, Settings, mix::Kind, run},
+    agate_load::{Organisation, Settings, mix::Kind, profile, run},
     agate_standin::Service,
     std::{net::SocketAddr, time::Duration},
 };
 
+const PROFILE: &str = include_str!("../../../examples/load-savikoda.yaml");
 const SEED: u64 = 9;
 const TIME: Duration = Duration::from_secs(4);
 
 fn settings(target: SocketAddr, rate: f64) -> Settings {
-    let mut mix = Mix::savikoda();
+    let mut mix = profile::parse(PROFILE).expect("the example is valid").mix;
     mix.shares.retain(|s| s.kind == Kind::Lookup);
     let organisation = Organisation { name: "one".into(), key: String::new(), weight: 1.0 };
     Settings {
@@ -23,6 +24,7 @@
         open: 512,
         organisations: vec![organisation],
         mix,
+        echo: true,
     }
 }
 
--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -1,7 +1,7 @@
 //! One request on the wire, and the check that its answer is whole.
 //!
-//! A stream is whole if its token indices run from zero without a gap to the asked number, and it
-//! ends with usage and the end marker. Every answer must echo the request id if it carries one.
+//! A stream is whole if it brings the asked number of tokens and ends with usage of as many and the
+//! end marker. Endpoints number their tokens; the numbers must run from zero without a gap. An endpoint's answer must echo the request id if it carries one.
 
 use {
     crate::{
@@ -79,17 +79,17 @@
 pub fn outgoing(arrival: &Arrival, mix: &Mix, key: &str, run: &str) -> Outgoing {
     let share = &mix.shares[arrival.share];
     let id = format!("{run}-{}", arrival.number);
-    let (method, path, body, tokens) = match share.kind {
+    let (method, body, tokens) = match share.kind {
         Kind::Question | Kind::Dossier => {
             let body = chat(&mix.model, &prompt(&id, arrival.prompt), arrival.output);
-            ("POST", "/v1/chat/completions", body, Some(arrival.output))
+            ("POST", body, Some(arrival.output))
         }
-        Kind::Booking => ("POST", mix.bookings.as_str(), json!({ "booking": id }), None),
-        Kind::Lookup => ("GET", mix.lookups.as_str(), Value::Null, None),
+        Kind::Booking => ("POST", json!({ "booking": id }), None),
+        Kind::Lookup => ("GET", Value::Null, None),
     };
     let mut builder = Request::builder()
         .method(method)
-        .uri(path)
+        .uri(&share.path)
         .header("host", "load")
         .header("x-request-id", &id);
     if !key.is_empty() {
@@ -121,12 +121,13 @@
     out
 }
 
-/// Sends a request that was intended to start at `intended`.
-pub async fn exchange(target: &Target, out: Outgoing, intended: Instant) -> Sample {
+/// Sends a request that was intended to start at `intended`; with `echo`, an answer under another
+/// request id is not whole.
+pub async fn exchange(target: &Target, out: Outgoing, intended: Instant, echo: bool) -> Sample {
     let mut sample =
         Sample { outcome: Outcome::Lost, whole: Duration::ZERO, first: None, between: None };
     let deadline = out.deadline;
-    sample.outcome = attempt(target, out, intended, &mut sample).await;
+    sample.outcome = attempt(target, out, intended, echo, &mut sample).await;
     sample.whole = intended.elapsed();
     if sample.outcome == Outcome::Good && sample.whole > deadline {
         sample.outcome = Outcome::Late;
@@ -138,6 +139,7 @@
     target: &Target,
     out: Outgoing,
     intended: Instant,
+    echo: bool,
     sample: &mut Sample,
 ) -> Outcome {
     let Some(mut sender) = target.take().await else { return Outcome::Lost };
@@ -149,7 +151,7 @@
         return refusal(head.status, &head.headers, &text);
     }
     let echoed = head.headers.get("x-request-id");
-    let crossed = echoed.is_some_and(|v| v.as_bytes() != out.id.as_bytes());
+    let crossed = echo && echoed.is_some_and(|v| v.as_bytes() != out.id.as_bytes());
     let whole = match out.tokens {
         Some(n) => stream(&mut body, n, intended, sample).await,
         None => read(&mut body).await.is_some(),
@@ -246,15 +248,25 @@
             return;
         }
         let value: Value = serde_json::from_slice(text).unwrap_or(Value::Null);
+        let choice = &value["choices"][0];
         if value["usage"].is_object() {
-            self.usage = true;
-        } else if value["token_index"].as_u64() == Some(u64::from(self.tokens)) {
+            self.usage(&value["usage"]["completion_tokens"]);
+        } else if let Some(index) = value["token_index"].as_u64() {
+            self.faulty |= index != u64::from(self.tokens);
+            self.tokens += 1;
+        } else if choice["delta"]["content"].as_str().is_some_and(|text| !text.is_empty()) {
             self.tokens += 1;
         } else {
-            self.faulty = true;
+            self.faulty |= choice["finish_reason"].as_str() != Some("stop");
         }
     }
 
+    /// Takes the number of tokens that the sender counted, if it gave one.
+    fn usage(&mut self, counted: &Value) {
+        self.usage = true;
+        self.faulty |= counted.as_u64().is_some_and(|n| n != u64::from(self.tokens));
+    }
+
     /// Whether the stream brought `tokens` tokens in order, usage, and the end marker last.
     pub fn whole(&self, tokens: u32) -> bool {
         !self.faulty && self.done && self.usage && self.tokens == tokens
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,6 +6,7 @@
 //! is whole and within its kind's deadline.
 //!
 //! - [`mix`]: what is sent, and the seeded plan of arrivals (pure).
+//! - [`profile`]: the file that says what is sent and by whom.
 //! - [`exchange`]: one request on the wire, and the check that its answer is whole.
 //! - [`report`]: tallies, histograms and the ordering of organisations (pure).
 //! - [`plot`]: the report as an SVG.
@@ -14,11 +15,13 @@
 pub mod exchange;
 pub mod mix;
 pub mod plot;
+pub mod profile;
 pub mod report;
 pub mod run;
 
 pub use {
     mix::{Arrival, Kind, Mix, Organisation, Share, plan},
+    profile::Profile,
     report::{Outcome, Report, Row},
     run::{Progress, Settings, run},
 };
@@ -29,6 +32,14 @@
     /// The settings cannot be carried out.
     #[error("load settings: {0}")]
     Settings(&'static str),
+    /// The profile cannot be used.
+    #[error("load profile {file} is invalid:\n  {}", problems.join("\n  "))]
+    Profile {
+        /// File that was read.
+        file: String,
+        /// Every problem, with its place and what is accepted.
+        problems: Vec<String>,
+    },
     /// The plot could not be written.
     #[error("write the plot {path}: {cause}")]
     Plot {
--- a/crates/load/src/mix.rs
+++ b/crates/load/src/mix.rs
@@ -37,82 +37,44 @@
 }
 
 /// One kind's part of a mix.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Share {
     /// Kind of the requests.
     pub kind: Kind,
+    /// Path that they are sent to.
+    pub path: String,
     /// Part of all requests, relative to the other shares.
     pub weight: f64,
     /// Time from the intended send time within which the whole answer is of use.
+    #[serde(with = "humantime_serde")]
     pub deadline: Duration,
-    /// Least and greatest bytes of prompt.
+    /// Least and greatest bytes of prompt; none for calls of a service.
+    #[serde(default)]
     pub prompt: (usize, usize),
-    /// Least and greatest tokens of answer.
+    /// Least and greatest tokens of answer; none for calls of a service.
+    #[serde(default)]
     pub output: (u32, u32),
 }
 
 /// A mix of requests for one user of the system.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Mix {
     /// Model that questions and dossiers name.
     pub model: String,
-    /// Path of bookings.
-    pub bookings: String,
-    /// Path of lookups.
-    pub lookups: String,
     /// Parts of the mix.
     pub shares: Vec<Share>,
 }
 
-fn share(
-    kind: Kind,
-    weight: f64,
-    seconds: u64,
-    prompt: (usize, usize),
-    output: (u32, u32),
-) -> Share {
-    Share { kind, weight, deadline: Duration::from_secs(seconds), prompt, output }
-}
-
-impl Mix {
-    /// Kiln questions, restoration dossiers, kiln bookings and catalogue lookups.
-    pub fn savikoda() -> Mix {
-        Mix {
-            model: "glaze-oracle".into(),
-            bookings: "/orders/bookings".into(),
-            lookups: "/catalogue/tiles".into(),
-            shares: vec![
-                share(Kind::Question, 5.0, 2, (40, 400), (8, 48)),
-                share(Kind::Dossier, 1.0, 20, (8_000, 48_000), (2, 8)),
-                share(Kind::Booking, 1.0, 5, (0, 0), (0, 0)),
-                share(Kind::Lookup, 3.0, 2, (0, 0), (0, 0)),
-            ],
-        }
-    }
-
-    /// Candidates' questions, evidence bundles, retest bookings and card lookups.
-    pub fn board() -> Mix {
-        Mix {
-            model: "assess-llm".into(),
-            bookings: "/records/retests".into(),
-            lookups: "/records/cards".into(),
-            shares: vec![
-                share(Kind::Question, 3.0, 3, (40, 600), (8, 64)),
-                share(Kind::Dossier, 2.0, 15, (16_000, 64_000), (2, 8)),
-                share(Kind::Booking, 1.0, 5, (0, 0), (0, 0)),
-                share(Kind::Lookup, 4.0, 2, (0, 0), (0, 0)),
-            ],
-        }
-    }
-}
-
 /// An organisation that sends requests.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Organisation {
     /// Name in the report.
     pub name: String,
     /// Key sent as a bearer token; empty sends none.
-    #[serde(skip_serializing)]
+    #[serde(default, skip_serializing)]
     pub key: String,
     /// Part of all requests, relative to the other organisations.
     pub weight: f64,
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -39,6 +39,9 @@
     pub organisations: Vec<Organisation>,
     /// What they send.
     pub mix: Mix,
+    /// Whether the targets answer with the request id they were sent, as endpoints do. Instances
+    /// give each request an id of their own.
+    pub echo: bool,
 }
 
 /// State of a run while it goes on.
@@ -133,6 +136,7 @@
 ) -> Vec<Arrival> {
     let targets: Vec<_> = settings.targets.iter().map(|a| Target::new(*a)).collect();
     let open = Arc::new(Semaphore::new(settings.open));
+    let echo = settings.echo;
     let run = format!("load-{:x}-{}", settings.seed, start_mark());
     let mut tasks = JoinSet::new();
     let mut unended: indexmap::IndexMap<u64, Arrival> = indexmap::IndexMap::new();
@@ -146,7 +150,7 @@
         unended.insert(arrival.number, arrival.clone());
         tasks.spawn(async move {
             let _permit = open.acquire_owned().await.expect("never closed");
-            (arrival, exchange(&target, out, intended).await)
+            (arrival, exchange(&target, out, intended, echo).await)
         });
         while let Some(done) = tasks.try_join_next() {
             pass_on(done, &mut unended, &to);
