Decide on orders and releases of endpoints in a pure crate

Nothing decided how many endpoints a pool should have. agate-fleet does, as step(&mut State, Input, now): orders allow for the arrival lag, the loss of one zone's cheap endpoints leaves the deadline work served, a budget and a maximum cap the fleet, releases drain first and leave a zone its last endpoint. An intention is in the record before it is sent, and its token derives from pool, fencing token and number, so a successor repeats it.

The forecast moved from ctl to core, for both.

Planted and found by order_tokens: sending before the record is durable (2 cases fail), tokens that differ at each sending (all), orders under way not counted (5), no regard to the loss of a zone (2).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,12 +4,14 @@
 //! current time as a [`Mono`] argument, so the same functions run under virtual time in tests
 //! and under the operating system's clock in production.
 
+pub mod forecast;
 pub mod ids;
 pub mod intern;
 pub mod reason;
 pub mod time;
 
 pub use {
+    forecast::Forecast,
     ids::{EndpointId, FenceToken, Generation, ModelId, OrgId, PoolId, RouteId, ZoneId},
     intern::Interner,
     reason::{Outcome, Refusal, Retry},
