Measure the fleet's controller against threshold and oracle

Both users' shapes with late arrivals, reclaims of a zone at notice and a time without cheap endpoints, in virtual time over the production function.

--- a/crates/lab/examples/policy.rs
+++ b/crates/lab/examples/policy.rs
@@ -1,9 +1,9 @@
-//! Prints the measurements of the policies: `policy -- NAME`.
+//! Prints the measurements of the policies: `policy -- NAME [SEED]`; only the fleet takes a seed.
 
 use {
     agate_lab::{
         plot,
-        study::{affinity, budget, deadline, fairness, overload, retry, split},
+        study::{affinity, budget, deadline, fairness, fleet, overload, retry, split},
     },
     std::{path::Path, time::Duration},
 };
@@ -12,6 +12,7 @@
 
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
+    let seed = std::env::args().nth(2).and_then(|s| s.parse().ok()).unwrap_or(SEED);
     let secs = Duration::from_secs;
     match name.as_str() {
         "fairness" => println!("{}", fairness::table(&[4, 8, 32], secs(120), SEED)),
@@ -30,9 +31,12 @@
         "retry" => println!("{}", retry::table(SEED)),
         "budget" => println!("{}", budget::table(SEED)),
         "split" => println!("{}", split::table(8, SEED)),
+        "fleet" => println!("{}", fleet::table(&[8.0, 100.0], seed)),
+        "decisions" => println!("{}", fleet::decisions(&[100, 1_000])),
         "plots" => plots(),
         _ => eprintln!(
-            "usage: policy -- fairness|deadline|overload|herding|affinity|retry|budget|split|plots"
+            "usage: policy -- fairness|deadline|overload|herding|affinity|retry|budget|split|fleet|\
+             decisions|plots"
         ),
     }
 }
@@ -43,4 +47,13 @@
     let path = Path::new("docs/measurements/goodput.svg");
     let axes = ("load / saturation", "good work, engine s/s");
     plot::lines(path, "Goodput over load, 8 engines", axes, &lines).expect("the plot is written");
+    for (user, file) in [(fleet::User::Savikoda, "savikoda"), (fleet::User::Board, "board")] {
+        let scenarios = fleet::scenarios(user, 100.0);
+        let scenario = scenarios.iter().find(|s| s.name == "both").expect("it is one of them");
+        let lines = fleet::lines(scenario, SEED);
+        let path = format!("docs/measurements/fleet-{file}.svg");
+        let axes = ("minutes", "endpoints; price units an hour");
+        let title = format!("{user:?}: reclaims and a time without cheap endpoints");
+        plot::lines(Path::new(&path), &title, axes, &lines).expect("the plot is written");
+    }
 }
--- a/crates/lab/src/study.rs
+++ b/crates/lab/src/study.rs
@@ -15,6 +15,7 @@
 pub mod budget;
 pub mod deadline;
 pub mod fairness;
+pub mod fleet;
 pub mod overload;
 pub mod retry;
 pub mod split;
--- /dev/null
+++ b/crates/lab/src/study/fleet.rs
@@ -0,0 +1,115 @@
+//! The fleet of a pool: endpoints that arrive minutes late, are reclaimed, or cannot be had.
+
+mod decide;
+mod policy;
+mod shape;
+mod work;
+mod world;
+
+pub use {
+    decide::decisions,
+    shape::{Scenario, User, scenarios},
+    world::{Outturn, Sample},
+};
+
+use {
+    crate::{
+        plot::Line,
+        table::{Table, percent},
+    },
+    agate_core::Mono,
+    agate_fleet::{Fit, Mix, Need, fit},
+    shape::{RATE, ZONES, demand},
+};
+
+/// Who controls the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Control {
+    /// Standard endpoints for the mean demand, never changed.
+    Fixed,
+    /// The present demand, without hysteresis.
+    Threshold,
+    /// The controller that instances run.
+    Controller,
+    /// The true demand of the next five minutes.
+    Oracle,
+}
+
+/// Runs a scenario under one control.
+pub fn measure(scenario: &Scenario, control: Control, seed: u64) -> Outturn {
+    let s = policy::settings(scenario);
+    let sum = |kind: usize| demand(scenario, Mono::ZERO).iter().map(|d| d[kind]).sum::<f64>();
+    let need = Need { deadline: sum(0) * s.headroom / RATE, long: sum(1) / RATE };
+    let none = Mix::default();
+    let there = Fit { least: none, free: none, going: none, peak: 0, zones: ZONES.len() };
+    let first = match control {
+        Control::Fixed => Mix { standard: (scenario.scale * s.headroom).ceil() as usize, cheap: 0 },
+        _ => fit(&s, need, &there).0,
+    };
+    let prices = s.prices;
+    let policy = match control {
+        Control::Fixed => policy::fixed(),
+        Control::Threshold => policy::threshold(s),
+        Control::Controller => policy::controller(s),
+        Control::Oracle => policy::oracle(scenario, s),
+    };
+    world::run(scenario, first, prices, seed, policy)
+}
+
+/// Compares the controls over the scenarios of both users.
+pub fn table(scales: &[f64], seed: u64) -> Table {
+    let title = format!("Fleet of a pool, 2 h, seed {seed}");
+    let head = [
+        "user",
+        "endpoints",
+        "scenario",
+        "control",
+        "goodput",
+        "cost of a million good tokens",
+        "endpoints ordered and released",
+        "worst-served organisation",
+        "work on cheap without harm",
+        "interrupted work lost",
+    ];
+    let mut table = Table::new(title, &head);
+    for user in [User::Savikoda, User::Board] {
+        for scale in scales {
+            for scenario in scenarios(user, *scale) {
+                for control in
+                    [Control::Fixed, Control::Threshold, Control::Controller, Control::Oracle]
+                {
+                    let o = measure(&scenario, control, seed);
+                    table.row([
+                        format!("{user:?}"),
+                        format!("{scale:.0}"),
+                        scenario.name.to_owned(),
+                        format!("{control:?}").to_lowercase(),
+                        percent(o.goodput),
+                        format!("{:.4}", o.cost),
+                        o.changes.to_string(),
+                        percent(o.worst),
+                        percent(o.cheap),
+                        percent(o.lost),
+                    ]);
+                }
+            }
+        }
+    }
+    table
+}
+
+/// Demand, fleet, goodput and cost over time under the controller.
+pub fn lines(scenario: &Scenario, seed: u64) -> Vec<Line> {
+    let samples = measure(scenario, Control::Controller, seed).samples;
+    let line = |name: &str, of: fn(&Sample) -> f64| Line {
+        name: name.to_owned(),
+        points: samples.iter().map(|s| (s.minute, of(s))).collect(),
+    };
+    vec![
+        line("demand", |s| s.demand),
+        line("standard endpoints", |s| s.fleet.0),
+        line("cheap endpoints", |s| s.fleet.1),
+        line("served work", |s| s.served),
+        line("cost an hour", |s| s.cost),
+    ]
+}
