Keep connections between instances for the next request

Each request between instances opened a TCP connection of its own, and a server took 32 connections at once, whatever the size of the fleet.

A request that finds its kept connection closed goes over a new one; once a byte was written the failure goes to the caller, since the peer may have carried the request out. A request that fails or is given up drops the other connections to that peer, and a change of the membership those to instances that ended. A server takes 8 connections for each member it knows, 64 to 1,024, and counts those it refuses; it reads and answers 64 at a time. Its connections end with its handle.

--- a/crates/member/src/counters.rs
+++ b/crates/member/src/counters.rs
@@ -13,6 +13,7 @@
     received: AtomicU64,
     received_bytes: AtomicU64,
     unsent: AtomicU64,
+    refused: AtomicU64,
     rejected: [AtomicU64; Reject::COUNT],
 }
 
@@ -29,6 +30,8 @@
     pub received_bytes: u64,
     /// Messages that could not be encoded or handed to the operating system.
     pub unsent: u64,
+    /// Connections refused because too many were open.
+    pub refused: u64,
     /// Messages dropped, by [`Reject::index`].
     pub rejected: [u64; Reject::COUNT],
 }
@@ -55,6 +58,10 @@
         self.unsent.fetch_add(1, Relaxed);
     }
 
+    pub(crate) fn count_refused(&self) {
+        self.refused.fetch_add(1, Relaxed);
+    }
+
     pub(crate) fn count_rejected(&self, reason: Reject) {
         self.rejected[reason.index()].fetch_add(1, Relaxed);
     }
@@ -67,6 +74,7 @@
             received: self.received.load(Relaxed),
             received_bytes: self.received_bytes.load(Relaxed),
             unsent: self.unsent.load(Relaxed),
+            refused: self.refused.load(Relaxed),
             rejected: std::array::from_fn(|i| self.rejected[i].load(Relaxed)),
         }
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -36,7 +36,7 @@
 pub use {
     agate_wire::{Answer, Digest, Keys, Name, Peer, Place, Query, Reject, Status},
     counters::{Counters, Totals},
-    peer::{Client, FetchError, FetchResult, Server, serve},
+    peer::{Capacity, Client, FetchError, FetchResult, Server, retired, serve},
     settings::{Scope, Settings},
     state::{Counts, State},
     step::{Action, Input, Listing, step},
--- /dev/null
+++ b/crates/member/tests/kept_connections.rs
@@ -0,0 +1,169 @@
+//! Connections between instances are kept for the next request, and given up when that is unsound.
+
+use {
+    agate_member::{
+        Answer, Client, Identity, Keys, Member, Place, Query, Server, Status, retired, serve,
+    },
+    agate_wire::{Body, Context, Envelope, seal, tag_of},
+    futures_util::future::{FutureExt, ready},
+    rstest::rstest,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        time::timeout,
+    },
+};
+
+fn keys() -> Keys {
+    Keys::new(&["the secret of the fleet"]).unwrap()
+}
+
+fn client() -> Client {
+    let id = Identity::new("client".into(), ([127, 0, 0, 1], 9).into(), 1);
+    Client::new(Arc::new(id), keys())
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// A server at a free address; another process might take it first, so binding is tried anew.
+async fn server() -> (Server, SocketAddr) {
+    for _ in 0..20 {
+        let (listener, address) = listen().await;
+        drop(listener);
+        let id = Arc::new(Identity::new("server".into(), address, 1));
+        if let Ok(s) = serve(id, keys(), |_, _| ready(Answer::Accepted).boxed()).await {
+            return (s, address);
+        }
+    }
+    panic!("no address could be bound");
+}
+
+async fn read_request(s: &mut TcpStream) -> Vec<u8> {
+    let size = s.read_u32().await.unwrap();
+    let mut request = vec![0; size as usize];
+    s.read_exact(&mut request).await.unwrap();
+    request
+}
+
+/// Answers one request on a connection by hand.
+async fn answer_one(s: &mut TcpStream) {
+    let tag = tag_of(&read_request(s).await).unwrap();
+    let body = Body::Answer(Answer::Accepted);
+    let e = Envelope { from: "server".into(), incarnation: 1, sequence: 0, body };
+    let bytes = seal(&keys(), &e, Context::Response(tag)).unwrap();
+    s.write_u32(bytes.len() as u32).await.unwrap();
+    s.write_all(&bytes).await.unwrap();
+}
+
+#[tokio::test]
+async fn kept_and_reused() {
+    let (_server, to) = server().await;
+    let c = client();
+    for _ in 0..10 {
+        assert_eq!(c.fetch(to, Query::Head).await.unwrap(), Answer::Accepted);
+    }
+    assert_eq!(c.usage(), (1, 9, 1));
+    assert_eq!((c.retire(to), c.usage().2), (1, 0));
+    c.fetch(to, Query::Head).await.unwrap();
+    assert_eq!(c.usage().0, 2);
+}
+
+/// The peer closed the kept connection: nothing is sent on it, and the request goes over a new one.
+#[tokio::test]
+async fn closed_while_idle() {
+    let (listener, to) = listen().await;
+    let c = client();
+    let first = async {
+        let (mut s, _) = listener.accept().await.unwrap();
+        answer_one(&mut s).await;
+    };
+    let (got, ()) = tokio::join!(c.fetch(to, Query::Head), first);
+    got.unwrap();
+    let second = async {
+        let (mut s, _) = listener.accept().await.unwrap();
+        answer_one(&mut s).await;
+    };
+    let (got, ()) = tokio::join!(c.fetch(to, Query::Head), second);
+    assert_eq!(got.unwrap(), Answer::Accepted);
+}
+
+/// The peer read the request and closed: it may have carried it out, so it is not sent again.
+#[tokio::test]
+async fn closed_after_request() {
+    let (listener, to) = listen().await;
+    let c = client();
+    let peer = async {
+        let (mut s, _) = listener.accept().await.unwrap();
+        answer_one(&mut s).await;
+        read_request(&mut s).await;
+    };
+    let asks = async {
+        c.fetch(to, Query::Head).await.unwrap();
+        c.fetch(to, Query::Head).await
+    };
+    let (got, ()) = tokio::join!(asks, peer);
+    assert!(got.is_err(), "{got:?}");
+    assert!(listener.accept().now_or_never().is_none(), "the request was sent twice");
+}
+
+/// A request that its caller gave up takes the other kept connections to that peer with it.
+#[tokio::test]
+async fn silent_peer() {
+    let (listener, to) = listen().await;
+    let c = client();
+    let peer = async {
+        let (mut a, _) = listener.accept().await.unwrap();
+        let (mut b, _) = listener.accept().await.unwrap();
+        tokio::join!(answer_one(&mut a), answer_one(&mut b));
+        (a, b)
+    };
+    let (x, y, _silent) = tokio::join!(c.fetch(to, Query::Head), c.fetch(to, Query::Head), peer);
+    assert!(x.is_ok() && y.is_ok());
+    assert_eq!(c.usage().2, 2);
+    assert!(timeout(Duration::from_millis(50), c.fetch(to, Query::Head)).await.is_err());
+    assert_eq!(c.usage().2, 0);
+}
+
+/// Connections above the bound are refused and counted; a larger fleet raises the bound.
+#[tokio::test]
+async fn refused_connections() {
+    let (server, to) = server().await;
+    let mut held = Vec::new();
+    for _ in 0..64 {
+        let mut s = TcpStream::connect(to).await.unwrap();
+        // A part of a request, so that the server is known to have taken the connection.
+        s.write_all(&[0]).await.unwrap();
+        held.push(s);
+    }
+    assert!(client().fetch(to, Query::Head).await.is_err());
+    assert_eq!(server.counters().totals().refused, 1);
+    server.capacity().set_members(100);
+    assert_eq!(client().fetch(to, Query::Head).await.unwrap(), Answer::Accepted);
+    assert_eq!(server.counters().totals().refused, 1);
+}
+
+/// Lives of member `a` before and after a change of the membership.
+#[rstest]
+#[case::same((1, Status::Alive), Some((1, Status::Suspect)), false)]
+#[case::restarted((1, Status::Alive), Some((2, Status::Alive)), true)]
+#[case::died((1, Status::Suspect), Some((1, Status::Dead)), true)]
+#[case::left((1, Status::Alive), Some((1, Status::Left)), true)]
+#[case::forgotten((1, Status::Alive), None, true)]
+fn ended_lives(#[case] old: (u64, Status), #[case] new: Option<(u64, Status)>, #[case] gone: bool) {
+    let address = ([127, 0, 0, 1], 5).into();
+    let member = |(incarnation, status)| Member {
+        name: "a".into(),
+        incarnation,
+        status,
+        place: Place { zone: "z".into(), region: "r".into(), address },
+        contact: false,
+    };
+    let new: Vec<Member> = new.into_iter().map(member).collect();
+    let expected: Vec<SocketAddr> = gone.then_some(address).into_iter().collect();
+    assert_eq!(retired(&[member(old)], &new), expected);
+}
