Send a booking that waited in the queue, and drain in order

The 2 s within which a claimed call may be sent also covered its wait in the admission queue, so a booking that waited longer was refused. The permit is renewed after admission, up to five minutes after the claim; the store keeps the claim for ten, so no other call can win the key meanwhile.

Once::drain could answer while an earlier batch was still with the shard's owner. A barrier now waits for all batches before it, and passes through the own writer behind what they left to it.

Fingerprints of suspected requests were made under the first shared secret only, so instances disagreed while it was rotated. They are made under each accepted secret, and the worst known of any counts; neighbours in a rotation always have one in common.

Test once claim_cases::drain_waits fails without the wait (both cases).

--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -119,7 +119,7 @@
             zone: settings.zone.clone(),
             limits: settings.limits.limits(),
             suspects: mesh.suspects().clone(),
-            secret: keys.map_or([0; 32], |k| k.print),
+            secrets: keys.map_or_else(|| vec![[0; 32]], |k| k.prints),
             once,
             fresh: fresh(&mesh),
             count: usage.counting(),
@@ -223,7 +223,8 @@
 /// Keys derived from the shared secrets.
 struct Secrets {
     keys: Keys,
-    print: [u8; 32],
+    /// One for each shared secret, since instances sign with different ones during a rotation.
+    prints: Vec<[u8; 32]>,
 }
 
 fn open_keys(settings: &Settings) -> Result<Option<Secrets>> {
@@ -231,7 +232,8 @@
     let read = |file| settings::read_secret(file).map_err(|e| eyre!(e));
     let secrets: Vec<Vec<u8>> = peers.secrets.iter().map(|f| read(f)).collect::<Result<_>>()?;
     let keys = Keys::new(&secrets).wrap_err("peers.secrets")?;
-    Ok(Some(Secrets { keys, print: blake3::derive_key(PRINT_DERIVATION, &secrets[0]) }))
+    let prints = secrets.iter().map(|s| blake3::derive_key(PRINT_DERIVATION, s)).collect();
+    Ok(Some(Secrets { keys, prints }))
 }
 
 fn place(settings: &Settings, address: SocketAddr) -> Place {
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -107,7 +107,7 @@
         if left.is_zero() {
             return Err(exhausted(grant.untouched(), left));
         }
-        let verdict = gate.suspects.judge(|| job.print(&gate.secret), gate.now());
+        let verdict = gate.suspects.judge(|| job.prints(&gate.secrets), gate.now());
         match verdict {
             Verdict::Refused => {
                 let text = "the request crashed endpoints before and is refused for some minutes";
@@ -251,7 +251,12 @@
     };
     if cause == Cause::Crash {
         target.links.purge();
-        gate.suspects.crash(job.print(&gate.secret), target.id, target.seat.is_some(), gate.now());
+        gate.suspects.crash(
+            job.prints(&gate.secrets),
+            target.id,
+            target.seat.is_some(),
+            gate.now(),
+        );
     }
     target.stay.end(kind);
     cause
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -84,8 +84,8 @@
     pub limits: Limits,
     /// Requests that were in flight when endpoints crashed.
     pub suspects: Arc<Suspects>,
-    /// Key of request fingerprints, shared by all instances.
-    pub secret: [u8; 32],
+    /// Keys of request fingerprints; any two instances have one in common.
+    pub secrets: Vec<[u8; 32]>,
     /// Claims of calls that may not be repeated.
     pub once: Once,
     /// Whether the configuration is fresh enough to serve keyed work.
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -205,7 +205,7 @@
         self.finished = true;
         self.note_cache(&source);
         source.target.stay.end(Kind::Success);
-        self.gate.suspects.clear(|| self.job.print(&self.gate.secret));
+        self.gate.suspects.clear(|| self.job.prints(&self.gate.secrets));
         self.gate.meter.answers.inc();
         let actual = cost(self.usage.prompt_tokens, self.usage.completion_tokens);
         let desk = self.gate.desk(self.pool);
--- a/crates/flow/src/quarantine.rs
+++ b/crates/flow/src/quarantine.rs
@@ -29,8 +29,8 @@
     pub until: Mono,
 }
 
-/// How a request may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How a request may run, the mildest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// Beside any others.
     Free,
--- a/crates/flow/src/serve.rs
+++ b/crates/flow/src/serve.rs
@@ -48,7 +48,7 @@
     pub start: Mono,
     /// When its answer is of no more use.
     pub deadline: Mono,
-    print: OnceLock<Fingerprint>,
+    prints: OnceLock<Vec<Fingerprint>>,
     /// Presence among the requests in progress.
     pub guard: Guard,
 }
@@ -69,10 +69,11 @@
         self.org().map_or("", |org| &org.name)
     }
 
-    /// Fingerprint that the quarantine knows the request by. It covers the whole body, so it is
-    /// made only when it is asked for.
-    pub fn print(&self, key: &[u8; 32]) -> Fingerprint {
-        *self.print.get_or_init(|| suspect::fingerprint(self, key))
+    /// Fingerprints that the quarantine knows the request by, one for each of `keys`. They cover the
+    /// whole body, so they are made only when they are asked for.
+    pub fn prints(&self, keys: &[[u8; 32]]) -> &[Fingerprint] {
+        let make = || keys.iter().map(|key| suspect::fingerprint(self, key)).collect();
+        self.prints.get_or_init(make)
     }
 }
 
@@ -110,8 +111,8 @@
     let proof = check_fresh(gate, &caller, proof)?;
     let (body, proof) = read_body(gate, body, proof).await?;
     let id = id.to_owned();
-    let print = OnceLock::new();
-    let job = Job { id, snapshot, route, caller, head, body, start, deadline, print, guard };
+    let prints = OnceLock::new();
+    let job = Job { id, snapshot, route, caller, head, body, start, deadline, prints, guard };
     match kind {
         RouteKind::Model => model::run(gate, job, proof).await,
         RouteKind::Service => service::run(gate, job, proof).await,
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -22,6 +22,7 @@
     http::{Request, Response, request::Parts},
     http_body_util::Full,
     std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
     volo_http::body::Body,
 };
 
@@ -56,11 +57,11 @@
     key: &str,
     proof: Untouched,
 ) -> Result<Response<Body>> {
-    let (permit, proof) = match booking::claim(gate, job, key, proof).await? {
+    let (mut permit, proof) = match booking::claim(gate, job, key, proof).await? {
         Claimed::Run(permit, proof) => (permit, proof),
         Claimed::Answer(answer) => return Ok(answer),
     };
-    match attempt(gate, job, pool, Some(&permit), proof).await {
+    match attempt(gate, job, pool, Some(&mut permit), proof).await {
         Ok((head, body)) => {
             booking::finish(permit, &head, &body);
             Ok(respond(gate, job, (head, body)))
@@ -95,11 +96,15 @@
     gate: &Arc<Gate>,
     job: &Job,
     pool: PoolId,
-    permit: Option<&Permit>,
+    mut permit: Option<&mut Permit>,
     proof: Untouched,
 ) -> Result<(http::response::Parts, Bytes)> {
     let shape = Shape { cost: 1, ..Shape::default() };
     let (slot, proof) = admit(gate, job, pool, shape.cost, proof).await?;
+    // The wait in the queue does not count against the time to dispatch.
+    if let Some(permit) = &mut permit {
+        permit.renew(Instant::now());
+    }
     let mut grant = Grant::First(proof);
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut silent = false;
@@ -108,14 +113,14 @@
         let (target, granted) = next_target(gate, job, pool, &shape, &tried, grant).await?;
         slot.sent();
         tried.push(target.id);
-        let granted = booking::check_permit(permit, granted)?;
+        let granted = booking::check_permit(permit.as_deref(), granted)?;
         let left = left(gate, job);
         let failure = match once(gate, job, &target, granted, patience(job, left, silent)).await {
             Ok(whole) => {
                 target.stay.end(Kind::Success);
                 count(gate, job, pool);
                 gate.desk(pool).settle(&slot, &job.caller, shape.cost, shape.cost);
-                gate.suspects.clear(|| job.print(&gate.secret));
+                gate.suspects.clear(|| job.prints(&gate.secrets));
                 return Ok(whole);
             }
             Err(failure) => failure,
--- a/crates/flow/src/suspect.rs
+++ b/crates/flow/src/suspect.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        quarantine::{CRASH_LIMIT, Fingerprint, Quarantine, Verdict},
+        quarantine::{CRASH_LIMIT, Fingerprint, MEMORY, Quarantine, Verdict},
         serve::Job,
     },
     agate_core::{EndpointId, Mono},
@@ -55,22 +55,29 @@
         self.state.lock().expect("no panic under the quarantine lock")
     }
 
-    /// Decides how a request may run; `print` is not made while nothing is suspected.
-    pub fn judge(&self, print: impl FnOnce() -> Fingerprint, now: Mono) -> Verdict {
+    /// Decides how a request may run; `prints` are not made while nothing is suspected.
+    pub fn judge<'a>(&self, prints: impl FnOnce() -> &'a [Fingerprint], now: Mono) -> Verdict {
         if self.state().is_empty() {
             return Verdict::Free;
         }
-        let print = print();
-        self.state().judge(print, now)
+        self.worst(prints(), now)
     }
 
-    /// Records that a request was answered whole; `print` is not made while nothing is suspected.
-    pub fn clear(&self, print: impl FnOnce() -> Fingerprint) {
+    /// Records that a request was answered whole; `prints` are not made while nothing is suspected.
+    pub fn clear<'a>(&self, prints: impl FnOnce() -> &'a [Fingerprint]) {
         if self.state().is_empty() {
             return;
         }
-        let print = print();
-        self.state().clear(print);
+        let prints = prints();
+        let mut state = self.state();
+        prints.iter().for_each(|p| state.clear(*p));
+    }
+
+    /// What is known under any of the prints of one request.
+    fn worst(&self, prints: &[Fingerprint], now: Mono) -> Verdict {
+        let state = self.state();
+        let verdicts = prints.iter().map(|p| state.judge(*p, now));
+        verdicts.max().unwrap_or(Verdict::Free)
     }
 
     /// Endpoints that run a suspect.
@@ -88,7 +95,7 @@
     ///
     /// A suspect that gave its seat up, because it got past the point at which it was in flight
     /// before, is not blamed for the crash if another one has the seat.
-    pub fn crash(&self, print: Fingerprint, id: EndpointId, seated: bool, now: Mono) {
+    pub fn crash(&self, prints: &[Fingerprint], id: EndpointId, seated: bool, now: Mono) {
         if seated {
             self.explained().insert(id, now);
         }
@@ -96,20 +103,21 @@
             let at = self.explained().get(&id).copied();
             self.seats().contains(&id) || at.is_some_and(|t| now.saturating_sub(t) < EXPLAINED)
         };
-        let suspect = self.state().judge(print, now) == Verdict::Alone;
+        let suspect = self.worst(prints, now) == Verdict::Alone;
         if suspect && !seated && explained() {
             return;
         }
-        let crashes = {
-            let mut state = self.state();
-            state.crash(print, now);
-            match state.judge(print, now) {
-                Verdict::Refused => CRASH_LIMIT,
-                Verdict::Free | Verdict::Alone => CRASH_LIMIT - 1,
-            }
+        prints.iter().for_each(|p| self.state().crash(*p, now));
+        let crashes = match self.worst(prints, now) {
+            Verdict::Refused => CRASH_LIMIT,
+            Verdict::Free | Verdict::Alone => CRASH_LIMIT - 1,
         };
-        log::warn!("request {print:016x} was in flight at {crashes} endpoint crashes");
-        (self.announce)(print, crashes);
+        for print in prints {
+            // The other instances may know only one of the keys.
+            self.state().merge(*print, crashes, MEMORY, now);
+            log::warn!("request {print:016x} was in flight at {crashes} endpoint crashes");
+            (self.announce)(*print, crashes);
+        }
     }
 
     fn explained(&self) -> MutexGuard<'_, IndexMap<EndpointId, Mono>> {
--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -8,7 +8,7 @@
         owner::{self, ShardId},
         shard,
         tally::{Tally, count},
-        writer::{Item, Pace, WallClock, Writer},
+        writer::{BARRIER, Item, Pace, WallClock, Writer},
     },
     agate_store::Store,
     std::{
@@ -42,10 +42,13 @@
     pub settle: Duration,
     /// Time after which a claim that the store does not confirm is refused.
     pub give_up: Duration,
-    /// Time from asking for a claim within which its call may be sent.
+    /// Time from asking for a claim, or from its renewal, within which its call may be sent.
     pub dispatch: Duration,
+    /// Time from asking for a claim within which it may be renewed, for a call that waits in a
+    /// queue.
+    pub hold: Duration,
     /// Time for which a claim is kept; a key used again later is a new call. The instances' wall
-    /// clocks must differ by less than this, less [`Settings::dispatch`].
+    /// clocks must differ by less than this, less [`Settings::hold`] and [`Settings::dispatch`].
     pub retention: Duration,
     /// Time to wait for the outcome of another call with the same key.
     pub patience: Duration,
@@ -73,6 +76,7 @@
             settle: Duration::from_millis(150),
             give_up: Duration::from_secs(1),
             dispatch: Duration::from_secs(2),
+            hold: Duration::from_secs(300),
             retention: Duration::from_secs(600),
             patience: Duration::from_secs(10),
             look: Duration::from_millis(200),
@@ -213,7 +217,7 @@
     /// Waits until the statements made before are in the store; false if one is not.
     pub async fn drain(&self) -> bool {
         let settings = &self.shared.settings;
-        let token = Token { incarnation: settings.incarnation, serial: u64::MAX };
+        let token = Token { incarnation: settings.incarnation, serial: BARRIER };
         let mut done = true;
         for sender in &self.shared.senders {
             let (reply, verdict) = oneshot::channel();
@@ -232,6 +236,7 @@
             once: self.clone(),
             shard: owner::shard_of(&key, settings.shards),
             op: Op { key, token, change: Change::Free },
+            asked: Instant::now(),
             end: Instant::now() + settings.dispatch,
             armed: false,
         }
@@ -307,6 +312,7 @@
     once: Once,
     shard: ShardId,
     op: Op,
+    asked: Instant,
     end: Instant,
     armed: bool,
 }
@@ -317,6 +323,17 @@
         now < self.end
     }
 
+    /// Allows the call to be sent within [`Settings::dispatch`] from `now`, after a wait in a queue.
+    ///
+    /// The claim in the store outlives the last renewal, so no other call can win the key before
+    /// this one may no longer be sent. Later than [`Settings::hold`] nothing changes.
+    pub fn renew(&mut self, now: Instant) {
+        let settings = &self.once.shared.settings;
+        if now < self.asked + settings.hold {
+            self.end = now + settings.dispatch;
+        }
+    }
+
     /// States the answer of the call.
     pub fn finish(mut self, status: u16, headers: Vec<(String, String)>, body: Vec<u8>) {
         let kept = body.len() <= self.once.shared.settings.max_body;
--- a/crates/once/src/forward.rs
+++ b/crates/once/src/forward.rs
@@ -11,7 +11,10 @@
     },
     futures_util::future::BoxFuture,
     std::{sync::Arc, time::Duration},
-    tokio::{sync::mpsc, time::timeout},
+    tokio::{
+        sync::{Semaphore, mpsc},
+        time::timeout,
+    },
 };
 
 /// Changes that one message holds at most.
@@ -35,7 +38,7 @@
 impl Forwarder {
     /// Runs until every sender is gone.
     pub async fn run(self, mut queue: mpsc::Receiver<Item>) {
-        let flight = Arc::new(tokio::sync::Semaphore::new(MAX_FLIGHT));
+        let flight = Arc::new(Semaphore::new(MAX_FLIGHT));
         loop {
             let mut batch = Vec::new();
             if queue.recv_many(&mut batch, MAX_BATCH).await == 0 {
@@ -46,15 +49,35 @@
                 let Ok(item) = queue.try_recv() else { break };
                 batch.push(item);
             }
-            let permit = flight.clone().acquire_owned().await.expect("never closed");
-            let sending = (self.forward)(self.shard, batch.iter().map(|i| i.op.clone()).collect());
-            let (patience, writer) = (self.patience, self.writer.clone());
-            tokio::spawn(async move {
-                let answer = timeout(patience, sending).await.ok().flatten();
-                hand_on(batch, answer, &writer).await;
-                drop(permit);
-            });
+            let (barriers, batch): (Vec<_>, Vec<_>) = batch.into_iter().partition(Item::is_barrier);
+            if !batch.is_empty() {
+                self.send(batch, &flight).await;
+            }
+            if !barriers.is_empty() {
+                self.pass(barriers, &flight).await;
+            }
+        }
+    }
+
+    /// Sends a batch to the owner, once there is room among those under way.
+    async fn send(&self, batch: Vec<Item>, flight: &Arc<Semaphore>) {
+        let permit = flight.clone().acquire_owned().await.expect("never closed");
+        let sending = (self.forward)(self.shard, batch.iter().map(|i| i.op.clone()).collect());
+        let (patience, writer) = (self.patience, self.writer.clone());
+        tokio::spawn(async move {
+            let answer = timeout(patience, sending).await.ok().flatten();
+            hand_on(batch, answer, &writer).await;
+            drop(permit);
+        });
+    }
+
+    /// Passes barriers on after every batch before them was decided or handed to the writer.
+    async fn pass(&self, barriers: Vec<Item>, flight: &Semaphore) {
+        let all = flight.acquire_many(MAX_FLIGHT as u32).await.expect("never closed");
+        for barrier in barriers {
+            let _ = self.writer.send(barrier).await;
         }
+        drop(all);
     }
 }
 
--- a/crates/once/src/writer.rs
+++ b/crates/once/src/writer.rs
@@ -32,6 +32,9 @@
 /// Pause before an attempt that failed is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(25);
 
+/// Serial of the change by which a drain learns that all changes before it are in the store.
+pub(crate) const BARRIER: u64 = u64::MAX;
+
 /// Reads the wall clock, as time since the Unix epoch.
 pub type WallClock = Arc<dyn Fn() -> Wall + Send + Sync>;
 
@@ -59,6 +62,13 @@
     pub foreign: bool,
 }
 
+impl Item {
+    /// Whether this change only marks a place in the queue.
+    pub fn is_barrier(&self) -> bool {
+        self.op.token.serial == BARRIER
+    }
+}
+
 pub(crate) struct Writer {
     pub store: Store,
     pub shard: ShardId,
--- a/crates/once/tests/claim_cases.rs
+++ b/crates/once/tests/claim_cases.rs
@@ -8,7 +8,13 @@
     common::{claim, label, memory, settings, spawn, win},
     futures_util::{FutureExt, future::join},
     rstest::rstest,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
     tokio::time::{Instant, sleep},
 };
 
@@ -138,6 +144,52 @@
     assert!(!permit.may_dispatch(Instant::now()));
 }
 
+/// A call that waits in a queue for longer than its claim may be sent is sent once it is admitted,
+/// and no other call wins its key meanwhile.
+#[tokio::test(start_paused = true)]
+async fn long_queue() {
+    let m = memory();
+    let (a, b) = (spawn(&m, 1), spawn(&m, 2));
+    let s = settings(0);
+    let mut permit = win(&a).await;
+    sleep(s.hold - Duration::from_millis(1)).await;
+    assert!(!permit.may_dispatch(Instant::now()));
+    permit.renew(Instant::now());
+    assert!(permit.may_dispatch(Instant::now()));
+    sleep(s.dispatch - Duration::from_millis(1)).await;
+    assert!(permit.may_dispatch(Instant::now()));
+    assert_eq!(label(&claim(&b, 1).await), "unknown");
+    permit.renew(Instant::now());
+    assert!(!permit.may_dispatch(Instant::now()), "renewed after the hold had ended");
+    assert!(s.hold + 2 * s.dispatch < s.retention, "the claim outlives every renewal");
+}
+
+/// A drain waits for batches that were sent to the owner before it and are not answered yet.
+#[rstest]
+#[case::answered(true)]
+#[case::silent(false)]
+#[tokio::test(start_paused = true)]
+async fn drain_waits(#[case] answered: bool) {
+    let m = memory();
+    let owner = spawn(&m, 9);
+    let (calls, late) = (AtomicUsize::new(0), Duration::from_millis(300));
+    let forward: agate_once::Forward = Arc::new(move |shard, ops| {
+        let (owner, first) = (owner.clone(), calls.fetch_add(1, Ordering::Relaxed) == 1);
+        Box::pin(async move {
+            // The second message, which carries the statement of the outcome, is slow.
+            sleep(if first { late } else { Duration::ZERO }).await;
+            if first && !answered { None } else { owner.serve(shard, ops).await }
+        })
+    });
+    let a = Once::spawn(m.store(), Settings { forward: Some(forward), ..settings(1) });
+    win(&a).await.finish(200, vec![], vec![]);
+    // The statement leaves in a message of its own before the drain is asked for.
+    sleep(Duration::from_millis(20)).await;
+    assert!(a.drain().await);
+    let hasty = Settings { patience: Duration::ZERO, ..settings(2) };
+    assert_eq!(label(&claim(&Once::spawn(m.store(), hasty), 1).await), "replay");
+}
+
 #[tokio::test(start_paused = true)]
 async fn abandoned_claim() {
     let m = memory();
