Add a checker of run histories against what must always hold

Cause: every whole-path test judged its own few lines, so a violation that a test did not look for passed unseen.

Change: crate agate-audit holds a history as plain data (what callers sent and got, what endpoints ran, orders, leases, reports, generations, lives, faults) and one small check for each line of what must always hold. It depends on none of the crates that it checks.

Proof: a good history passes; 29 planted violations, at least one for each of the 14 checks, are found by the check of their line and by none other; three more cases show that each excuse by a fault is needed.

--- /dev/null
+++ b/crates/audit/src/settled.rs
@@ -0,0 +1,81 @@
+//! Lines about what must be in force after a while.
+
+use {
+    crate::history::{Accepted, History, Install, Life, STORE, Time},
+    indexmap::IndexMap,
+};
+
+/// Runs that began on an endpoint longer after the notice of its leaving than the bound.
+pub(crate) fn late_starts(history: &History) -> Vec<String> {
+    let mut out = Vec::new();
+    for notice in &history.leaving {
+        let last = notice.span.from + history.bounds.leaving;
+        let late = history.runs.iter().filter(|r| {
+            let from = r.span.from;
+            r.endpoint == notice.endpoint
+                && from > last
+                && notice.span.until.is_none_or(|end| from < end)
+        });
+        out.extend(late.map(|r| {
+            format!("{} began {} at {:?}, allowed to {last:?}", r.endpoint, r.call, r.span.from)
+        }));
+    }
+    out
+}
+
+/// Instances that went back, or that lack an accepted generation after the bound.
+pub(crate) fn generations(history: &History) -> Vec<String> {
+    let mut out = reverts(history);
+    for life in &history.lives {
+        out.extend(history.accepted.iter().filter_map(|a| overdue(history, life, a)));
+    }
+    out
+}
+
+fn reverts(history: &History) -> Vec<String> {
+    let mut newest: IndexMap<&str, u64> = IndexMap::new();
+    let mut out = Vec::new();
+    for install in &history.installs {
+        let seen = newest.entry(&install.instance).or_default();
+        if install.generation < *seen {
+            let (name, back) = (&install.instance, install.generation);
+            out.push(format!("{name} went from {seen} back to {back} at {:?}", install.at));
+        }
+        *seen = install.generation.max(*seen);
+    }
+    out
+}
+
+/// Says that an instance which lived long enough did not put a generation in force in time.
+fn overdue(history: &History, life: &Life, accepted: &Accepted) -> Option<String> {
+    let due = due(history, life, accepted.at);
+    let reached = |i: &&Install| i.instance == life.instance && i.generation >= accepted.generation;
+    let at = history.installs.iter().filter(reached).map(|i| i.at).min();
+    let ended = life.span.until.unwrap_or(Time::MAX).min(history.end);
+    // What falls due after the end of the instance or of the records is not judged.
+    let judged = due <= ended;
+    let late = at.is_none_or(|at| at > due);
+    let Accepted { generation, .. } = accepted;
+    (judged && late)
+        .then(|| format!("{} had {generation} at {at:?}, due at {due:?}", life.instance))
+}
+
+/// Time by which an instance must have what was accepted at `at`: faults of the store and of the
+/// instance move it.
+fn due(history: &History, life: &Life, at: Time) -> Time {
+    let bound = history.bounds.spread;
+    let mut due = at.max(life.span.from) + bound;
+    let mut faults: Vec<_> = history
+        .faults
+        .iter()
+        .filter(|f| f.process == STORE || f.process == life.instance)
+        .collect();
+    faults.sort_by_key(|f| f.span.from);
+    for fault in faults {
+        let end = fault.span.until.unwrap_or(Time::MAX);
+        if fault.span.from <= due && end >= at {
+            due = due.max(end.saturating_add(bound));
+        }
+    }
+    due
+}
--- /dev/null
+++ b/crates/audit/tests/planted.rs
@@ -0,0 +1,266 @@
+//! A good history passes, and each line's check finds its planted violations and no other does.
+
+use {
+    agate_audit::{
+        Line, check,
+        history::{
+            Accepted, Call, Change, Claim, Ending, EngineOrder, Fault, FleetOrder, History, Hold,
+            Install, Key, Leaving, Life, LifeEnd, Part, Report, Run, RunEnd, STORE, Span, Time,
+        },
+    },
+    rstest::rstest,
+};
+
+const KEY: &str = "palmse-key";
+const OTHER_KEY: &str = "kolga-key";
+
+fn s(seconds: u64) -> Time {
+    Time::from_secs(seconds)
+}
+
+fn call(id: &str, instance: &str, span: (u64, u64)) -> Call {
+    Call {
+        id: id.into(),
+        instance: instance.into(),
+        key: Some(KEY.into()),
+        open: false,
+        booking: None,
+        expected: format!("answer to {id}"),
+        span: Span::new(s(span.0), s(span.1)),
+        ending: Ending::Whole(format!("answer to {id}")),
+    }
+}
+
+fn run(call: &str, endpoint: &str, span: (u64, u64)) -> Run {
+    Run {
+        endpoint: endpoint.into(),
+        call: call.into(),
+        org: Some("palmse".into()),
+        booking: None,
+        headers: vec![("x-request-id".into(), call.into())],
+        span: Span::new(s(span.0), s(span.1)),
+        end: RunEnd::Whole,
+    }
+}
+
+fn order(id: &str, fence: u64, span: (u64, u64)) -> EngineOrder {
+    EngineOrder {
+        engine: "oracle-1".into(),
+        authority: "piece/1".into(),
+        id: id.into(),
+        kind: "role".into(),
+        fence,
+        span: Span::new(s(span.0), s(span.1)),
+        effect: true,
+    }
+}
+
+fn hold(authority: &str, holder: &str, fence: u64, span: (u64, u64)) -> Hold {
+    let span = Span::new(s(span.0), s(span.1));
+    Hold { authority: authority.into(), holder: holder.into(), fence, span }
+}
+
+fn fleet(id: &str, fence: u64) -> FleetOrder {
+    FleetOrder { authority: "fleet/harju".into(), id: id.into(), fence }
+}
+
+fn report(figures: &str) -> Report {
+    Report { window: "60".into(), shard: "0".into(), figures: figures.into() }
+}
+
+fn install(instance: &str, generation: u64, at: u64) -> Install {
+    Install { instance: instance.into(), generation, at: s(at) }
+}
+
+fn life(instance: &str, span: (u64, Option<u64>), end: LifeEnd) -> Life {
+    Life { instance: instance.into(), span: Span::new(s(span.0), span.1.map(s)), end }
+}
+
+fn fault(process: &str, span: (u64, Option<u64>)) -> Fault {
+    let span = Span::new(s(span.0), span.1.map(s));
+    Fault { process: process.into(), part: Part::Whole, kind: "planted".into(), span }
+}
+
+/// Two instances serve for two minutes; one of them stops at 50 s, and every line has something
+/// to look at, with faults that excuse what failed.
+fn good() -> History {
+    let booking = |id: &str, ending: Ending, span| Call {
+        booking: Some("b-1".into()),
+        ending,
+        ..call(id, "entry-2", span)
+    };
+    let key = |value: &str, org: &str, withdrawn: Option<u64>| Key {
+        value: value.into(),
+        org: org.into(),
+        withdrawn: withdrawn.map(s),
+    };
+    let accepted = |generation, at| Accepted { generation, at: s(at) };
+    let mut booked = run("c3", "desk-1", (20, 21));
+    (booked.org, booked.booking) = (None, Some("b-1".into()));
+    History {
+        calls: vec![
+            call("c1", "entry-1", (1, 5)),
+            call("c2", "entry-1", (45, 55)),
+            booking("c3", Ending::Cut, (20, 22)),
+            booking(
+                "c4",
+                Ending::Refused("claim_outcome_unknown".into(), Claim::Unknown),
+                (24, 25),
+            ),
+            Call {
+                ending: Ending::Refused("no_endpoint".into(), Claim::NotRun),
+                ..call("c5", "entry-2", (30, 31))
+            },
+            Call { ending: Ending::Cut, ..call("c6", "entry-2", (62, 64)) },
+            Call { key: None, open: true, ..call("c7", "entry-2", (82, 83)) },
+        ],
+        runs: vec![
+            run("c1", "oracle-1", (1, 5)),
+            run("c2", "oracle-1", (45, 55)),
+            booked,
+            Run { end: RunEnd::Crashed, ..run("c6", "oracle-2", (62, 63)) },
+            Run { org: None, ..run("c7", "desk-2", (82, 83)) },
+        ],
+        orders: vec![
+            order("o1", 1, (10, 12)),
+            order("o1", 1, (11, 12)),
+            order("o2", 2, (14, 15)),
+            EngineOrder { effect: false, ..order("o3", 1, (14, 14)) },
+        ],
+        fleet: vec![fleet("f1", 1), fleet("f2", 2), fleet("f3", 2)],
+        reports: vec![report("a"), report("a")],
+        holds: vec![
+            hold("usage/0", "entry-1", 1, (0, 50)),
+            hold("usage/0", "entry-2", 2, (52, 120)),
+            hold("usage/1", "entry-2", 1, (0, 120)),
+            hold("fleet/harju", "entry-2", 1, (0, 120)),
+        ],
+        keys: vec![key(KEY, "palmse", Some(85)), key(OTHER_KEY, "kolga", None)],
+        leaving: vec![Leaving { endpoint: "oracle-2".into(), span: Span::new(s(60), None) }],
+        accepted: vec![accepted(1, 0), accepted(2, 30)],
+        installs: vec![
+            install("entry-1", 1, 0),
+            install("entry-2", 1, 0),
+            install("entry-1", 2, 31),
+            install("entry-2", 2, 47),
+        ],
+        lives: vec![
+            life("entry-1", (0, Some(56)), LifeEnd::Stopped(s(50))),
+            life("entry-2", (0, None), LifeEnd::None),
+        ],
+        faults: vec![
+            fault("desk-1", (21, Some(23))),
+            fault("entry-2", (32, Some(40))),
+            fault("oracle-2", (63, Some(66))),
+        ],
+        changes: vec![Change { kind: "configuration 2".into(), span: Span::new(s(30), s(47)) }],
+        end: s(120),
+        ..History::default()
+    }
+}
+
+#[test]
+fn good_passes() {
+    assert_eq!(check(&good()), []);
+}
+
+/// Without any single one of its faults, the good history shows what the fault excused.
+#[rstest]
+#[case::lost_answer(0, Line::Answers)]
+#[case::cut_off(1, Line::Settled)]
+#[case::crash(2, Line::Answers)]
+fn faults_needed(#[case] index: usize, #[case] line: Line) {
+    let mut history = good();
+    history.faults.remove(index);
+    let found = check(&history);
+    assert!(!found.is_empty() && found.iter().all(|v| v.line == line), "{found:?}");
+}
+
+type Plant = fn(&mut History);
+
+#[rstest]
+#[case::crossed(Line::Orders, |h: &mut History| h.orders.push(order("o4", 1, (11, 13))))]
+#[case::refused_amid(Line::Orders, |h: &mut History| {
+    h.orders.push(EngineOrder { effect: false, ..order("o4", 2, (11, 11)) });
+})]
+#[case::evicted(Line::Changes, |h: &mut History| h.runs[0].end = RunEnd::Evicted)]
+#[case::cut_by_change(Line::Changes, |h: &mut History| {
+    h.calls.push(Call { ending: Ending::Cut, ..call("c9", "entry-1", (41, 44)) });
+})]
+#[case::old_token(Line::Authority, |h: &mut History| h.orders.push(order("o4", 1, (16, 17))))]
+#[case::lease_lost(Line::Authority, |h: &mut History| {
+    h.holds.push(hold("piece/1", "entry-2", 3, (16, 120)));
+    h.orders.push(order("o4", 2, (18, 19)));
+})]
+#[case::other_org(Line::Owner, |h: &mut History| h.runs[0].org = Some("kolga".into()))]
+#[case::unknown_key(Line::Owner, |h: &mut History| h.calls[0].key = Some("nobody's".into()))]
+#[case::unkeyed(Line::Owner, |h: &mut History| h.calls[6].open = false)]
+#[case::never_sent(Line::Owner, |h: &mut History| h.runs[0].call = "c0".into())]
+#[case::key_seen(Line::Secrecy, |h: &mut History| {
+    h.runs[1].headers.push(("cookie".into(), format!("key={OTHER_KEY}")));
+})]
+#[case::withdrawn(Line::Withdrawal, |h: &mut History| {
+    h.calls.push(call("c9", "entry-2", (98, 100)));
+    h.runs.push(run("c9", "oracle-1", (98, 99)));
+})]
+#[case::old_holder(Line::Fleet, |h: &mut History| h.fleet.push(fleet("f4", 1)))]
+#[case::fleet_twice(Line::Fleet, |h: &mut History| {
+    h.holds.push(hold("fleet/harju", "entry-1", 2, (40, 50)));
+})]
+#[case::other_figures(Line::Usage, |h: &mut History| h.reports.push(report("b")))]
+#[case::usage_twice(Line::Usage, |h: &mut History| h.holds[1].span.from = s(49))]
+#[case::anothers_answer(Line::Answers, |h: &mut History| {
+    h.calls[0].ending = Ending::Whole("answer to c2".into());
+})]
+#[case::short_answer(Line::Answers, |h: &mut History| {
+    h.calls[0].ending = Ending::Whole("answer".into());
+})]
+#[case::cut(Line::Answers, |h: &mut History| h.calls[0].ending = Ending::Cut)]
+#[case::never_answered(Line::Answers, |h: &mut History| h.calls[6].ending = Ending::Open)]
+#[case::fault_elsewhere(Line::Answers, |h: &mut History| h.faults[2].process = "oracle-3".into())]
+#[case::false_refusal(Line::Unrun, |h: &mut History| {
+    h.runs.push(run("c5", "oracle-1", (30, 31)));
+})]
+#[case::booked_twice(Line::Bookings, |h: &mut History| {
+    let again = Run { call: "c4".into(), endpoint: "desk-2".into(), ..h.runs[2].clone() };
+    h.runs.push(again);
+})]
+#[case::new_work(Line::Leaving, |h: &mut History| {
+    h.calls.push(call("c9", "entry-2", (70, 71)));
+    h.runs.push(run("c9", "oracle-2", (70, 71)));
+})]
+#[case::cut_by_stop(Line::Stops, |h: &mut History| h.calls[1].ending = Ending::Cut)]
+#[case::endless_stop(Line::Stops, |h: &mut History| h.lives[0].end = LifeEnd::Broken(s(50)))]
+#[case::reverted(Line::Settled, |h: &mut History| h.installs.push(install("entry-2", 1, 60)))]
+#[case::overdue(Line::Settled, |h: &mut History| h.installs[3].at = s(60))]
+#[case::never_in_force(Line::Settled, |h: &mut History| h.installs.truncate(3))]
+fn planted(#[case] line: Line, #[case] plant: Plant) {
+    let mut history = good();
+    plant(&mut history);
+    let found = check(&history);
+    assert!(!found.is_empty(), "nothing was found");
+    assert!(found.iter().all(|v| v.line == line), "{found:?}");
+}
+
+/// A fault of the store moves the time by which a generation is due, and excuses bookings alone.
+#[rstest]
+#[case::outage(&[STORE], Part::Whole)]
+#[case::cut_off(&["entry-1", "entry-2"], Part::Store)]
+fn store_faults(#[case] processes: &[&str], #[case] part: Part) {
+    let mut history = good();
+    let fault = |name: &str| Fault { part, ..fault(name, (0, Some(119))) };
+    history.faults = processes.iter().map(|name| fault(name)).collect();
+    history.installs.truncate(2);
+    let found = check(&history);
+    assert!(found.iter().all(|v| v.evidence.starts_with("c6 ")), "{found:?}");
+    assert_eq!(found.len(), 1);
+}
+
+/// Some planted case stands for every line.
+#[test]
+fn every_line() {
+    let text = include_str!("planted.rs");
+    for line in Line::ALL {
+        assert!(text.contains(&format!("(Line::{line:?}, |")), "no case for {line:?}");
+    }
+}
