--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part of the support")]
 
+pub mod process;
+
 use {
     agate_cli::{
         demo::{Demo, read},
@@ -101,10 +103,16 @@
 
     /// Sends the request on a connection of its own.
     pub async fn send(self, to: SocketAddr) -> Reply {
-        let io = TcpStream::connect(to).await.expect("the instance accepts connections");
-        let (mut sender, conn) = http1::handshake(TokioIo::new(io)).await.expect("handshake");
+        self.try_send(to).await.expect("the instance replies")
+    }
+
+    /// Sends the request on a connection of its own, to an instance that may be gone.
+    pub async fn try_send(self, to: SocketAddr) -> Result<Reply, Lost> {
+        let io = TcpStream::connect(to).await.map_err(|_| Lost::Unsent)?;
+        let shaken = http1::handshake(TokioIo::new(io)).await;
+        let (mut sender, conn) = shaken.map_err(|_| Lost::Unsent)?;
         tokio::spawn(conn);
-        let reply = sender.send_request(self.request).await.expect("the instance replies");
+        let reply = sender.send_request(self.request).await.map_err(|_| Lost::Unanswered)?;
         let (head, mut rest) = reply.into_parts();
         let (mut body, mut whole) = (Vec::new(), true);
         while let Some(frame) = rest.frame().await {
@@ -117,10 +125,19 @@
             }
         }
         let body = String::from_utf8_lossy(&body).into_owned();
-        Reply { status: head.status, headers: head.headers, body, whole }
+        Ok(Reply { status: head.status, headers: head.headers, body, whole })
     }
 }
 
+/// Why a caller got no reply.
+#[derive(Debug)]
+pub enum Lost {
+    /// The instance took no connection.
+    Unsent,
+    /// The connection ended before the reply began.
+    Unanswered,
+}
+
 /// Body of a model request.
 pub fn question(text: &str, tokens: u32, stream: bool) -> String {
     let messages = json!([{"role": "user", "content": text}]);
--- /dev/null
+++ b/crates/cli/tests/support/process.rs
@@ -0,0 +1,124 @@
+//! Child processes of a test, and a directory for their files.
+
+use {
+    super::until,
+    nix::{
+        sys::signal::{Signal, kill},
+        unistd::Pid,
+    },
+    std::{
+        fs::{self, OpenOptions},
+        io::{BufRead, BufReader, Read, Write},
+        net::SocketAddr,
+        os::unix::fs::OpenOptionsExt,
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::{Arc, Mutex},
+    },
+};
+
+/// One child process with the address that its log names; killed when dropped.
+pub struct Process {
+    /// The process.
+    pub child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Process {
+    /// Starts the binary.
+    pub fn spawn(args: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_agatetrack"))
+            .args(args)
+            .env("NO_COLOR", "1")
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        keep_lines(child.stderr.take().expect("a piped log"), lines.clone());
+        keep_lines(child.stdout.take().expect("a piped output"), lines.clone());
+        Self { child, lines }
+    }
+
+    /// Whether a line that holds `mark` was printed.
+    pub fn printed(&self, mark: &str) -> bool {
+        self.lines.lock().expect("no panic while locked").iter().any(|l| l.contains(mark))
+    }
+
+    fn find(&self, mark: &str) -> Option<SocketAddr> {
+        let lines = self.lines.lock().expect("no panic while locked");
+        let line = lines.iter().find(|l| l.contains(mark))?;
+        line.split_whitespace().find_map(|w| w.parse().ok())
+    }
+
+    /// Waits for the address in the first line that holds `mark`.
+    pub async fn address(&self, mark: &str) -> SocketAddr {
+        until("the process names its address", || self.find(mark).is_some()).await;
+        self.find(mark).expect("just seen")
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).expect("process ids fit");
+        kill(Pid::from_raw(id), signal).expect("the process is a child that was not waited for");
+    }
+
+    /// Pauses the process and waits until all of it stands still.
+    pub async fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let stands = |task: PathBuf| {
+            // The state follows the name, which is in parentheses.
+            let stat = fs::read_to_string(task.join("stat")).unwrap_or_default();
+            stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
+        };
+        let all = || {
+            let mut listed = fs::read_dir(&tasks).expect("the process is there");
+            listed.all(|t| t.is_ok_and(|t| stands(t.path())))
+        };
+        until("the process stands still", all).await;
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Keeps what a process prints until it ends.
+fn keep_lines(from: impl Read + Send + 'static, kept: Arc<Mutex<Vec<String>>>) {
+    std::thread::spawn(move || {
+        for line in BufReader::new(from).lines().map_while(Result::ok) {
+            kept.lock().expect("no panic while locked").push(line);
+        }
+    });
+}
+
+/// A directory that is removed when dropped.
+pub struct Dir(PathBuf);
+
+impl Dir {
+    /// Makes a directory of its own.
+    pub fn new() -> Self {
+        let path = std::env::temp_dir().join(format!("agate-{:016x}", rand::random::<u64>()));
+        fs::create_dir(&path).expect("a new directory");
+        Self(path)
+    }
+
+    /// Writes a file that only its owner may read; returns its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        let file = OpenOptions::new().write(true).create_new(true).mode(0o600).open(&path);
+        let written = file.and_then(|mut f| f.write_all(text.as_bytes()));
+        written.expect("a file in the directory");
+        path.to_str().expect("a printable path").to_owned()
+    }
+}
+
+impl Drop for Dir {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -12,7 +12,11 @@
     http::StatusCode,
     serde::Deserialize,
     serde_json::json,
-    std::{future::pending, sync::Arc, time::Duration},
+    std::{
+        future::pending,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::sync::watch,
     volo_http::{body::Body, response::Response},
 };
@@ -89,6 +93,7 @@
         if entry.state == RunState::Running {
             entry.state = told.unwrap_or(RunState::Dropped);
         }
+        entry.end.get_or_insert_with(Instant::now);
         s.note_load();
     }
 }
@@ -183,6 +188,9 @@
         from: request.resume_from,
         tokens: 0,
         key_seen: call.has_key(),
+        headers: call.headers.clone(),
+        start: Instant::now(),
+        end: None,
         priority: call.header("x-priority").to_owned(),
         prompt: text::prompt_tokens(&prompt),
         cached: hits * text::BLOCK_TOKENS,
--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -9,7 +9,7 @@
     http::StatusCode,
     serde::Deserialize,
     serde_json::json,
-    std::sync::Arc,
+    std::{sync::Arc, time::Instant},
     volo_http::response::Response,
 };
 
@@ -112,6 +112,8 @@
         kind: order.kind,
         taken: !stale && !busy,
         done: false,
+        start: Instant::now(),
+        end: None,
     };
     s.orders.push(entry);
     if stale {
@@ -138,7 +140,7 @@
     }
     apply(&mut s, order);
     s.orders[index].done = true;
-    s.order = None;
+    s.end_order();
     s.note_load();
     true
 }
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -3,6 +3,7 @@
 use {
     super::{EngineSettings, slots::Slots},
     crate::tap::Tap,
+    http::HeaderMap,
     indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
     std::{
@@ -102,6 +103,12 @@
     pub tokens: u32,
     /// Whether a caller's key reached the engine.
     pub key_seen: bool,
+    /// Header section as it arrived.
+    pub headers: HeaderMap,
+    /// Time at which it took its slot.
+    pub start: Instant,
+    /// Time at which it freed its slot, or was ended before.
+    pub end: Option<Instant>,
     /// Value of the priority header.
     pub priority: String,
     /// Tokens of the prompt.
@@ -141,6 +148,10 @@
     pub taken: bool,
     /// Whether it was carried out to its end.
     pub done: bool,
+    /// Time at which it arrived.
+    pub start: Instant,
+    /// Time at which its work ended, or the engine crashed amid it.
+    pub end: Option<Instant>,
 }
 
 /// Load as `/load` reports it.
@@ -259,10 +270,21 @@
         self.events.push_back(CacheEvent { sequence: self.sequence, stored, evicted });
     }
 
+    /// Closes the log entry of the order under way, if there is one.
+    pub fn end_order(&mut self) {
+        if self.order.take().is_none() {
+            return;
+        }
+        if let Some(entry) = self.orders.iter_mut().rev().find(|o| o.taken) {
+            entry.end = Some(Instant::now());
+        }
+    }
+
     /// Ends every running request.
     pub fn end_all(&mut self, how: RunState) {
         for (entry, ending) in &self.running {
             self.log[*entry].state = how;
+            self.log[*entry].end = Some(Instant::now());
             ending.send_replace(Some(how));
         }
     }
@@ -334,7 +356,7 @@
             s.end_all(RunState::Crashed);
             s.cache.clear();
             s.events.clear();
-            s.order = None;
+            s.end_order();
             s.models = self.settings.models.iter().cloned().collect();
             s.role = self.settings.role.clone();
             s.draining = false;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -9,13 +9,13 @@
         server::{self, Call},
         tap::Tap,
     },
-    http::StatusCode,
+    http::{HeaderMap, StatusCode},
     indexmap::IndexMap,
     serde_json::json,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::Duration,
+        time::{Duration, Instant},
     },
     volo_http::response::Response,
 };
@@ -46,6 +46,10 @@
     pub path: String,
     /// Whether a caller's key reached the service.
     pub key_seen: bool,
+    /// Header section as it arrived.
+    pub headers: HeaderMap,
+    /// Time at which it ran.
+    pub at: Instant,
 }
 
 #[derive(Debug)]
@@ -139,6 +143,8 @@
             booking: booking.clone(),
             path: call.path.clone(),
             key_seen: call.has_key(),
+            headers: call.headers.clone(),
+            at: Instant::now(),
         });
         log.iter().filter(|e| !lookup && e.booking == booking).count()
     };
