--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -263,8 +263,7 @@
             let mut names = names.lock().expect("no panic while compiling");
             Snapshot::compile(&document, head.generation, &mut names)
         };
-        if gate.current.advance(snapshot) {
-            gate.refresh();
+        if gate.install(snapshot) {
             log::info!("configuration {} is in force", head.generation);
             tell.send_replace(head.generation);
         }
--- /dev/null
+++ b/crates/cli/tests/new_endpoints.rs
@@ -0,0 +1,60 @@
+//! Endpoints and pools that a change adds, while everything else goes on.
+
+mod support;
+
+use {
+    agate_cli::configs::edit,
+    agate_config::{Document, publish, section::Section},
+    indexmap::IndexMap,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+    },
+    support::{start, until},
+};
+
+/// Changes, each of which adds a pool with an endpoint.
+const CHANGES: usize = 25;
+
+/// Adds a pool with one endpoint, which nobody calls.
+fn grow(document: &mut Document, number: usize) {
+    let (_, endpoint) = document.fleet.endpoints.first().expect("there are some");
+    let mut endpoint = endpoint.clone();
+    endpoint.address = ([127, 0, 0, 2], 1 + number as u16).into();
+    let pool = document.fleet.pools[&endpoint.pool].clone();
+    endpoint.pool = format!("pool-{number}");
+    document.fleet.pools.insert(endpoint.pool.clone(), pool);
+    document.fleet.endpoints.insert(format!("added-{number}"), endpoint);
+}
+
+/// What runs at all times reads the configuration and the tables while both are replaced.
+#[tokio::test]
+async fn added_amid() {
+    let demo = start(1, |_| {}).await;
+    let gate = demo.instances[0].gate.clone();
+    let stop: Arc<AtomicBool> = Arc::default();
+    let reader = {
+        let (gate, stop) = (gate.clone(), stop.clone());
+        thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                gate.outstanding(16);
+                gate.exchange(&IndexMap::new(), 1);
+                gate.set_leaving(["added-1".to_owned()].into());
+            }
+        })
+    };
+    let store = agate_platform::store::open(demo.platform.address());
+    let mut document = demo.document.clone();
+    for number in 0..CHANGES {
+        grow(&mut document, number);
+        let change = edit("test", document.clone(), vec![Section::Fleet]);
+        let generation = publish::apply(&store, &change).await.expect("accepted").generation;
+        let known = || gate.current.generation() >= generation || reader.is_finished();
+        until("the change is in force", known).await;
+    }
+    stop.store(true, Ordering::SeqCst);
+    reader.join().expect("readers find every endpoint and pool that they know of");
+}
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -117,7 +117,7 @@
     leaving: ArcSwap<IndexSet<String>>,
     links: ArcSwap<Links>,
     desks: ArcSwap<Vec<Arc<Desk>>>,
-    /// Held while the tables are rebuilt.
+    /// Held while a configuration is put in force.
     rebuild: Mutex<()>,
 }
 
@@ -144,7 +144,8 @@
             desks: ArcSwap::default(),
             rebuild: Mutex::default(),
         };
-        gate.refresh();
+        gate.rebuild(&gate.current.load_full());
+        gate.settle();
         Arc::new(gate)
     }
 
@@ -153,22 +154,37 @@
         (self.clock)()
     }
 
-    /// Takes over the configuration in force: rebuilds the tables and ends the waiting work of
-    /// keys that were withdrawn.
-    pub fn refresh(&self) {
+    /// Puts a configuration in force and ends the waiting work of keys that it withdraws; false if
+    /// one at least as new is in force.
+    ///
+    /// Its tables come first, so that whoever sees it finds its endpoints and pools there.
+    pub fn install(&self, snapshot: Snapshot) -> bool {
         let _held = self.rebuild.lock().expect("no panic while rebuilding");
-        let snapshot = self.current.load_full();
-        let specs = snapshot.endpoints().map(|(id, e)| spec(&snapshot, id, e));
-        let (home, distances) = (self.home(&snapshot), distances(&snapshot));
+        if snapshot.generation > self.current.generation() {
+            self.rebuild(&snapshot);
+        }
+        let taken = self.current.advance(snapshot);
+        self.settle();
+        taken
+    }
+
+    /// Makes tables with all endpoints and pools of `snapshot`.
+    fn rebuild(&self, snapshot: &Snapshot) {
+        let specs = snapshot.endpoints().map(|(id, e)| spec(snapshot, id, e));
+        let (home, distances) = (self.home(snapshot), distances(snapshot));
         let old = self.table.load().relocate(home, distances);
         self.table.store(Arc::new(Table::rebuild(&old, specs)));
+        self.links.store(Arc::new(links(snapshot, &self.links.load())));
+        self.desks.store(Arc::new(self.rebuild_desks(snapshot)));
+    }
+
+    /// Applies the configuration in force to what the tables hold.
+    fn settle(&self) {
         self.apply_leaving();
-        self.links.store(Arc::new(links(&snapshot, &self.links.load())));
-        self.desks.store(Arc::new(self.rebuild_desks(&snapshot)));
         for desk in self.desks.load().iter() {
             desk.withdraw(&self.current);
         }
-        self.meter.generation.set(snapshot.generation as i64);
+        self.meter.generation.set(self.current.generation() as i64);
     }
 
     fn rebuild_desks(&self, snapshot: &Snapshot) -> Vec<Arc<Desk>> {
