Serve callers over TLS and answer every bad request with the error body

Cause: callers could only be served in the clear. A header section had no bound on time and only the library's on size, and what the HTTP library refused by itself got an empty body and no counter. volo-http's server takes no stream of our own, has no setting for the header section, and takes SIGHUP for a stop (docs/decisions/caller-connections.md).

Change: the callers' listener drives hyper's connections itself. Each accepted connection has a task of its own, with a TLS handshake (rustls, at most 1,024 at once, 5 s each, HTTP/1.1 by ALPN) and bounds on bytes, fields and time of the header section. Replies that the library writes while no request is being answered are dropped and replaced by the documented body: 408, 431 and 400 with counters. A chunked request ends its connection, since a stated length beside it is not shown to us. The certificate's files are looked at every 2 s; bad ones leave the old certificate in force. Paths in a settings file are relative to that file. A stop no longer cuts what runs half a minute after the hooks.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -100,6 +100,7 @@
                 listen: shift(listen, i),
                 operator: shift(shift(listen, OPERATOR_SHIFT), i),
                 platform: platform.address(),
+                tls: None,
                 peers: Some(Peers { listen: loopback(), secrets: vec![secret.0.clone()] }),
                 limits: bounds.clone(),
                 stop: Stop { grace: GRACE },
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -18,6 +18,7 @@
         desk::Clock,
         gate::{Gate, Parts},
         server::Front,
+        tls::Tls,
     },
     agate_member::{Listing, Server},
     agate_once::{Once, Settings as Claims},
@@ -137,9 +138,11 @@
         ];
         wait_installed(installed).await?;
         let stop = Stop::open(settings, &gate, &mesh, usage.clone());
-        let (view, drain) = (stop.view.clone(), stop.clone().run());
-        let operator = Operator::bind(settings.operator, view, drain).await?;
-        let front = Front::bind(settings.listen, gate.clone(), stop.clone().run())
+        let ended = stop.ended.clone().cancelled_owned();
+        let operator = Operator::bind(settings.operator, stop.view.clone(), ended).await?;
+        let tls = settings.tls.as_ref().map(|t| Tls::open(t.files())).transpose();
+        let tls = tls.wrap_err("tls")?;
+        let front = Front::bind(settings.listen, gate.clone(), tls)
             .await
             .wrap_err_with(|| format!("binding the callers' address {}", settings.listen))?;
         log::info!("instance {} serves callers at {}", settings.name, front.address());
@@ -160,6 +163,7 @@
     pub async fn stop(self) {
         self.stop.clone().run().await;
         self.front.close();
+        self.front.ended().await;
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 
@@ -169,12 +173,6 @@
         self.front.close();
         self.tasks.iter().for_each(JoinHandle::abort);
     }
-
-    /// Waits until the instance stopped after a signal.
-    pub async fn ended(self) {
-        self.front.ended().await;
-        self.tasks.iter().for_each(JoinHandle::abort);
-    }
 }
 
 impl Stop {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -62,7 +62,8 @@
     let _logs = logs::open(&settings.log)?;
     let store = agate_platform::store::open(settings.platform);
     let instance = Instance::spawn(&settings, store).await?;
-    instance.ended().await;
+    standins::stopped().await?;
+    instance.stop().await;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -47,12 +47,14 @@
 }
 
 impl Operator {
-    /// Binds `address` (port zero for any) and serves `view`; after a stop signal it goes on until
-    /// `drain` has ended.
+    /// Binds `address` (port zero for any) and serves `view` until `ended`.
+    ///
+    /// The server library takes every signal, SIGHUP too, for one to stop; it first waits for its
+    /// hook, so the listener goes on until the instance itself has ended.
     pub async fn bind(
         address: SocketAddr,
         view: Arc<View>,
-        drain: impl Future<Output = ()> + Send + 'static,
+        ended: impl Future<Output = ()> + Send + 'static,
     ) -> Result<Self> {
         let listener = TcpListener::bind(address)
             .await
@@ -60,7 +62,7 @@
         let address = listener.local_addr().wrap_err("reading the operator address")?;
         let task = tokio::spawn(async move {
             let server =
-                Server::new(Pages { view }).register_shutdown_hook(move || Box::pin(drain));
+                Server::new(Pages { view }).register_shutdown_hook(move || Box::pin(ended));
             if let Err(e) = server.run(DefaultIncoming::from(listener)).await {
                 log::error!("operator listener at {address} failed: {e}");
             }
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -4,12 +4,16 @@
 //! value needs a restart.
 
 use {
-    agate_flow::gate::Limits,
+    agate_flow::{
+        gate::Limits,
+        tls::{self, Files},
+    },
     agate_route::retry::MAX_ATTEMPTS,
     serde::Deserialize,
     std::{
         fmt, fs,
         net::SocketAddr,
+        ops::RangeInclusive,
         os::unix::fs::PermissionsExt,
         path::{Path, PathBuf},
         time::Duration,
@@ -32,6 +36,9 @@
     pub operator: SocketAddr,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// TLS towards callers; without it they are served in the clear.
+    #[serde(default)]
+    pub tls: Option<Tls>,
     /// The other instances; an instance without them serves alone.
     #[serde(default)]
     pub peers: Option<Peers>,
@@ -49,6 +56,32 @@
     pub log: Log,
 }
 
+impl Settings {
+    /// Takes relative paths of files as relative to `directory`.
+    fn resolve(&mut self, directory: &Path) {
+        let secrets = self.peers.iter_mut().flat_map(|p| &mut p.secrets);
+        let tls = self.tls.iter_mut().flat_map(|t| [&mut t.certificate, &mut t.key]);
+        secrets.chain(tls).for_each(|path| *path = directory.join(&*path));
+    }
+}
+
+/// TLS towards callers.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// Certificate chain in PEM form, the instance's own certificate first.
+    pub certificate: PathBuf,
+    /// Private key in PEM form; only its owner may read it.
+    pub key: PathBuf,
+}
+
+impl Tls {
+    /// The files as the listener takes them.
+    pub fn files(&self) -> Files {
+        Files { certificate: self.certificate.clone(), key: self.key.clone() }
+    }
+}
+
 /// How the instance reaches the other instances.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -65,6 +98,12 @@
 pub struct Bounds {
     /// Largest body, in bytes.
     pub body: usize,
+    /// Largest header section, in bytes.
+    pub headers: usize,
+    /// Longest time in which a header section must arrive; also the longest idle time of a kept
+    /// connection.
+    #[serde(with = "humantime_serde")]
+    pub arrival: Duration,
     /// Longest time in which a body must arrive.
     #[serde(with = "humantime_serde")]
     pub upload: Duration,
@@ -82,8 +121,9 @@
 
 impl Default for Bounds {
     fn default() -> Self {
-        let Limits { body, upload, answer, first, between, attempts, .. } = Limits::default();
-        Self { body, upload, answer, first, between, attempts }
+        let Limits { body, headers, arrival, upload, answer, first, between, attempts, .. } =
+            Limits::default();
+        Self { body, headers, arrival, upload, answer, first, between, attempts }
     }
 }
 
@@ -92,6 +132,8 @@
     pub fn limits(&self) -> Limits {
         Limits {
             body: self.body,
+            headers: self.headers,
+            arrival: self.arrival,
             upload: self.upload,
             answer: self.answer,
             first: self.first,
@@ -194,22 +236,31 @@
 pub fn open(file: &Path) -> Result<Settings, Invalid> {
     let fail = |problems| Invalid { file: file.display().to_string(), problems };
     let text = fs::read_to_string(file).map_err(|e| fail(vec![e.to_string()]))?;
-    let settings: Settings =
+    let mut settings: Settings =
         serde_saphyr::from_str(&text).map_err(|e| fail(vec![e.to_string()]))?;
+    if let Some(directory) = file.parent() {
+        settings.resolve(directory);
+    }
     let problems = check(&settings);
     if problems.is_empty() { Ok(settings) } else { Err(fail(problems)) }
 }
 
+/// Largest header sections that may be asked for, in bytes; the upper end is below the server
+/// library's own buffer.
+const HEADERS: RangeInclusive<usize> = 1 << 10..=256 << 10;
+
 /// Lists what is wrong with settings that were read.
 pub fn check(settings: &Settings) -> Vec<String> {
     let Settings { name, zone, region, listen, operator, limits, log, usage, .. } = settings;
-    let rules: [(bool, &str); 13] = [
+    let rules: [(bool, &str); 15] = [
         (!is_name(name), "name: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
         (!is_name(zone), "zone: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
         (!is_name(region), "region: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
         (listen == operator && listen.port() != 0, "operator: must differ from `listen`"),
         (limits.body == 0, "limits.body: accepted are 1 byte and more"),
         (limits.answer == 0, "limits.answer: accepted are 1 byte and more"),
+        (!HEADERS.contains(&limits.headers), "limits.headers: accepted are 1024 to 262144 bytes"),
+        (limits.arrival.is_zero(), "limits.arrival: accepted are durations above zero"),
         (limits.upload.is_zero(), "limits.upload: accepted are durations above zero"),
         (limits.first.is_zero(), "limits.first: accepted are durations above zero"),
         (limits.between.is_zero(), "limits.between: accepted are durations above zero"),
@@ -223,6 +274,9 @@
     if let Err(e) = flexi_logger::LogSpecification::parse(&log.level) {
         out.push(format!("log.level: {e}"));
     }
+    if let Some(Err(e)) = settings.tls.as_ref().map(|t| tls::check(&t.files())) {
+        out.push(format!("tls: {e}"));
+    }
     let secrets = settings.peers.iter().flat_map(|p| &p.secrets);
     out.extend(secrets.filter_map(|file| read_secret(file).err()));
     if settings.peers.as_ref().is_some_and(|p| !(1..=2).contains(&p.secrets.len())) {
--- /dev/null
+++ b/crates/cli/tests/caller_tls.rs
@@ -0,0 +1,188 @@
+//! TLS towards callers: answers, new and bad certificates, exposed keys, silent handshakes.
+
+mod support;
+
+use {
+    agate_cli::demo::Demo,
+    agate_flow::{
+        server::Front,
+        tls::{Error, Files, Loaded, Tls},
+    },
+    rstest::rstest,
+    rustls::{
+        ClientConfig, RootCertStore,
+        crypto::ring,
+        pki_types::{CertificateDer, ServerName, pem::PemObject},
+    },
+    std::{
+        fs::{self, Permissions},
+        net::{IpAddr, SocketAddr},
+        os::unix::fs::PermissionsExt,
+        path::PathBuf,
+        sync::Arc,
+    },
+    support::{Call, answer, ask, start, until},
+    tokio::net::TcpStream,
+    tokio_rustls::{TlsConnector, client::TlsStream},
+};
+
+const FIRST: (&str, &str) =
+    (include_str!("support/tls/first.crt"), include_str!("support/tls/first.key"));
+const SECOND: (&str, &str) =
+    (include_str!("support/tls/second.crt"), include_str!("support/tls/second.key"));
+/// Callers that open a connection and never begin their handshake.
+const SILENT_CALLERS: usize = 300;
+
+/// A directory with a certificate and its key, removed when dropped.
+struct Pair(PathBuf);
+
+impl Pair {
+    fn write(pair: (&str, &str)) -> Self {
+        let path = std::env::temp_dir().join(format!("agate-tls-{:016x}", rand::random::<u64>()));
+        fs::create_dir(&path).expect("a new directory");
+        let out = Self(path);
+        out.put(pair);
+        out.mode(0o600);
+        out
+    }
+
+    fn put(&self, (certificate, key): (&str, &str)) {
+        let Files { certificate: at, key: key_at } = self.files();
+        fs::write(at, certificate).expect("a file in the directory");
+        fs::write(key_at, key).expect("a file in the directory");
+    }
+
+    fn mode(&self, mode: u32) {
+        fs::set_permissions(self.files().key, Permissions::from_mode(mode)).expect("own file");
+    }
+
+    fn files(&self) -> Files {
+        Files { certificate: self.0.join("front.crt"), key: self.0.join("front.key") }
+    }
+}
+
+impl Drop for Pair {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A demo whose first instance also listens over TLS.
+struct System {
+    demo: Demo,
+    front: Front,
+    pair: Pair,
+}
+
+async fn system() -> System {
+    let (demo, pair) = (start(1, |_| {}).await, Pair::write(FIRST));
+    let tls = Tls::open(pair.files()).expect("a sound pair");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let front = Front::bind(any, demo.instances[0].gate.clone(), Some(tls)).await;
+    System { front: front.expect("a free port"), demo, pair }
+}
+
+impl System {
+    /// Opens a connection that trusts only `certificate`.
+    async fn connect(&self, certificate: &str) -> std::io::Result<TlsStream<TcpStream>> {
+        let mut roots = RootCertStore::empty();
+        roots.add(CertificateDer::from_pem_slice(certificate.as_bytes()).unwrap()).unwrap();
+        let provider = Arc::new(ring::default_provider());
+        let versions = ClientConfig::builder_with_provider(provider);
+        let versions = versions.with_safe_default_protocol_versions().unwrap();
+        let mut config = versions.with_root_certificates(roots).with_no_client_auth();
+        config.alpn_protocols = vec![b"h2".to_vec(), b"http/1.1".to_vec()];
+        let io = TcpStream::connect(self.front.address()).await?;
+        let name = ServerName::from(IpAddr::from([127, 0, 0, 1]));
+        TlsConnector::from(Arc::new(config)).connect(name, io).await
+    }
+
+    fn counted(&self, line: &str) -> bool {
+        self.demo.instances[0].gate.meter.text().contains(line)
+    }
+}
+
+#[tokio::test]
+async fn encrypted_answers() {
+    let system = system().await;
+    let io = system.connect(FIRST.0).await.expect("a handshake");
+    assert_eq!(io.get_ref().1.alpn_protocol(), Some(&b"http/1.1"[..]));
+    let reply = ask("a question", 300, true).over(io).await;
+    assert!(reply.ended() && reply.text() == answer("a question", 300), "{}", reply.body);
+    assert!(system.counted("agatetrack_handshakes_total{result=\"done\"} 1"));
+}
+
+/// A request in the clear gets no answer and is not run.
+#[tokio::test]
+async fn clear_request() {
+    let system = system().await;
+    let mut io = TcpStream::connect(system.front.address()).await.expect("accepted");
+    let sent = b"GET /catalogue/1 HTTP/1.1\r\nhost: x\r\n\r\n";
+    tokio::io::AsyncWriteExt::write_all(&mut io, sent).await.expect("sent");
+    until("it is refused", || system.counted("agatetrack_handshakes_total{result=\"failed\"} 1"))
+        .await;
+    assert!(system.counted("agatetrack_requests_total 0"));
+}
+
+#[tokio::test]
+async fn new_certificate() {
+    let system = system().await;
+    let old = system.connect(FIRST.0).await.expect("a handshake");
+    system.pair.put(SECOND);
+    // The listener looks at its files by itself.
+    until("the certificate is in force", || {
+        system.counted("agatetrack_certificates_total{result=\"loaded\"} 1")
+    })
+    .await;
+    assert!(system.connect(FIRST.0).await.is_err());
+    let new = system.connect(SECOND.0).await.expect("a handshake");
+    for io in [old, new] {
+        let reply = Call::new("GET", "/catalogue/1", "").unkeyed().over(io).await;
+        assert_eq!(reply.status, 200);
+    }
+}
+
+#[rstest]
+#[case::garbage(("no certificate", FIRST.1))]
+#[case::other_key((FIRST.0, SECOND.1))]
+#[tokio::test]
+async fn bad_certificate(#[case] bad: (&str, &str)) {
+    let system = system().await;
+    system.pair.put(bad);
+    system.front.reload();
+    assert!(system.counted("agatetrack_certificates_total{result=\"refused\"} 1"));
+    system.connect(FIRST.0).await.expect("the old certificate is in force");
+    system.pair.put(SECOND);
+    system.front.reload();
+    system.connect(SECOND.0).await.expect("the new certificate is in force");
+}
+
+#[rstest]
+#[case::group(0o640)]
+#[case::everyone(0o604)]
+fn exposed_key(#[case] mode: u32) {
+    let pair = Pair::write(FIRST);
+    let tls = Tls::open(pair.files()).expect("a sound pair");
+    pair.mode(mode);
+    let error = Tls::open(pair.files()).err().expect("a refusal");
+    assert!(
+        matches!(&error, Error::Exposed { file, mode: m } if *file == pair.files().key && *m == mode)
+    );
+    assert!(error.to_string().contains(&format!("{mode:04o}")), "{error}");
+    assert!(tls.reload().is_err());
+    pair.mode(0o600);
+    assert_eq!(tls.reload().expect("a sound pair"), Loaded::Same);
+}
+
+/// Callers that never begin their handshake keep nobody else from being served.
+#[tokio::test]
+async fn silent_handshakes() {
+    let system = system().await;
+    let mut held = Vec::new();
+    for _ in 0..SILENT_CALLERS {
+        held.push(TcpStream::connect(system.front.address()).await.expect("accepted"));
+    }
+    let io = system.connect(FIRST.0).await.expect("a handshake");
+    let reply = Call::new("GET", "/catalogue/1", "").unkeyed().over(io).await;
+    assert_eq!(reply.status, 200);
+}
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -75,7 +75,7 @@
 
 /// A signal to stop cuts no request, and the process ends by itself without an error.
 ///
-/// With `AGATETRACK_STOP_GAP=30ms` the stream outlasts the server library's own limit on a shutdown.
+/// With `AGATETRACK_STOP_GAP=30ms` the stream lasts 45 s and more.
 #[tokio::test]
 async fn graceful_stop() {
     const TOKENS: u32 = 1500;
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -16,7 +16,11 @@
     hyper_util::rt::TokioIo,
     serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
-    tokio::{net::TcpStream, time::sleep},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+        time::sleep,
+    },
 };
 
 /// Longest time that a condition may take to come true before a test gives up.
@@ -109,6 +113,18 @@
     /// Sends the request on a connection of its own, to an instance that may be gone.
     pub async fn try_send(self, to: SocketAddr) -> Result<Reply, Lost> {
         let io = TcpStream::connect(to).await.map_err(|_| Lost::Unsent)?;
+        self.try_over(io).await
+    }
+
+    /// Sends the request over an open connection.
+    pub async fn over(self, io: impl AsyncRead + AsyncWrite + Unpin + Send + 'static) -> Reply {
+        self.try_over(io).await.expect("the instance replies")
+    }
+
+    async fn try_over(
+        self,
+        io: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    ) -> Result<Reply, Lost> {
         let shaken = http1::handshake(TokioIo::new(io)).await;
         let (mut sender, conn) = shaken.map_err(|_| Lost::Unsent)?;
         tokio::spawn(conn);
@@ -166,10 +182,15 @@
 
 /// Starts the demo with a change of its document.
 pub async fn start(count: u16, change: impl FnOnce(&mut Document)) -> Demo {
+    start_bounded(count, bounds(), change).await
+}
+
+/// As [`start`], with other bounds on requests.
+pub async fn start_bounded(count: u16, bounds: Bounds, change: impl FnOnce(&mut Document)) -> Demo {
     let mut document = read(None).expect("the built-in document is valid");
     change(&mut document);
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-    Demo::spawn(document, listen, count, bounds()).await.expect("the demo starts")
+    Demo::spawn(document, listen, count, bounds).await.expect("the demo starts")
 }
 
 /// Keeps only the first `count` endpoints of a pool.
--- a/crates/cli/tests/usage_reports.rs
+++ b/crates/cli/tests/usage_reports.rs
@@ -33,6 +33,7 @@
         listen: any,
         operator: any,
         platform,
+        tls: None,
         peers: None,
         limits: bounds(),
         stop: Stop::default(),
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -40,6 +40,11 @@
 pub struct Limits {
     /// Largest body of a request, in bytes.
     pub body: usize,
+    /// Largest header section of a request, its first line included, in bytes.
+    pub headers: usize,
+    /// Longest time in which a header section must arrive; also the longest idle time of a kept
+    /// connection.
+    pub arrival: Duration,
     /// Longest time in which a request's body must arrive.
     pub upload: Duration,
     /// Largest answer of a plain service, in bytes.
@@ -58,6 +63,8 @@
     fn default() -> Self {
         Self {
             body: 8 << 20,
+            headers: 32 << 10,
+            arrival: Duration::from_secs(20),
             upload: Duration::from_secs(20),
             answer: 16 << 20,
             first: Duration::from_secs(20),
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -1,6 +1,7 @@
 //! One request from accept to its last byte.
 //!
-//! [`server::Front`] accepts connections and hands each request to [`serve::handle`]. A request
+//! [`server::Front`] accepts connections, over [`tls`] if asked, and hands each request to
+//! [`serve::handle`]. A request
 //! matches a route, its caller is identified, its body read, and it goes the way of [`model`] or
 //! [`service`]. Both send it through [`exchange`] over a [`link`] to one endpoint after another
 //! until there is an answer or nothing may be tried any more.
@@ -11,6 +12,7 @@
 
 pub mod booking;
 pub mod caller;
+mod connection;
 pub mod desk;
 pub mod dispatch;
 pub mod exchange;
@@ -27,7 +29,9 @@
 pub mod server;
 pub mod service;
 pub mod sse;
+mod stage;
 pub mod suspect;
 mod tally;
+pub mod tls;
 pub mod token;
 pub mod truth;
--- a/crates/flow/src/meter.rs
+++ b/crates/flow/src/meter.rs
@@ -29,6 +29,10 @@
     pub abandoned: IntCounter,
     /// Connections retired because they went silent.
     pub silent: IntCounter,
+    /// TLS handshakes of callers, by result.
+    handshakes: IntCounterVec,
+    /// Certificates that were found changed, by result.
+    certificates: IntCounterVec,
     /// Requests in progress.
     pub open: IntGauge,
     /// Generation of the configuration in force.
@@ -52,10 +56,12 @@
         let gauge = |name: &str, help: &str| {
             register(&registry, IntGauge::new(name, help).expect("metric names are valid"))
         };
-        let by_reason = |name: &str, help: &str| {
-            let vec = IntCounterVec::new(Opts::new(name, help), &["reason"]);
+        let by = |label: &str, name: &str, help: &str| {
+            let vec = IntCounterVec::new(Opts::new(name, help), &[label]);
             register(&registry, vec.expect("metric names are valid"))
         };
+        let by_reason = |name: &str, help: &str| by("reason", name, help);
+        let by_result = |name: &str, help: &str| by("result", name, help);
         let delay = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(DELAYS.to_vec());
             register(&registry, Histogram::with_opts(opts).expect("metric names are valid"))
@@ -67,6 +73,8 @@
             retries: by_reason("agatetrack_retries_total", "Attempts repeated, by reason"),
             abandoned: counter("agatetrack_abandoned_total", "Callers that left early"),
             silent: counter("agatetrack_silent_connections_total", "Silent connections retired"),
+            handshakes: by_result("agatetrack_handshakes_total", "TLS handshakes, by result"),
+            certificates: by_result("agatetrack_certificates_total", "New certificates, by result"),
             open: gauge("agatetrack_requests_open", "Requests in progress"),
             generation: gauge("agatetrack_config_generation", "Configuration in force"),
             first: delay("agatetrack_first_token_seconds", "Time to the first token"),
@@ -80,9 +88,25 @@
         for reason in Retry::ALL {
             meter.retries.with_label_values(&[reason.code()]);
         }
+        for result in ["done", "failed", "slow"] {
+            meter.handshakes.with_label_values(&[result]);
+        }
+        for result in ["loaded", "refused"] {
+            meter.certificates.with_label_values(&[result]);
+        }
         meter
     }
 
+    /// Counts a TLS handshake.
+    pub fn handshake(&self, result: &str) {
+        self.handshakes.with_label_values(&[result]).inc();
+    }
+
+    /// Counts a certificate that was found changed.
+    pub fn certificate(&self, result: &str) {
+        self.certificates.with_label_values(&[result]).inc();
+    }
+
     /// Counts a refusal.
     pub fn refuse(&self, reason: Refusal) {
         self.refusals.with_label_values(&[reason.code()]).inc();
--- a/crates/flow/src/serve.rs
+++ b/crates/flow/src/serve.rs
@@ -173,6 +173,6 @@
 }
 
 /// Makes a request identifier: 32 hexadecimal digits.
-fn new_id() -> String {
+pub fn new_id() -> String {
     format!("{:032x}", rand::random::<u128>())
 }
--- a/crates/flow/src/server.rs
+++ b/crates/flow/src/server.rs
@@ -1,56 +1,58 @@
 //! The callers' listener.
+//!
+//! Each accepted connection is handed to a task of its own, which carries out the TLS handshake and
+//! serves the requests, so a slow caller never holds up the next accept.
 
 use {
-    crate::{gate::Gate, link, serve::handle},
-    http::{Request, Response},
-    std::{convert::Infallible, fmt, io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, task::JoinHandle},
-    tokio_util::sync::CancellationToken,
-    volo::{
-        Service,
-        net::{
-            Address,
-            conn::Conn,
-            incoming::{Incoming, MakeIncoming},
-        },
+    crate::{
+        connection,
+        gate::Gate,
+        link,
+        tls::{Failed, Loaded, Tls, WATCH_PERIOD},
     },
-    volo_http::{body::Body, context::ServerContext, server::Server},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::{sleep, timeout},
+    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
 /// Pause after the operating system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for connections to close once no request is in progress.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
 
 /// Running listener of one instance.
 pub struct Front {
     address: SocketAddr,
-    stop: CancellationToken,
-    task: JoinHandle<()>,
+    listener: Arc<Listener>,
+}
+
+struct Listener {
+    gate: Arc<Gate>,
+    tls: Option<Arc<Tls>>,
+    closing: CancellationToken,
+    tasks: TaskTracker,
 }
 
 impl Front {
-    /// Binds `address` (port zero for any) and serves requests through `gate`.
-    ///
-    /// After a stop signal the listener goes on until `drain` has ended, because the server library
-    /// cuts what still runs half a minute after its hooks.
+    /// Binds `address` (port zero for any) and serves requests through `gate`, over TLS if it is
+    /// given.
     ///
     /// Errors: the operating system's when the address cannot be bound.
     pub async fn bind(
         address: SocketAddr,
         gate: Arc<Gate>,
-        drain: impl Future<Output = ()> + Send + 'static,
+        tls: Option<Arc<Tls>>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
-        let stop = CancellationToken::new();
-        let incoming = Accept { listener: Some(listener), stop: stop.clone() };
-        let task = tokio::spawn(async move {
-            let server =
-                Server::new(Handler { gate }).register_shutdown_hook(move || Box::pin(drain));
-            if let Err(e) = server.run(Ready(incoming)).await {
-                log::error!("listener for callers at {address} failed: {e}");
-            }
-        });
-        Ok(Self { address, stop, task })
+        let socket = TcpListener::bind(address).await?;
+        let address = socket.local_addr()?;
+        let (closing, tasks) = (CancellationToken::new(), TaskTracker::new());
+        let listener = Arc::new(Listener { gate, tls, closing, tasks });
+        tokio::spawn(listener.clone().accept(socket));
+        tokio::spawn(listener.clone().watch());
+        Ok(Self { address, listener })
     }
 
     /// Address that callers connect to.
@@ -58,84 +60,86 @@
         self.address
     }
 
-    /// Closes the listening socket; open connections go on.
-    pub fn close(&self) {
-        self.stop.cancel();
+    /// Reads the certificate again if its files changed.
+    pub fn reload(&self) {
+        self.listener.reload();
     }
 
-    /// Waits until the server ended after a signal and its own shutdown.
-    pub async fn ended(self) {
-        let _ = self.task.await;
-    }
-}
-
-struct Handler {
-    gate: Arc<Gate>,
-}
-
-impl Service<ServerContext, Request<Body>> for Handler {
-    type Response = Response<Body>;
-    type Error = Infallible;
-
-    async fn call(
-        &self,
-        _cx: &mut ServerContext,
-        request: Request<Body>,
-    ) -> Result<Response<Body>, Infallible> {
-        Ok(handle(self.gate.clone(), request).await)
-    }
-}
-
-struct Ready(Accept);
-
-impl MakeIncoming for Ready {
-    type Incoming = Accept;
-
-    async fn make_incoming(self) -> io::Result<Accept> {
-        Ok(self.0)
+    /// Closes the listening socket and idle connections; requests in progress go on.
+    pub fn close(&self) {
+        self.listener.closing.cancel();
+        self.listener.tasks.close();
     }
-}
-
-/// Accepts connections until it is stopped, then never returns one again.
-struct Accept {
-    listener: Option<TcpListener>,
-    stop: CancellationToken,
-}
 
-impl fmt::Debug for Accept {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("callers' listener")
+    /// Waits until the connections are closed, for a bounded time.
+    pub async fn ended(self) {
+        if timeout(CLOSE_LIMIT, self.listener.tasks.wait()).await.is_err() {
+            let open = self.listener.tasks.len();
+            log::warn!("{open} connections of callers at {} did not close", self.address);
+        }
     }
 }
 
-impl Incoming for Accept {
-    async fn accept(&mut self) -> io::Result<Option<Conn>> {
+impl Listener {
+    async fn accept(self: Arc<Self>, socket: TcpListener) {
         loop {
-            let Some(listener) = &self.listener else {
-                // The server polls again at once on any answer, so a stopped listener stays
-                // pending until its task is dropped.
-                return std::future::pending().await;
-            };
             let accepted = tokio::select! {
-                () = self.stop.cancelled() => None,
-                accepted = listener.accept() => Some(accepted),
+                () = self.closing.cancelled() => return,
+                accepted = socket.accept() => accepted,
             };
             match accepted {
-                None => self.listener = None,
-                Some(Ok((io, peer))) => {
-                    if let Err(e) = link::configure(&io) {
-                        log::debug!("connection of caller {peer}: {e}");
-                        continue;
-                    }
-                    let mut conn = Conn::from(io);
-                    conn.info.peer_addr = Some(Address::from(peer));
-                    return Ok(Some(conn));
-                }
-                Some(Err(e)) => {
+                Ok((io, peer)) => drop(self.tasks.spawn(self.clone().serve(io, peer))),
+                Err(e) => {
                     log::warn!("accepting a caller's connection: {e}");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
     }
+
+    async fn serve(self: Arc<Self>, io: TcpStream, peer: SocketAddr) {
+        if let Err(e) = link::configure(&io) {
+            return log::debug!("connection of caller {peer}: {e}");
+        }
+        let (gate, closing) = (self.gate.clone(), self.closing.clone());
+        let Some(tls) = &self.tls else {
+            return connection::serve(gate, io, peer, closing).await;
+        };
+        let accepted = tokio::select! {
+            () = closing.cancelled() => return,
+            accepted = tls.accept(io) => accepted,
+        };
+        match accepted {
+            Ok(io) => {
+                gate.meter.handshake("done");
+                connection::serve(gate, io, peer, closing).await;
+            }
+            Err(e) => {
+                gate.meter.handshake(if matches!(e, Failed::Slow) { "slow" } else { "failed" });
+                log::debug!("TLS handshake of caller {peer}: {e}");
+            }
+        }
+    }
+
+    async fn watch(self: Arc<Self>) {
+        while self.tls.is_some() && !self.closing.is_cancelled() {
+            sleep(WATCH_PERIOD).await;
+            self.reload();
+        }
+    }
+
+    fn reload(&self) {
+        let Some(tls) = &self.tls else { return };
+        match tls.reload() {
+            Ok(Loaded::Same) => {}
+            Ok(Loaded::New) => {
+                self.gate.meter.certificate("loaded");
+                log::info!("a new certificate is in force");
+            }
+            Err(e) => {
+                self.gate.meter.certificate("refused");
+                log::error!("the old certificate stays in force: {e}");
+            }
+        }
+    }
 }
