Seek the peers' port where fewer ports are free

Cause: an instance that asks for any port took one that is free for UDP and then bound it for TCP.

Change: the port is found for TCP first; either bind failing leads to the next try.

--- a/crates/cli/src/mesh.rs
+++ b/crates/cli/src/mesh.rs
@@ -23,7 +23,8 @@
     futures_util::FutureExt,
     serde::{Serialize, de::DeserializeOwned},
     std::{
-        net::SocketAddr,
+        io,
+        net::{SocketAddr, TcpListener},
         sync::{Arc, Mutex, OnceLock, Weak},
         time::Duration,
     },
@@ -96,8 +97,15 @@
         let mut tries = 0;
         loop {
             tries += 1;
-            let settings = Settings { scope: Scope::Region, ..Settings::new(name, place.clone()) };
-            let joined = member::bind(settings, keys.clone(), self.hooks()).await?;
+            let address = free(place.address).wrap_err("finding a port for other instances")?;
+            let found = Place { address, ..place.clone() };
+            let settings = Settings { scope: Scope::Region, ..Settings::new(name, found) };
+            let again = place.address.port() == 0 && tries < BIND_TRIES;
+            let joined = match member::bind(settings, keys.clone(), self.hooks()).await {
+                Ok(joined) => joined,
+                Err(_) if again => continue,
+                Err(e) => return Err(e.into()),
+            };
             let identity = joined.identity().clone();
             let mesh = self.clone();
             let handler = move |from, query| {
@@ -119,8 +127,8 @@
                     let _ = self.member.set(joined);
                     return Ok(server);
                 }
-                // A free UDP port may be taken for TCP.
-                Err(_) if place.address.port() == 0 && tries < BIND_TRIES => {}
+                // The port may have been taken since it was found.
+                Err(_) if again => {}
                 Err(e) => return Err(e).wrap_err("listening to other instances"),
             }
         }
@@ -360,3 +368,11 @@
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
     postcard::from_bytes(bytes).ok()
 }
+
+/// `address`, with a port that is free for TCP if it asks for any.
+///
+/// Ports of connections that were closed lately are free for UDP and not for TCP, so a port is
+/// sought where fewer are free.
+fn free(address: SocketAddr) -> io::Result<SocketAddr> {
+    if address.port() == 0 { TcpListener::bind(address)?.local_addr() } else { Ok(address) }
+}
