Bound a graceful stop and read settings again on SIGHUP

Cause: a stop had no longest time, so one request without an end held an instance for good. Every change of a setting needed a restart, and SIGHUP stopped the instance.

Change: stop.limit (30 minutes) bounds the wait for requests in progress. What still runs then ends as an error, `instance_stopping` and `unknown`, streams by their error event; the log says how many. On SIGHUP an instance checks its settings file whole and takes over limits, the log filter and the certificate's files; other changes are named as needing a restart, and an invalid file changes nothing.

Tests: bounded_stop, processes::settings_again.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -103,7 +103,7 @@
                 tls: None,
                 peers: Some(Peers { listen: loopback(), secrets: vec![secret.0.clone()] }),
                 limits: bounds.clone(),
-                stop: Stop { grace: GRACE },
+                stop: Stop { grace: GRACE, ..Stop::default() },
                 usage: usage.clone(),
                 log: Log::default(),
             };
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -61,6 +61,8 @@
 const MIN_FLEET: usize = 8;
 /// Time without the platform's list after which the members are followed without it.
 const LIST_WAIT: Duration = Duration::from_secs(3);
+/// Longest wait for requests that were told to end as errors.
+const CUT_LIMIT: Duration = Duration::from_secs(5);
 /// Domain separation of the key of request fingerprints.
 const PRINT_DERIVATION: &str = "agatetrack request fingerprint v1";
 
@@ -85,7 +87,7 @@
     view: Arc<View>,
     mesh: Arc<Mesh>,
     usage: Arc<Usage>,
-    grace: Duration,
+    bounds: settings::Stop,
     started: Arc<AtomicBool>,
     ended: CancellationToken,
 }
@@ -145,6 +147,7 @@
         let front = Front::bind(settings.listen, gate.clone(), tls)
             .await
             .wrap_err_with(|| format!("binding the callers' address {}", settings.listen))?;
+        log::info!("instance {} serves operators at {}", settings.name, operator.address());
         log::info!("instance {} serves callers at {}", settings.name, front.address());
         Ok(Self { gate, mesh, usage, front, operator, stop, _peers: peers, tasks })
     }
@@ -159,7 +162,12 @@
         self.operator.address()
     }
 
-    /// Stops gracefully: no request in progress is cut.
+    /// Reads the callers' certificate again if its files changed.
+    pub fn reload_certificate(&self) {
+        self.front.reload();
+    }
+
+    /// Stops gracefully: no request in progress is cut before the limit on a stop.
     pub async fn stop(self) {
         self.stop.clone().run().await;
         self.front.close();
@@ -187,7 +195,7 @@
             view: Arc::new(view),
             mesh: mesh.clone(),
             usage,
-            grace: settings.stop.grace,
+            bounds: settings.stop.clone(),
             started: Arc::default(),
             ended: CancellationToken::new(),
         }
@@ -200,10 +208,10 @@
         }
         log::info!("instance {} is stopping", self.view.name);
         self.view.ready.store(false, Ordering::SeqCst);
-        sleep(self.grace).await;
+        sleep(self.bounds.grace).await;
         let gate = &self.view.gate;
         gate.flight.close();
-        gate.flight.drained().await;
+        self.drain(gate).await;
         if !gate.once.drain().await {
             log::warn!("the outcome of some calls could not be recorded in the store");
         }
@@ -216,6 +224,20 @@
         log::info!("instance {} finished its last request", self.view.name);
         self.ended.cancel();
     }
+
+    /// Waits for the requests in progress; what still runs after the limit is ended as an error.
+    async fn drain(&self, gate: &Gate) {
+        let (name, limit) = (&self.view.name, self.bounds.limit);
+        if timeout(limit, gate.flight.drained()).await.is_ok() {
+            return;
+        }
+        let open = gate.flight.open();
+        log::error!("instance {name}: {open} requests run after {limit:?} and end as errors");
+        gate.flight.cut();
+        if timeout(CUT_LIMIT, gate.flight.drained()).await.is_err() {
+            log::error!("instance {name}: {} requests did not end", gate.flight.open());
+        }
+    }
 }
 
 /// Keys derived from the shared secrets.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod logs;
 pub mod mesh;
 pub mod operator;
+pub mod reload;
 pub mod settings;
 pub mod standins;
 pub mod usage;
@@ -25,7 +26,8 @@
     eyre::{Result, WrapErr, eyre},
     instance::Instance,
     settings::{Bounds, Log},
-    std::{net::SocketAddr, path::Path, process::ExitCode, time::Duration},
+    std::{net::SocketAddr, path::Path, pin::pin, process::ExitCode, time::Duration},
+    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// Longest wait for an answer from an instance's operator address.
@@ -52,17 +54,24 @@
 }
 
 async fn serve(file: &Path) -> Result<ExitCode> {
-    let settings = match settings::open(file) {
+    let mut settings = match settings::open(file) {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("{e}");
             return Ok(ExitCode::from(configs::INVALID));
         }
     };
-    let _logs = logs::open(&settings.log)?;
+    let logs = logs::open(&settings.log)?;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("waiting for signals")?;
     let store = agate_platform::store::open(settings.platform);
     let instance = Instance::spawn(&settings, store).await?;
-    standins::stopped().await?;
+    let mut stopped = pin!(standins::stopped());
+    loop {
+        tokio::select! {
+            done = &mut stopped => break done?,
+            _ = hangup.recv() => reload::apply(file, &mut settings, &instance, &logs),
+        }
+    }
     instance.stop().await;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of one instance.
 //!
-//! The file is read whole and every problem is reported before anything is bound. A change of any
-//! value needs a restart.
+//! The file is read whole and every problem is reported before anything is bound. What a running
+//! instance takes over from a changed file is in [`crate::reload`].
 
 use {
     agate_flow::{
@@ -21,7 +21,7 @@
 };
 
 /// Settings of one instance, as written in its YAML file.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the instance, unique in the fleet.
@@ -83,7 +83,7 @@
 }
 
 /// How the instance reaches the other instances.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Peers {
     /// Address of datagrams and of requests between instances.
@@ -93,7 +93,7 @@
 }
 
 /// Bounds on requests.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
     /// Largest body, in bytes.
@@ -145,22 +145,25 @@
 }
 
 /// Graceful shutdown.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Stop {
     /// Time between announcing the stop and refusing new requests, for the balancer to notice.
     #[serde(with = "humantime_serde")]
     pub grace: Duration,
+    /// Time from refusing new requests to ending those in progress as errors.
+    #[serde(with = "humantime_serde")]
+    pub limit: Duration,
 }
 
 impl Default for Stop {
     fn default() -> Self {
-        Self { grace: Duration::from_secs(3) }
+        Self { grace: Duration::from_secs(3), limit: Duration::from_secs(30 * 60) }
     }
 }
 
 /// Usage windows; the same for all instances.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Usage {
     /// Length of a window; must never change once windows were sealed.
@@ -199,7 +202,7 @@
 }
 
 /// Logging.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Log {
     /// Filter in the form of `flexi_logger`, such as `info` or `info, agate_flow=debug`.
@@ -251,8 +254,8 @@
 
 /// Lists what is wrong with settings that were read.
 pub fn check(settings: &Settings) -> Vec<String> {
-    let Settings { name, zone, region, listen, operator, limits, log, usage, .. } = settings;
-    let rules: [(bool, &str); 15] = [
+    let Settings { name, zone, region, listen, operator, limits, stop, log, usage, .. } = settings;
+    let rules: [(bool, &str); 16] = [
         (!is_name(name), "name: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
         (!is_name(zone), "zone: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
         (!is_name(region), "region: accepted are 1 to 64 letters, digits, `-`, `_` and `.`"),
@@ -265,6 +268,7 @@
         (limits.first.is_zero(), "limits.first: accepted are durations above zero"),
         (limits.between.is_zero(), "limits.between: accepted are durations above zero"),
         (!(1..=MAX_ATTEMPTS).contains(&limits.attempts), "limits.attempts: accepted are 1 to 3"),
+        (stop.limit.is_zero(), "stop.limit: accepted are durations above zero"),
         (usage.window.is_zero(), "usage.window: accepted are durations above zero"),
         (usage.shards == 0, "usage.shards: accepted are 1 and more"),
         (usage.gather > usage.grace, "usage.grace: must not be below `usage.gather`"),
--- /dev/null
+++ b/crates/cli/tests/bounded_stop.rs
@@ -0,0 +1,58 @@
+//! A stop ends what still runs after its limit as an error.
+
+mod support;
+
+use {
+    agate_cli::{
+        demo::Demo,
+        instance::Instance,
+        settings::{Bounds, Log, Settings, Stop, Usage},
+    },
+    std::{net::SocketAddr, time::Duration},
+    support::{Call, start, until},
+};
+
+/// Tokens of a stream that lasts far longer than the limit.
+const TOKENS: u32 = 1500;
+
+/// An instance beside those of the demo, whose stop is bounded by `limit`.
+async fn instance(demo: &Demo, limit: Duration) -> Instance {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = Settings {
+        name: "entry-9".into(),
+        zone: "harju-a".into(),
+        region: "harju".into(),
+        listen: any,
+        operator: any,
+        platform: demo.platform.address(),
+        tls: None,
+        peers: None,
+        limits: Bounds::default(),
+        stop: Stop { grace: Duration::ZERO, limit },
+        usage: Usage::default(),
+        log: Log::default(),
+    };
+    let store = agate_platform::store::open(settings.platform);
+    Instance::spawn(&settings, store).await.expect("the instance starts")
+}
+
+#[tokio::test]
+async fn limit_passed() {
+    let demo = start(1, |_| {}).await;
+    let instance = instance(&demo, Duration::from_millis(100)).await;
+    let (gate, address) = (instance.gate.clone(), instance.address());
+    demo.services.iter().for_each(|s| s.set(|f| f.delay = Duration::from_secs(600)));
+    let body = support::question("long", TOKENS, true);
+    let stream =
+        tokio::spawn(Call::new("POST", "/dossiers/v1/chat/completions", body).send(address));
+    let booking = Call::new("POST", "/orders/9", "b").header("idempotency-key", "b");
+    let booking = tokio::spawn(booking.send(address));
+    until("both run", || gate.flight.open() == 2).await;
+    instance.stop().await;
+    let (stream, booking) = (stream.await.unwrap(), booking.await.unwrap());
+    assert!(!stream.whole, "{}", stream.body);
+    let last = stream.body.lines().rfind(|l| l.starts_with("data: ")).unwrap_or_default();
+    assert!(last.contains("instance_stopping") && last.contains("unknown"), "{}", stream.body);
+    assert_eq!((booking.status.as_u16(), booking.run().as_str()), (503, "unknown"));
+    assert_eq!((booking.code().as_str(), gate.flight.open()), ("instance_stopping", 0));
+}
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -23,7 +23,7 @@
     instance: Process,
     address: SocketAddr,
     _others: Vec<Process>,
-    _files: Dir,
+    files: Dir,
 }
 
 async fn system() -> System {
@@ -62,7 +62,7 @@
     let settings = write("settings.yaml", settings);
     let instance = Process::spawn(&["serve", "--settings", &settings]);
     let address = instance.address("serves callers at").await;
-    System { instance, address, _others: vec![platform, engine, service], _files: files }
+    System { instance, address, _others: vec![platform, engine, service], files }
 }
 
 #[tokio::test]
@@ -92,6 +92,29 @@
     assert!(status.success(), "{status}");
 }
 
+/// SIGHUP takes over what may change, names the rest, and stops nothing.
+#[tokio::test]
+async fn settings_again() {
+    let system = system().await;
+    let path = system.files.0.join("settings.yaml");
+    let first = std::fs::read_to_string(&path).expect("the settings");
+    let post = || Call::new("POST", "/orders/3", "0123456789").send(system.address);
+    assert_eq!(post().await.status, 201);
+    let changed = first.replace("100ms", "200ms") + "limits: {body: 4}\n";
+    for (text, mark) in [
+        ("nonsense: 1\n", "the settings in force stay"),
+        (&changed, "the change of stop needs a restart"),
+        (&changed, "the settings were read again"),
+    ] {
+        std::fs::write(&path, text).expect("the settings");
+        system.instance.signal("HUP");
+        until("the log says so", || system.instance.printed(mark)).await;
+    }
+    assert_eq!(post().await.code(), "body_too_large");
+    let operator = system.instance.address("serves operators at").await;
+    assert_eq!(Call::new("GET", "/readyz", "").send(operator).await.status, 200);
+}
+
 /// The demo ends by itself on every signal to stop.
 #[rstest]
 #[case::interrupt(Signal::SIGINT)]
--- a/crates/flow/src/connection.rs
+++ b/crates/flow/src/connection.rs
@@ -42,7 +42,7 @@
         stage.begin();
         Box::pin(answer(answering.clone(), stage.clone(), request))
     });
-    let mut conn = builder(&gate.limits).serve_connection(io, service);
+    let mut conn = builder(&gate.limits()).serve_connection(io, service);
     let result = tokio::select! {
         result = poll_fn(|cx| conn.poll_without_shutdown(cx)) => result,
         () = closing.cancelled() => {
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -206,7 +206,7 @@
     let (desk, left) = (gate.desk(pool), left(gate, job));
     let free = retry::Budget::default();
     let budget = if cause == Cause::Crash { &free } else { &desk.retries };
-    let allowed = attempts < gate.limits.attempts;
+    let allowed = attempts < gate.limits().attempts;
     let reason = may_retry(kind, repeat.is_some(), attempts, left, budget);
     let again = repeat.map(Grant::Again);
     match (reason.filter(|_| allowed), failure.grant.or(again)) {
@@ -264,6 +264,6 @@
 
 /// Whether the endpoint accepts a new connection.
 async fn reachable(gate: &Gate, target: &Target) -> bool {
-    let opened = timeout(gate.limits.probe, link::open(target.links.address())).await;
+    let opened = timeout(gate.limits().probe, link::open(target.links.address())).await;
     matches!(opened, Ok(Ok(_)))
 }
--- a/crates/flow/src/flight.rs
+++ b/crates/flow/src/flight.rs
@@ -6,6 +6,7 @@
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     tokio::sync::Notify,
+    tokio_util::sync::CancellationToken,
 };
 
 #[derive(Default)]
@@ -13,6 +14,7 @@
     open: AtomicUsize,
     closed: AtomicBool,
     empty: Notify,
+    cut: CancellationToken,
 }
 
 /// Requests in progress on this instance.
@@ -39,6 +41,16 @@
         self.state.closed.store(true, Ordering::SeqCst);
     }
 
+    /// Tells the requests in progress to end as errors.
+    pub fn cut(&self) {
+        self.state.cut.cancel();
+    }
+
+    /// Waits until requests in progress are to end as errors.
+    pub async fn until_cut(&self) {
+        self.state.cut.cancelled().await;
+    }
+
     /// Number of requests in progress.
     pub fn open(&self) -> usize {
         self.state.open.load(Ordering::SeqCst)
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -36,7 +36,7 @@
 };
 
 /// Bounds that an instance keeps regardless of the configuration.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Largest body of a request, in bytes.
     pub body: usize,
@@ -87,7 +87,7 @@
     pub current: Arc<Current>,
     /// Name of the availability zone of this instance.
     pub zone: String,
-    /// Bounds of this instance.
+    /// Bounds of this instance at its start.
     pub limits: Limits,
     /// Requests that were in flight when endpoints crashed.
     pub suspects: Arc<Suspects>,
@@ -114,6 +114,7 @@
 pub struct Gate {
     /// What it was made from.
     pub parts: Parts,
+    limits: ArcSwap<Limits>,
     /// Metrics.
     pub meter: Meter,
     /// Requests in progress.
@@ -142,6 +143,7 @@
     pub fn open(parts: Parts) -> Arc<Self> {
         let table = Table::new(ZoneId::MAX, Distances::default(), rand::random());
         let gate = Self {
+            limits: ArcSwap::from_pointee(parts.limits),
             parts,
             meter: Meter::open(),
             flight: Flight::default(),
@@ -156,6 +158,16 @@
         Arc::new(gate)
     }
 
+    /// Bounds in force.
+    pub fn limits(&self) -> Limits {
+        **self.limits.load()
+    }
+
+    /// Puts other bounds in force, for requests that are not past them.
+    pub fn set_limits(&self, limits: Limits) {
+        self.limits.store(Arc::new(limits));
+    }
+
     /// Monotonic time since this instance started.
     pub fn now(&self) -> Mono {
         (self.clock)()
--- a/crates/flow/src/meter.rs
+++ b/crates/flow/src/meter.rs
@@ -33,6 +33,8 @@
     handshakes: IntCounterVec,
     /// Certificates that were found changed, by result.
     certificates: IntCounterVec,
+    /// Readings of the settings file while the instance runs, by result.
+    reloads: IntCounterVec,
     /// Requests in progress.
     pub open: IntGauge,
     /// Generation of the configuration in force.
@@ -75,6 +77,7 @@
             silent: counter("agatetrack_silent_connections_total", "Silent connections retired"),
             handshakes: by_result("agatetrack_handshakes_total", "TLS handshakes, by result"),
             certificates: by_result("agatetrack_certificates_total", "New certificates, by result"),
+            reloads: by_result("agatetrack_settings_reloads_total", "Settings read again"),
             open: gauge("agatetrack_requests_open", "Requests in progress"),
             generation: gauge("agatetrack_config_generation", "Configuration in force"),
             first: delay("agatetrack_first_token_seconds", "Time to the first token"),
@@ -93,6 +96,7 @@
         }
         for result in ["loaded", "refused"] {
             meter.certificates.with_label_values(&[result]);
+            meter.reloads.with_label_values(&[result]);
         }
         meter
     }
@@ -107,6 +111,11 @@
         self.certificates.with_label_values(&[result]).inc();
     }
 
+    /// Counts a reading of the settings file.
+    pub fn reload(&self, result: &str) {
+        self.reloads.with_label_values(&[result]).inc();
+    }
+
     /// Counts a refusal.
     pub fn refuse(&self, reason: Refusal) {
         self.refusals.with_label_values(&[reason.code()]).inc();
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -9,7 +9,7 @@
         desk::Slot,
         dispatch::{self, Shape, Target, admit, blame, check_key, next_target},
         exchange::{self, Failure, Patience},
-        gate::Gate,
+        gate::{Gate, Limits},
         link::IDLE_LIMIT,
         meter::Meter,
         prompt::{self, Ask},
@@ -133,7 +133,7 @@
             self.slot.sent();
             self.tried.push(target.id);
             let begin = gate.now();
-            let limit = dispatch::left(gate, &self.job).min(gate.limits.first);
+            let limit = dispatch::left(gate, &self.job).min(gate.limits().first);
             let patience = Patience { fresh: limit, reused: limit, rest: self.rest };
             let request = self.request();
             let sent =
@@ -141,7 +141,7 @@
             let failure = match sent {
                 Ok(answer) if answer.head.status.is_success() => {
                     self.gate.note_load(target.id, &answer.head);
-                    let between = self.gate.limits.between;
+                    let between = self.gate.limits().between;
                     let tokens = Tokens::open(answer, self.delivered, limit, between);
                     return Ok(Source { tokens, target, begin, first: None });
                 }
@@ -235,7 +235,8 @@
     async fn rejected(&self, answer: exchange::Answer) -> Refused {
         let status = answer.head.status;
         let text = format!("the engine answered with status {status}");
-        let _ = answer.collect(self.gate.limits.answer, self.gate.limits.between).await;
+        let Limits { answer: most, between, .. } = self.gate.limits();
+        let _ = answer.collect(most, between).await;
         Refused::unknown(Refusal::AnswerInvalid, text)
     }
 
--- a/crates/flow/src/serve.rs
+++ b/crates/flow/src/serve.rs
@@ -4,7 +4,7 @@
     crate::{
         caller::Caller,
         flight::Guard,
-        gate::Gate,
+        gate::{Gate, Limits},
         model,
         quarantine::Fingerprint,
         reply::{Refused, Result},
@@ -81,7 +81,7 @@
 pub async fn handle(gate: Arc<Gate>, request: Request<Body>) -> Response<Body> {
     let id = new_id();
     gate.meter.requests.inc();
-    match serve(&gate, &id, request).await {
+    match unless_cut(&gate, serve(&gate, &id, request)).await {
         Ok(response) => response,
         Err(refused) => {
             gate.meter.refuse(refused.reason());
@@ -95,6 +95,20 @@
     }
 }
 
+/// Carries out `work` unless this instance's time to stop runs out before.
+pub async fn unless_cut<T>(gate: &Gate, work: impl Future<Output = Result<T>>) -> Result<T> {
+    tokio::select! {
+        biased;
+        done = work => done,
+        () = gate.flight.until_cut() => Err(cut()),
+    }
+}
+
+/// Ends a request that still ran when this instance's time to stop ran out.
+pub fn cut() -> Refused {
+    Refused::unknown(Refusal::Stopping, "this instance stopped before the request ended")
+}
+
 async fn serve(gate: &Arc<Gate>, id: &str, request: Request<Body>) -> Result<Response<Body>> {
     let proof = Untouched::accept();
     let start = gate.now();
@@ -142,8 +156,8 @@
 }
 
 async fn read_body(gate: &Gate, body: Body, proof: Untouched) -> Result<(Bytes, Untouched)> {
-    let most = gate.limits.body;
-    let read = timeout(gate.limits.upload, collect(Limited::new(body, most))).await;
+    let Limits { body: most, upload, .. } = gate.limits();
+    let read = timeout(upload, collect(Limited::new(body, most))).await;
     match read {
         Ok(Ok(bytes)) => Ok((bytes, proof)),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -12,7 +12,7 @@
         header,
         link::IDLE_LIMIT,
         reply::{Refused, Result},
-        serve::Job,
+        serve::{Job, unless_cut},
         truth::{Grant, Repeatable, Untouched},
     },
     agate_core::{EndpointId, Outcome, PoolId, Refusal},
@@ -61,7 +61,7 @@
         Claimed::Run(permit, proof) => (permit, proof),
         Claimed::Answer(answer) => return Ok(answer),
     };
-    match attempt(gate, job, pool, Some(&mut permit), proof).await {
+    match unless_cut(gate, attempt(gate, job, pool, Some(&mut permit), proof)).await {
         Ok((head, body)) => {
             booking::finish(permit, &head, &body);
             Ok(respond(gate, job, (head, body)))
@@ -153,7 +153,7 @@
 ) -> exchange::Result<(http::response::Parts, Bytes)> {
     let answer = exchange::send(&target.links, request(job), &job.id, grant, patience).await?;
     gate.note_load(target.id, &answer.head);
-    answer.collect(gate.limits.answer, patience.fresh).await
+    answer.collect(gate.limits().answer, patience.fresh).await
 }
 
 /// An idempotent call leaves time to try again over a new connection. Any other call cannot be
--- a/crates/flow/src/sse.rs
+++ b/crates/flow/src/sse.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::{
+        gate::Gate,
         header,
         model::{Run, Source},
         reply::Refused,
+        serve::cut,
         token::{Event, Usage},
     },
     bytes::Bytes,
@@ -65,10 +67,11 @@
 }
 
 async fn relay(run: Run, source: Source, tx: mpsc::Sender<Item>) {
-    let gate = run.gate.clone();
+    let (gate, id) = (run.gate.clone(), run.job.id.clone());
     tokio::select! {
         // Dropping the source closes the connection to the engine, which frees its slot.
         () = tx.closed() => gate.meter.abandoned.inc(),
+        () = gate.flight.until_cut() => fail(&gate, &id, &cut(), &tx).await,
         () = forward(run, source, &tx) => {}
     }
 }
@@ -77,7 +80,7 @@
     loop {
         let (event, rest) = match run.next(source).await {
             Ok(next) => next,
-            Err(refused) => return fail(&run, &refused, tx).await,
+            Err(refused) => return fail(&run.gate, &run.job.id, &refused, tx).await,
         };
         if event == Event::End {
             run.finish(rest);
@@ -95,10 +98,10 @@
 }
 
 /// Ends a stream as an error, which no caller can mistake for its end.
-async fn fail(run: &Run, refused: &Refused, tx: &mpsc::Sender<Item>) {
-    run.gate.meter.refuse(refused.reason());
-    log::info!("request {} ended early: {}", run.job.id, refused.reason().code());
-    let _ = tx.send(data(&refused.body(&run.job.id))).await;
+async fn fail(gate: &Gate, id: &str, refused: &Refused, tx: &mpsc::Sender<Item>) {
+    gate.meter.refuse(refused.reason());
+    log::info!("request {} ended early: {}", id, refused.reason().code());
+    let _ = tx.send(data(&refused.body(id))).await;
     // The server drops what it has not flushed when the body fails, and flushes when the body has
     // nothing ready; the pause gives it that moment.
     tokio::time::sleep(FLUSH_PAUSE).await;
