Explain recent decisions by request or organisation

Cause: nobody could tell afterwards why a request was refused or which endpoints it was sent to, and by what figures.

Change: each request notes its organisation, route, pool, time in the queue, attempts with what the choice weighed (predicted time, cached tokens, zone, free slot) and the reason of each repetition, and its end.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -94,6 +94,21 @@
         after_help = "Example:\n  agatetrack load examples/load-savikoda.yaml --target 127.0.0.1:8080 --rate 50 --time 30s"
     )]
     Load(Load),
+    /// Show what instances decided on a recent request, or on those of an organisation.
+    #[command(
+        after_help = "Example:\n  agatetrack explain palmse --operator 127.0.0.1:9080 --operator 127.0.0.1:9081"
+    )]
+    Explain {
+        /// Identifier of a request, as in `x-request-id`, or name of an organisation.
+        #[arg(value_name = "REQUEST-ID|ORGANISATION")]
+        of: String,
+        /// Operator address of an instance; repeat it to ask several.
+        #[arg(long, default_value = "127.0.0.1:9090")]
+        operator: Vec<SocketAddr>,
+        /// Form of the output.
+        #[arg(long, value_enum, default_value_t)]
+        output: Output,
+    },
     /// Print a completion script for a shell.
     #[command(after_help = "Example:\n  agatetrack completions bash > agatetrack.bash")]
     Completions {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod counts;
 pub mod demo;
 pub mod diff;
+pub mod explain;
 pub mod instance;
 mod loads;
 pub mod logs;
@@ -45,6 +46,7 @@
         Command::Settings { action: Settings::Check { file } } => Ok(check_settings(&file)),
         Command::Status { operator, output } => status(operator, output).await,
         Command::Load(load) => loads::carry_out(load).await,
+        Command::Explain { of, operator, output } => explain::run(&of, &operator, output).await,
         Command::Completions { shell } => {
             let mut command = Args::command();
             clap_complete::generate(shell, &mut command, "agatetrack", &mut std::io::stdout());
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -1,4 +1,4 @@
-//! The operators' address: health, readiness, metrics and status.
+//! The operators' address: health, readiness, metrics, status and decisions.
 
 use {
     agate_flow::gate::Gate,
@@ -18,6 +18,11 @@
     volo_http::{body::Body, context::ServerContext, request::Request, server::Server},
 };
 
+/// Path of decisions, before the request or organisation that is asked for.
+const EXPLAIN: &str = "/explain/";
+/// Most decisions in one answer.
+const EXPLAINED: usize = 100;
+
 /// Running operators' listener.
 pub struct Operator {
     address: SocketAddr,
@@ -112,6 +117,11 @@
                 reply(StatusCode::OK, "text/plain; version=0.0.4", meter.text())
             }
             "/status" => reply(StatusCode::OK, "application/json", self.status(ready)),
+            path if path.starts_with(EXPLAIN) => {
+                let found = self.view.gate.ring.find(&path[EXPLAIN.len()..], EXPLAINED);
+                let text = serde_json::to_string(&found).expect("decisions serialise");
+                reply(StatusCode::OK, "application/json", text)
+            }
             _ => reply(StatusCode::NOT_FOUND, "text/plain", "no such page\n".into()),
         }
     }
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -16,7 +16,7 @@
     },
     agate_core::{EndpointId, PoolId, Refusal, Retry},
     agate_route::{
-        choose::{Ask, choose},
+        choose::{Ask, Choice, weigh},
         health::Kind,
         retry::{self, may_retry},
     },
@@ -35,6 +35,8 @@
     pub links: Arc<Pool>,
     /// Count of the exchange.
     pub stay: Stay,
+    /// What it was chosen by.
+    pub chosen: Choice,
     /// The endpoint's seat for a suspected request, if this is one.
     pub seat: Option<Seat>,
 }
@@ -63,7 +65,12 @@
     let (caller, deadline) = (job.caller.clone(), job.deadline);
     let begin = gate.now();
     let admitted = desk.admit(Entry { caller, weight, cost, deadline }).await;
-    Meter::observe(&gate.meter.queued, gate.now().saturating_sub(begin));
+    let queued = gate.now().saturating_sub(begin);
+    Meter::observe(&gate.meter.queued, queued);
+    job.trace.note(|n| {
+        n.queued = queued.as_micros() as u64;
+        n.pool = job.snapshot.pool(pool).map(|p| p.name.clone());
+    });
     match admitted {
         Ok(slot) => {
             desk.retries.on_request();
@@ -115,7 +122,7 @@
             }
             Verdict::Free => {
                 let target = pick(gate, pool, shape, tried, &[]);
-                return found(target, grant, left);
+                return found(job, target, grant, left);
             }
             Verdict::Alone => {}
         }
@@ -128,18 +135,26 @@
         if let Some(mut target) = target {
             target.seat = gate.suspects.sit(target.id);
             if target.seat.is_some() {
-                return Ok((target, grant));
+                return found(job, Some(target), grant, left);
             }
         }
         let _ = timeout(left, freed).await;
     }
 }
 
-fn found(target: Option<Target>, grant: Grant, left: Duration) -> Result<(Target, Grant)> {
-    match target {
-        Some(target) => Ok((target, grant)),
-        None => Err(exhausted(grant.untouched(), left)),
+fn found(
+    job: &Job,
+    target: Option<Target>,
+    grant: Grant,
+    left: Duration,
+) -> Result<(Target, Grant)> {
+    let Some(target) = target else { return Err(exhausted(grant.untouched(), left)) };
+    if let Some(endpoint) = job.snapshot.endpoint(target.id)
+        && let Some(zone) = job.snapshot.zone(endpoint.zone)
+    {
+        job.trace.chose(&endpoint.name, &zone.name, &target.chosen);
     }
+    Ok((target, grant))
 }
 
 /// Chooses an endpoint outside of `never`; those `tried` before only if there is no other.
@@ -154,11 +169,12 @@
     let zone = table.home();
     let avoid = [tried, never].concat();
     let ask = Ask { pool, zone, prefix: &shape.prefix, tokens: shape.prompt, avoid: &avoid };
-    let chosen = choose(&table, &ask, now);
-    let chosen = chosen.or_else(|_| choose(&table, &Ask { avoid: never, ..ask }, now));
-    let id = chosen.inspect_err(|e| log::debug!("{e}")).ok()?;
+    let chosen = weigh(&table, &ask, now);
+    let chosen = chosen.or_else(|_| weigh(&table, &Ask { avoid: never, ..ask }, now));
+    let chosen = chosen.inspect_err(|e| log::debug!("{e}")).ok()?;
+    let id = chosen.id;
     let links = gate.links(id)?;
-    Some(Target { id, links, stay: Stay::begin(gate, id), seat: None })
+    Some(Target { id, links, stay: Stay::begin(gate, id), seat: None, chosen })
 }
 
 /// Time that a request has left.
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         caller::Caller,
+        decision::Ring,
         desk::{Clock, Desk},
         flight::Flight,
         header,
@@ -117,6 +118,8 @@
     limits: ArcSwap<Limits>,
     /// Metrics.
     pub meter: Meter,
+    /// What was decided on recent requests.
+    pub ring: Arc<Ring>,
     /// Requests in progress.
     pub flight: Flight,
     /// Endpoints with their load and health.
@@ -146,6 +149,7 @@
             limits: ArcSwap::from_pointee(parts.limits),
             parts,
             meter: Meter::open(),
+            ring: Arc::default(),
             flight: Flight::default(),
             table: Arc::new(ArcSwap::from_pointee(table)),
             leaving: ArcSwap::default(),
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod booking;
 pub mod caller;
 mod connection;
+pub mod decision;
 pub mod desk;
 pub mod dispatch;
 pub mod exchange;
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -184,7 +184,9 @@
         let (gate, pool) = (&self.gate, self.pool);
         let (grant, reason) = dispatch::repeat(gate, &self.job, pool, failed, again, attempts)?;
         let resumed = self.delivered > 0 && reason == Retry::Idempotent;
-        gate.meter.retry(if resumed { Retry::StreamResumed } else { reason });
+        let reason = if resumed { Retry::StreamResumed } else { reason };
+        gate.meter.retry(reason);
+        self.job.trace.retried(reason.code());
         Ok(grant)
     }
 
@@ -207,6 +209,7 @@
         source.target.stay.end(Kind::Success);
         self.gate.suspects.clear(|| self.job.prints(&self.gate.secrets));
         self.gate.meter.answers.inc();
+        self.job.trace.end("answered", self.gate.now());
         let actual = cost(self.usage.prompt_tokens, self.usage.completion_tokens);
         let desk = self.gate.desk(self.pool);
         desk.settle(&self.slot, &self.job.caller, self.shape.cost, actual);
--- a/crates/flow/src/serve.rs
+++ b/crates/flow/src/serve.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         caller::Caller,
+        decision::Trace,
         flight::Guard,
         gate::{Gate, Limits},
         model,
@@ -49,6 +50,8 @@
     /// When its answer is of no more use.
     pub deadline: Mono,
     prints: OnceLock<Vec<Fingerprint>>,
+    /// Note of what is decided on it.
+    pub trace: Arc<Trace>,
     /// Presence among the requests in progress.
     pub guard: Guard,
 }
@@ -81,10 +84,12 @@
 pub async fn handle(gate: Arc<Gate>, request: Request<Body>) -> Response<Body> {
     let id = new_id();
     gate.meter.requests.inc();
-    match unless_cut(&gate, serve(&gate, &id, request)).await {
+    let trace = Trace::begin(&gate.ring, &id, gate.now());
+    match unless_cut(&gate, serve(&gate, &id, &trace, request)).await {
         Ok(response) => response,
         Err(refused) => {
             gate.meter.refuse(refused.reason());
+            trace.refuse(&refused, gate.now());
             log::info!(
                 "request {id} refused: {} ({:?})",
                 refused.reason().code(),
@@ -109,7 +114,12 @@
     Refused::unknown(Refusal::Stopping, "this instance stopped before the request ended")
 }
 
-async fn serve(gate: &Arc<Gate>, id: &str, request: Request<Body>) -> Result<Response<Body>> {
+async fn serve(
+    gate: &Arc<Gate>,
+    id: &str,
+    trace: &Arc<Trace>,
+    request: Request<Body>,
+) -> Result<Response<Body>> {
     let proof = Untouched::accept();
     let start = gate.now();
     let Some(guard) = gate.flight.enter() else {
@@ -119,14 +129,17 @@
     let (head, body) = request.into_parts();
     let (route, proof) = find_route(&snapshot, &head, proof)?;
     let entry = snapshot.route(route).expect("a matched route is in its snapshot");
+    trace.note(|n| n.route = Some(entry.path.clone()));
     let kind = entry.kind;
     let deadline = start + entry.deadline;
     let (caller, proof) = Caller::identify(&snapshot, entry, &head.headers, proof)?;
+    let org = caller.org().and_then(|id| snapshot.org(id));
+    trace.note(|n| n.org = org.map(|o| o.name.clone()));
     let proof = check_fresh(gate, &caller, proof)?;
     let (body, proof) = read_body(gate, body, proof).await?;
-    let id = id.to_owned();
+    let (id, trace) = (id.to_owned(), trace.clone());
     let prints = OnceLock::new();
-    let job = Job { id, snapshot, route, caller, head, body, start, deadline, prints, guard };
+    let job = Job { id, snapshot, route, caller, head, body, start, deadline, prints, trace, guard };
     match kind {
         RouteKind::Model => model::run(gate, job, proof).await,
         RouteKind::Service => service::run(gate, job, proof).await,
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -59,7 +59,10 @@
 ) -> Result<Response<Body>> {
     let (mut permit, proof) = match booking::claim(gate, job, key, proof).await? {
         Claimed::Run(permit, proof) => (permit, proof),
-        Claimed::Answer(answer) => return Ok(answer),
+        Claimed::Answer(answer) => {
+            job.trace.end("replayed", gate.now());
+            return Ok(answer);
+        }
     };
     match unless_cut(gate, attempt(gate, job, pool, Some(&mut permit), proof)).await {
         Ok((head, body)) => {
@@ -77,6 +80,7 @@
 
 fn respond(gate: &Gate, job: &Job, (head, body): (http::response::Parts, Bytes)) -> Response<Body> {
     gate.meter.answers.inc();
+    job.trace.end("answered", gate.now());
     let mut out = Response::new(Body::from(body));
     *out.status_mut() = head.status;
     *out.headers_mut() = header::for_caller(&head.headers, &job.id);
@@ -132,6 +136,7 @@
         let attempts = tried.len() as u32;
         let (next, reason) = repeat(gate, job, pool, (*failure, cause), again, attempts)?;
         gate.meter.retry(reason);
+        job.trace.retried(reason.code());
         grant = next;
     }
 }
--- a/crates/flow/src/sse.rs
+++ b/crates/flow/src/sse.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        decision::Trace,
         gate::Gate,
         header,
         model::{Run, Source},
@@ -67,11 +68,11 @@
 }
 
 async fn relay(run: Run, source: Source, tx: mpsc::Sender<Item>) {
-    let (gate, id) = (run.gate.clone(), run.job.id.clone());
+    let (gate, id, trace) = (run.gate.clone(), run.job.id.clone(), run.job.trace.clone());
     tokio::select! {
         // Dropping the source closes the connection to the engine, which frees its slot.
         () = tx.closed() => gate.meter.abandoned.inc(),
-        () = gate.flight.until_cut() => fail(&gate, &id, &cut(), &tx).await,
+        () = gate.flight.until_cut() => fail(&gate, &id, &trace, &cut(), &tx).await,
         () = forward(run, source, &tx) => {}
     }
 }
@@ -80,7 +81,9 @@
     loop {
         let (event, rest) = match run.next(source).await {
             Ok(next) => next,
-            Err(refused) => return fail(&run.gate, &run.job.id, &refused, tx).await,
+            Err(refused) => {
+                return fail(&run.gate, &run.job.id, &run.job.trace, &refused, tx).await;
+            }
         };
         if event == Event::End {
             run.finish(rest);
@@ -98,8 +101,9 @@
 }
 
 /// Ends a stream as an error, which no caller can mistake for its end.
-async fn fail(gate: &Gate, id: &str, refused: &Refused, tx: &mpsc::Sender<Item>) {
+async fn fail(gate: &Gate, id: &str, trace: &Trace, refused: &Refused, tx: &mpsc::Sender<Item>) {
     gate.meter.refuse(refused.reason());
+    trace.refuse(refused, gate.now());
     log::info!("request {} ended early: {}", id, refused.reason().code());
     let _ = tx.send(data(&refused.body(id))).await;
     // The server drops what it has not flushed when the body fails, and flushes when the body has
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -55,11 +55,29 @@
     Unusable(PoolId),
 }
 
-/// Best candidate so far: whether it is over its bound, and its predicted delay.
-type Best = Option<(bool, Duration, EndpointId)>;
+/// An endpoint with what it was chosen by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Whether it has no free slot; then no other candidate had one.
+    pub full: bool,
+    /// Predicted time from sending the request to its first token.
+    pub delay: Duration,
+    /// Tokens of the prompt that it is expected to have cached.
+    pub cached: u32,
+}
+
+/// Best candidate so far.
+type Best = Option<Choice>;
 
 /// Chooses the endpoint for `ask`.
 pub fn choose(table: &Table, ask: &Ask<'_>, now: Mono) -> Result<EndpointId, NoEndpoint> {
+    weigh(table, ask, now).map(|c| c.id)
+}
+
+/// Chooses the endpoint for `ask`, and tells what it was chosen by.
+pub fn weigh(table: &Table, ask: &Ask<'_>, now: Mono) -> Result<Choice, NoEndpoint> {
     let pool = table.pools.get(ask.pool as usize).ok_or(NoEndpoint::Empty(ask.pool))?;
     if pool.near.is_empty() && pool.far.is_empty() {
         return Err(NoEndpoint::Empty(ask.pool));
@@ -67,10 +85,10 @@
     let mut best: Best = None;
     by_prefix(table, pool, ask, now, &mut best);
     by_sample(table, pool, ask, now, &mut best);
-    if best.is_none_or(|(over, ..)| over) {
+    if best.is_none_or(|b| b.full) {
         by_scan(table, pool, ask, now, &mut best);
     }
-    best.map(|(_, _, id)| id).ok_or(NoEndpoint::Unusable(ask.pool))
+    best.ok_or(NoEndpoint::Unusable(ask.pool))
 }
 
 /// Considers, at depths 1, 2, 4 and so on, the endpoint known to cache the prefix and its homes by
@@ -114,7 +132,7 @@
     let local = (0..count).map(|i| pool.local[(start + i) % count]);
     let rest = pool.near.iter().chain(&pool.far).copied();
     for (i, id) in local.chain(rest).enumerate() {
-        let full = best.is_none_or(|(over, ..)| over);
+        let full = best.is_none_or(|b| b.full);
         if !full || (best.is_some() && i >= SCAN) {
             return;
         }
@@ -132,10 +150,10 @@
     }
     let slots = live.slots(endpoint.slots);
     let inflight = live.inflight(now);
-    let over = inflight >= slots;
-    let entry = (over, delay(table, ask, id, cached, inflight, slots), id);
-    if best.is_none_or(|b| (entry.0, entry.1) < (b.0, b.1)) {
-        *best = Some(entry);
+    let full = inflight >= slots;
+    let delay = delay(table, ask, id, cached, inflight, slots);
+    if best.is_none_or(|b| (full, delay) < (b.full, b.delay)) {
+        *best = Some(Choice { id, full, delay, cached });
     }
 }
 
