Show the store's client, membership, endpoints and claims in metrics

Cause: these parts count by themselves and nothing showed their counts; the age of the configuration's proof was not shown either.

Change: the operators' address takes their counts over at each scrape: calls to the store by purpose and event, members and verdicts, datagrams, endpoints by pool and state, writers of claims, events of following the configuration and the age of its proof.

--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -4,6 +4,7 @@
     crate::{
         census::{Listed, UNKNOWN},
         claims,
+        figures::{Figures, Sources},
         mesh::Mesh,
         operator::{Operator, View},
         settings::{self, Settings},
@@ -133,13 +134,15 @@
         mesh.count(&gate);
         mesh.meter(&gate.meter.registry);
         let installed = follow_config(settings, store, &mesh, &gate);
+        let own = settings.name.as_str().into();
         let tasks = vec![
-            tokio::spawn(follow_members(settings.name.as_str().into(), mesh.clone(), client)),
+            tokio::spawn(follow_members(own, mesh.clone(), client.clone())),
             tokio::spawn(exchange_counts(mesh.clone())),
             tokio::spawn(follow_list(settings.clone(), gate.clone(), mesh.clone())),
         ];
         wait_installed(installed).await?;
-        let stop = Stop::open(settings, &gate, &mesh, usage.clone());
+        let sources = Sources { gate: gate.clone(), mesh: mesh.clone(), client };
+        let stop = Stop::open(settings, Figures::open(sources), &mesh, usage.clone(), &gate);
         let ended = stop.ended.clone().cancelled_owned();
         let operator = Operator::bind(settings.operator, stop.view.clone(), ended).await?;
         let tls = settings.tls.as_ref().map(|t| Tls::open(t.files())).transpose();
@@ -184,11 +187,18 @@
 }
 
 impl Stop {
-    fn open(settings: &Settings, gate: &Arc<Gate>, mesh: &Arc<Mesh>, usage: Arc<Usage>) -> Self {
+    fn open(
+        settings: &Settings,
+        figures: Figures,
+        mesh: &Arc<Mesh>,
+        usage: Arc<Usage>,
+        gate: &Arc<Gate>,
+    ) -> Self {
         let view = View {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
             gate: gate.clone(),
+            figures,
             ready: AtomicBool::new(true),
         };
         Self {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod demo;
 pub mod diff;
 pub mod explain;
+mod figures;
 pub mod instance;
 mod loads;
 pub mod logs;
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operators' address: health, readiness, metrics, status and decisions.
 
 use {
+    crate::figures::Figures,
     agate_flow::gate::Gate,
     eyre::{Result, WrapErr},
     http::{Response, StatusCode, header::CONTENT_TYPE},
@@ -37,6 +38,8 @@
     pub zone: String,
     /// Shared state of the instance.
     pub gate: Arc<Gate>,
+    /// Metrics that are filled at each scrape.
+    pub(crate) figures: Figures,
     /// Whether the instance wants new requests.
     pub ready: AtomicBool,
 }
@@ -113,6 +116,7 @@
             "/readyz" => reply(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n".into()),
             "/metrics" => {
                 let meter = &self.view.gate.meter;
+                self.view.figures.refresh();
                 meter.open.set(self.view.gate.flight.open() as i64);
                 reply(StatusCode::OK, "text/plain; version=0.0.4", meter.text())
             }
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -107,7 +107,7 @@
         (&changed, "the settings were read again"),
     ] {
         std::fs::write(&path, text).expect("the settings");
-        system.instance.signal("HUP");
+        system.instance.signal(Signal::SIGHUP);
         until("the log says so", || system.instance.printed(mark)).await;
     }
     assert_eq!(post().await.code(), "body_too_large");
--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -265,9 +265,10 @@
             listen: loopback(),
             operator: loopback(),
             platform,
+            tls: None,
             peers: Some(Peers { listen: loopback(), secrets: vec![secret] }),
             limits,
-            stop: Stop { grace: ms(200) },
+            stop: Stop { grace: ms(200), ..Stop::default() },
             usage,
             log: Log::default(),
         }
--- a/crates/cli/tests/support/process.rs
+++ b/crates/cli/tests/support/process.rs
@@ -97,7 +97,7 @@
 }
 
 /// A directory that is removed when dropped.
-pub struct Dir(PathBuf);
+pub struct Dir(pub PathBuf);
 
 impl Dir {
     /// Makes a directory of its own.
--- a/crates/flow/src/serve.rs
+++ b/crates/flow/src/serve.rs
@@ -139,7 +139,8 @@
     let (body, proof) = read_body(gate, body, proof).await?;
     let (id, trace) = (id.to_owned(), trace.clone());
     let prints = OnceLock::new();
-    let job = Job { id, snapshot, route, caller, head, body, start, deadline, prints, trace, guard };
+    let job =
+        Job { id, snapshot, route, caller, head, body, start, deadline, prints, trace, guard };
     match kind {
         RouteKind::Model => model::run(gate, job, proof).await,
         RouteKind::Service => service::run(gate, job, proof).await,
