Keep requests between instances from looking replayed

Over kept connections requests are so fast that one which was delayed by a busy machine could be overtaken by the 128 that the peer's replay window holds; it was rejected and its connection closed. Sequence numbers are now drawn for each peer, and none while a request 64 numbers back is unanswered: the new test never_overtaken holds one request and counts those that pass it.

--- a/crates/cli/tests/one_booking.rs
+++ b/crates/cli/tests/one_booking.rs
@@ -4,7 +4,8 @@
 
 use {
     agate_cli::demo::Demo,
-    support::{Call, Reply, start, until},
+    std::time::Duration,
+    support::{Call, Reply, keep, start, until},
 };
 
 fn runs(demo: &Demo, booking: &str) -> usize {
@@ -116,9 +117,7 @@
 #[tokio::test]
 async fn caller_left() {
     let demo = start(1, |_| {}).await;
-    demo.services
-        .iter()
-        .for_each(|s| s.set(|f| f.late_reply = std::time::Duration::from_millis(300)));
+    demo.services.iter().for_each(|s| s.set(|f| f.late_reply = Duration::from_millis(300)));
     let to = demo.instances[0].address();
     let call = Call::new("POST", "/orders/9", "slot 1").header("idempotency-key", "k").send(to);
     let caller = tokio::spawn(call);
@@ -127,3 +126,22 @@
     let again = book(&demo, 0, "k", "slot 1").await;
     assert_eq!((again.status.as_u16(), runs(&demo, "k")), (201, 1), "{}", again.body);
 }
+
+/// A booking that waits in the queue for longer than its claim may be sent is sent when its turn
+/// comes, once.
+#[tokio::test]
+async fn long_queue() {
+    let demo = start(1, |d| {
+        keep(d, "order-desk", 1);
+        d.fleet.pools["order-desk"].slots = 1;
+    })
+    .await;
+    let wait = agate_once::Settings::new(0).dispatch + Duration::from_millis(500);
+    demo.services.iter().for_each(|s| s.set(|f| f.late_reply = wait));
+    let (first, second) = tokio::join!(book(&demo, 0, "a", "slot 1"), async {
+        until("the first runs", || runs(&demo, "a") == 1).await;
+        book(&demo, 0, "b", "slot 2").await
+    });
+    assert_eq!((first.status.as_u16(), second.status.as_u16()), (201, 201), "{}", second.body);
+    assert_eq!((runs(&demo, "a"), runs(&demo, "b")), (1, 1));
+}
--- /dev/null
+++ b/crates/cli/tests/rotated_secret.rs
@@ -0,0 +1,85 @@
+//! While the shared secret is rotated, instances that sign with different ones still share what
+//! they know of requests that crash engines.
+
+mod support;
+
+use {
+    agate_cli::{
+        demo::Demo,
+        instance::Instance,
+        settings::{Bounds, Log, Peers, Settings, Stop, Usage},
+    },
+    agate_standin::platform::Instance as Listed,
+    rstest::rstest,
+    std::{fs, net::SocketAddr, os::unix::fs::PermissionsExt, path::PathBuf},
+    support::{ask, keep, start, until},
+};
+
+/// A file with a shared secret, removed when dropped.
+struct Secret(PathBuf);
+
+impl Secret {
+    fn create(text: &str) -> Self {
+        let name = format!("agatetrack-test-{:016x}", rand::random::<u64>());
+        let path = std::env::temp_dir().join(name);
+        fs::write(&path, text).expect("the temporary directory is writable");
+        let owner = fs::Permissions::from_mode(0o600);
+        fs::set_permissions(&path, owner).expect("the file is ours");
+        Self(path)
+    }
+}
+
+impl Drop for Secret {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+async fn instance(demo: &Demo, name: &str, secrets: &[&Secret]) -> Instance {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (zone, place) = demo.document.fleet.zones.first().expect("there is a zone");
+    let settings = Settings {
+        name: name.into(),
+        zone: zone.clone(),
+        region: place.region.clone(),
+        listen: any,
+        operator: any,
+        platform: demo.platform.address(),
+        peers: Some(Peers { listen: any, secrets: secrets.iter().map(|s| s.0.clone()).collect() }),
+        limits: Bounds::default(),
+        stop: Stop { grace: std::time::Duration::ZERO },
+        usage: Usage::default(),
+        log: Log::default(),
+    };
+    let store = agate_platform::store::open(demo.platform.address());
+    Instance::spawn(&settings, store).await.expect("the instance starts")
+}
+
+/// Secrets of two instances at one stage of a rotation, the signing one first.
+#[rstest]
+#[case::announced(&[0], &[0, 1])]
+#[case::switched(&[0, 1], &[1, 0])]
+#[case::withdrawn(&[1, 0], &[1])]
+#[tokio::test]
+async fn quarantine_shared(#[case] first: &[usize], #[case] second: &[usize]) {
+    let demo = start(0, |d| keep(d, "glaze-oracle", 6)).await;
+    let all = [Secret::create("the old secret of the test"), Secret::create("the new secret here")];
+    let pick = |of: &[usize]| of.iter().map(|i| &all[*i]).collect::<Vec<_>>();
+    let a = instance(&demo, "entry-a", &pick(first)).await;
+    let b = instance(&demo, "entry-b", &pick(second)).await;
+    let listed = [&a, &b].map(|i| {
+        let identity = i.mesh.member().expect("it joined").identity().clone();
+        let (zone, state) = (i.gate.zone.clone(), "live".to_owned());
+        Listed { name: identity.name.to_string(), zone, address: identity.address, state }
+    });
+    demo.platform.set_instances(listed.into());
+    let knows = |i: &Instance| i.mesh.live().len() == 1;
+    until("the instances know each other", || knows(&a) && knows(&b)).await;
+    demo.engines.iter().for_each(|e| e.set(|f| f.crash_mark = Some("poison".into())));
+    let reply = ask("poison", 5, false).send(a.address()).await;
+    assert_eq!(reply.code(), "request_quarantined", "{}", reply.body);
+    until("the other knows of it", || !b.gate.suspects.state().is_empty()).await;
+    let reply = ask("poison", 5, false).send(b.address()).await;
+    assert_eq!(reply.code(), "request_quarantined", "{}", reply.body);
+    assert_eq!(demo.engines.iter().map(|e| e.crashes()).sum::<u64>(), 2);
+}
--- a/crates/member/src/peer/client.rs
+++ b/crates/member/src/peer/client.rs
@@ -7,6 +7,7 @@
 use {
     super::{
         EXCHANGE, FetchError, FetchResult, frame,
+        line::Lines,
         pool::{Bounds, Pool},
         read_frame,
     },
@@ -28,8 +29,7 @@
 
 /// Time to open a connection.
 const CONNECT: Duration = Duration::from_secs(1);
-/// Requests under way at once from one client; below the replay window, so that none is overtaken
-/// by so many that it looks replayed.
+/// Requests under way at once from one client.
 const ASKED: usize = 32;
 
 /// Makes requests to other instances.
@@ -37,7 +37,7 @@
 pub struct Client {
     identity: Arc<Identity>,
     keys: Keys,
-    sequence: Arc<AtomicU64>,
+    lines: Arc<Lines>,
     slots: Arc<Semaphore>,
     links: Arc<Links>,
 }
@@ -79,7 +79,7 @@
             opened: AtomicU64::new(0),
             reused: AtomicU64::new(0),
         };
-        Self { identity, keys, sequence: Arc::default(), slots, links: Arc::new(links) }
+        Self { identity, keys, lines: Arc::default(), slots, links: Arc::new(links) }
     }
 
     /// Sends a query to the instance at `peer` and returns its answer.
@@ -89,8 +89,9 @@
     /// After any error but [`FetchError::Large`] and a failure to connect, the peer may have
     /// carried the query out.
     pub async fn fetch(&self, peer: SocketAddr, query: Query) -> FetchResult<Answer> {
+        let ticket = self.lines.draw(peer).await;
         let _slot = self.slots.acquire().await.expect("the semaphore is never closed");
-        let request = self.request(peer, query)?;
+        let request = self.request(peer, ticket.sequence, query)?;
         while let Some(kept) = self.links.take(peer) {
             if !is_open(&kept) {
                 continue;
@@ -138,11 +139,11 @@
         Ok(stream)
     }
 
-    fn request(&self, peer: SocketAddr, query: Query) -> FetchResult<Vec<u8>> {
+    fn request(&self, peer: SocketAddr, sequence: u64, query: Query) -> FetchResult<Vec<u8>> {
         let envelope = Envelope {
             from: self.identity.name.clone(),
             incarnation: self.identity.incarnation(),
-            sequence: self.sequence.fetch_add(1, Relaxed) + 1,
+            sequence,
             body: Body::Query(query),
         };
         let sealed = seal(&self.keys, &envelope, Context::Request(peer));
--- a/crates/member/src/peer/mod.rs
+++ b/crates/member/src/peer/mod.rs
@@ -6,6 +6,7 @@
 //! sides.
 
 mod client;
+mod line;
 mod pool;
 mod retire;
 mod server;
--- a/crates/member/tests/kept_connections.rs
+++ b/crates/member/tests/kept_connections.rs
@@ -4,13 +4,21 @@
     agate_member::{
         Answer, Client, Identity, Keys, Member, Place, Query, Server, Status, retired, serve,
     },
-    agate_wire::{Body, Context, Envelope, seal, tag_of},
+    agate_wire::{Body, Context, Envelope, REPLAY_WINDOW, seal, tag_of},
     futures_util::future::{FutureExt, ready},
     rstest::rstest,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering::Relaxed},
+        },
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        sync::Notify,
         time::timeout,
     },
 };
@@ -147,6 +155,48 @@
     assert_eq!(server.counters().totals().refused, 1);
 }
 
+/// While one request is unanswered, so few others are sent that it cannot look replayed.
+#[tokio::test]
+async fn never_overtaken() {
+    let (listener, to) = listen().await;
+    drop(listener);
+    let (slow, served) = (Arc::new(Notify::new()), Arc::new(AtomicU64::new(0)));
+    let (wait, count) = (slow.clone(), served.clone());
+    let handler = move |_, query| {
+        let (wait, count) = (wait.clone(), count.clone());
+        async move {
+            if query == Query::Head {
+                wait.notified().await;
+            }
+            count.fetch_add(1, Relaxed);
+            Answer::Accepted
+        }
+        .boxed()
+    };
+    let id = Arc::new(Identity::new("server".into(), to, 1));
+    let _server = serve(id, keys(), handler).await.unwrap();
+    let c = client();
+    let first = c.fetch(to, Query::Head);
+    let others = async {
+        for _ in 0..2 * REPLAY_WINDOW {
+            c.fetch(to, Query::Chunk { hash: [0; 32] }).await.unwrap();
+        }
+    };
+    let release = async {
+        // The others stop by themselves: no further one is served in a long while.
+        let mut before = u64::MAX;
+        while before != served.load(Relaxed) || before == 0 {
+            before = served.load(Relaxed);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        slow.notify_one();
+        before
+    };
+    let (got, (), stopped) = tokio::join!(first, others, release);
+    assert_eq!(got.unwrap(), Answer::Accepted);
+    assert!(stopped < REPLAY_WINDOW, "{stopped} later requests overtook the first");
+}
+
 /// Lives of member `a` before and after a change of the membership.
 #[rstest]
 #[case::same((1, Status::Alive), Some((1, Status::Suspect)), false)]
