Serve no old configuration and no leaving endpoint when cut off

An availability zone of the region of which instances are listed but none is live counts as not heard, unless they left. Walks over faults also fail if a thread of an instance panics, which the runtime would swallow.

Ruled out: counting dead members as unheard; the list is what tells a dead instance from one that cannot be reached.

Proof: cut_instances; without either change its test waits in vain.

--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -139,6 +139,7 @@
             tokio::spawn(follow_members(own, mesh.clone(), client.clone())),
             tokio::spawn(exchange_counts(mesh.clone())),
             tokio::spawn(follow_list(settings.clone(), gate.clone(), mesh.clone())),
+            tokio::spawn(follow_peers(gate.clone(), mesh.clone())),
         ];
         wait_installed(installed).await?;
         let sources = Sources { gate: gate.clone(), mesh: mesh.clone(), client };
@@ -318,7 +319,7 @@
     while mesh.listed().is_none() && start.elapsed() < LIST_WAIT {
         let _ = timeout(LIST_WAIT, mesh.listing.notified()).await;
     }
-    let mut known = (Arc::default(), 0);
+    let mut known = (Arc::default(), 0, Arc::default());
     let mut since = Instant::now();
     loop {
         let members = mesh.member().map(|m| m.members()).unwrap_or_default();
@@ -326,10 +327,11 @@
             since = Instant::now();
         }
         let fleet = mesh.fleet(since.elapsed());
-        if known != (members.clone(), fleet) {
+        let present = (members, fleet, mesh.listed_others());
+        if known != present {
             mesh.update_members(&own, &known.0, fleet);
             client.set_fleet(fleet.max(MIN_FLEET));
-            known = (members, fleet);
+            known = present;
         }
         let _ = timeout(MEMBERS_PERIOD, mesh.listing.notified()).await;
     }
@@ -354,11 +356,13 @@
                 let others = listings(&settings, &gate, &entries);
                 let zones: IndexSet<&str> = entries.iter().map(|e| &*e.zone).collect();
                 mesh.note_list(Listed { instances: others.len() + 1, zones: zones.len() });
+                let leaving = entries.iter().filter(|e| e.state == State::Leaving);
+                let leaving: IndexSet<String> = leaving.map(|e| e.name.clone()).collect();
+                gate.set_leaving(leaving.clone());
+                mesh.take_list(staying(&settings, &others), leaving);
                 if let Some(member) = mesh.member() {
                     let _ = member.listed(others).await;
                 }
-                let leaving = entries.into_iter().filter(|e| e.state == State::Leaving);
-                gate.set_leaving(leaving.map(|e| e.name).collect());
             }
             // An old list is better than none: what was leaving stays so.
             Err(e) => log::debug!("reading the platform's instance list: {e}"),
@@ -368,6 +372,23 @@
     }
 }
 
+/// Takes over from peers which endpoints leave, while the platform's list cannot be read here.
+async fn follow_peers(gate: Arc<Gate>, mesh: Arc<Mesh>) {
+    loop {
+        sleep(LIST_PERIOD).await;
+        if let Some(leaving) = mesh.ask_leaving().await {
+            gate.set_leaving(leaving);
+        }
+    }
+}
+
+/// Other instances of the own region that do not leave, with their availability zones.
+fn staying(settings: &Settings, others: &[Listing]) -> Vec<(Name, Name)> {
+    let near = |l: &&Listing| !l.leaving && *l.peer.place.region == *settings.region;
+    let place = |l: &Listing| (l.peer.name.clone(), l.peer.place.zone.clone());
+    others.iter().filter(near).map(place).collect()
+}
+
 /// Entries of the list that are other instances: those which the configuration does not name as
 /// endpoints.
 fn listings(settings: &Settings, gate: &Gate, entries: &[Entry]) -> Vec<Listing> {
--- a/crates/cli/src/mesh.rs
+++ b/crates/cli/src/mesh.rs
@@ -5,10 +5,14 @@
 //! moves data between the pure machines: [`agate_member`] decides on members,
 //! [`agate_config::spread`] on the configuration and [`agate_flow::quarantine`] on suspects.
 
+mod list;
 mod members;
 
 use {
-    self::members::{LinkMeter, Live},
+    self::{
+        list::List,
+        members::{LinkMeter, Live},
+    },
     crate::{census::Listed, claims, counts::Counts},
     agate_config::{
         compact,
@@ -63,6 +67,7 @@
     capacity: OnceLock<Capacity>,
     live: Mutex<Live>,
     listed: Mutex<Option<Listed>>,
+    list: Mutex<List>,
     links: OnceLock<LinkMeter>,
     /// Told when the platform's list was read.
     pub listing: Notify,
@@ -85,6 +90,7 @@
             capacity: OnceLock::new(),
             live: Mutex::default(),
             listed: Mutex::default(),
+            list: Mutex::default(),
             links: OnceLock::new(),
             listing: Notify::new(),
             clock,
@@ -264,6 +270,7 @@
                 follower.hear(from.clone(), (generation, None), None);
                 Answer::Accepted
             }
+            list::LEAVING => self.leaving().map_or(Answer::Absent, |l| Answer::Bytes(encode(&l))),
             SUSPECT => {
                 let Some((print, crashes, left)) = decode(bytes) else { return Answer::Refused };
                 self.take_suspicion(print, crashes, Duration::from_millis(left));
--- a/crates/cli/src/mesh/members.rs
+++ b/crates/cli/src/mesh/members.rs
@@ -116,6 +116,7 @@
                 client.retire(address);
             }
         }
+        self.add_unheard(&zone, &mut far);
         zone.sort();
         let far = far.into_values().map(|names| spread::sample(own, names, SAMPLE));
         if let Some(follower) = self.follower.get() {
--- a/crates/cli/tests/faults_together.rs
+++ b/crates/cli/tests/faults_together.rs
@@ -50,6 +50,7 @@
     callers.stop().await;
     let history = records::close(&rig);
     watch.abort();
+    assert_eq!(rig.panics(), [""; 0], "an instance panicked");
     history
 }
 
--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -4,8 +4,11 @@
 //! before its callers' address and one on its way to the platform. Nothing of an instance outlives
 //! its runtime.
 
+#![allow(dead_code, reason = "each test file uses its own part of the rig")]
+
 pub mod callers;
 pub mod faults;
+mod panics;
 pub mod records;
 
 use {
@@ -18,6 +21,7 @@
     agate_config::{Document, doc::PoolKind},
     agate_flow::gate::Gate,
     agate_standin::{Engine, EngineSettings, Platform, Service, Tap, platform::Instance as Listed},
+    agate_wire::Name,
     indexmap::IndexMap,
     records::Records,
     std::{
@@ -74,6 +78,11 @@
         self.mesh.live().len()
     }
 
+    /// Other instances that it read on the platform's list.
+    pub fn listed(&self) -> Vec<(Name, Name)> {
+        self.mesh.listed_others().to_vec()
+    }
+
     fn end(&self) {
         if let Some(runtime) = self.runtime.lock().expect("no panic while locked").take() {
             runtime.shutdown_background();
@@ -103,6 +112,8 @@
     entries: Mutex<Vec<Arc<Entry>>>,
     listed: Mutex<IndexMap<String, Listed>>,
     count: AtomicU64,
+    /// Begin of the names of all threads of this rig's instances.
+    prefix: String,
     /// The shared secret, and one that only instances cut off from the others have.
     secrets: [Secret; 2],
 }
@@ -123,6 +134,7 @@
             entries: Mutex::default(),
             listed: Mutex::default(),
             count: AtomicU64::new(0),
+            prefix: panics::watch(),
             secrets: [Secret::create(), Secret::create()],
         });
         rig.publish(|_| {}).await;
@@ -146,9 +158,11 @@
         let number = self.count.fetch_add(1, Ordering::SeqCst);
         let back = Tap::bind(loopback(), self.platform.address()).await.expect("bound");
         let settings = self.settings(number, back.address(), joined);
-        let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build();
-        let runtime = runtime.expect("threads can be started");
         let name = settings.name.clone();
+        let thread = format!("{}{name}", self.prefix);
+        let mut runtime = Builder::new_multi_thread();
+        let runtime = runtime.worker_threads(2).thread_name(thread).enable_all().build();
+        let runtime = runtime.expect("threads can be started");
         let started = runtime.spawn(async move {
             let store = agate_platform::store::open(settings.platform);
             Instance::spawn(&settings, store).await
@@ -172,6 +186,11 @@
         entry
     }
 
+    /// Panics in any instance so far; a task that panicked is missing for good.
+    pub fn panics(&self) -> Vec<String> {
+        panics::seen(&self.prefix)
+    }
+
     /// Ends an instance at once, with all that runs in it.
     pub fn kill(&self, entry: &Entry) {
         self.records.killed(&entry.name);
