Test a usage report that the platform refuses for other figures

Cause: the refusal (409) was tested in the shard's own tests only.

Change: usage_reports::other_figures lets the platform know other figures for three windows: each own report is refused and counted once, none is repeated, and later windows are reported.

Proof: with the refusal taken for a failed call, the test waits in vain for later windows.

--- a/crates/cli/tests/usage_reports.rs
+++ b/crates/cli/tests/usage_reports.rs
@@ -8,10 +8,15 @@
         instance::Instance,
         settings::{Log, Settings, Stop, Usage},
     },
+    agate_platform::http::Http,
     agate_standin::Platform,
     indexmap::IndexMap,
     rstest::rstest,
-    std::{net::SocketAddr, time::Duration},
+    serde_json::json,
+    std::{
+        net::SocketAddr,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
     support::{Call, ask, bounds, until},
 };
 
@@ -165,3 +170,37 @@
     let sum = reported(&demo.platform);
     assert!(sum >= least && sum <= most, "{sum:?} is not from {least:?} to {most:?}");
 }
+
+/// The platform has other figures for some windows: the reports of these are refused once and never
+/// repeated, and later windows are reported.
+#[tokio::test]
+async fn other_figures() {
+    const OTHER: &str = "other";
+    const LIMIT: Duration = Duration::from_secs(5);
+    let demo = start(1).await;
+    let length = usage().window.as_millis();
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis();
+    let next = wall / length + 1;
+    let taken: Vec<String> = (next..next + 3).map(|w| (w * length).to_string()).collect();
+    let http = Http::open(demo.platform.address());
+    for window in &taken {
+        let window: u64 = window.parse().expect("a number");
+        let figures = json!([{"requests": 9}]);
+        let report = json!({"window": window, "shard": 0, "figures": figures, "token": OTHER});
+        let answer = http.post("/usage/v1/report", &report, LIMIT).await;
+        assert_eq!(answer.expect("the platform answers").0, 204);
+    }
+    work(demo.instances[0].address(), 4).await;
+    let later = (next + 5) * length;
+    let own = || demo.platform.usage().into_iter().filter(|r| r.token != OTHER);
+    let is_later = |w: &str| w.parse::<u128>().is_ok_and(|w| w >= later);
+    until("later windows are reported", || own().any(|r| is_later(&r.window))).await;
+    for window in &taken {
+        let tries = own().filter(|r| r.window == *window).count();
+        assert_eq!(tries, 1, "window {window}");
+    }
+    assert!(own().all(|r| r.conflict == taken.contains(&r.window)));
+    let counted = "agatetrack_usage_reports_total{result=\"refused\"} 3";
+    let metrics = demo.instances[0].gate.meter.text();
+    assert!(metrics.contains(counted), "{metrics}");
+}
