Let documents say what may be ordered, and streams leave an endpoint

A pool may declare orders: zones, kinds, bounds, prices, budget, rate, lag; absent, its endpoints are fixed as before. The stand-in brings ordered endpoints to life after a lag, reclaims a zone's cheap ones at notice and can lose the answers of orders.

Streams on an endpoint that is about to be taken away go on elsewhere; this counts as endpoint_leaving, and neither against the endpoint's health nor as an attempt. An endpoint known to leave that is gone is no crash, so its requests are not suspected. Desks count the work that they were asked for.

--- a/crates/config/src/doc.rs
+++ b/crates/config/src/doc.rs
@@ -190,12 +190,75 @@
     /// Concurrent requests that one endpoint takes.
     #[serde(default = "slots")]
     pub slots: u32,
+    /// What may be ordered; without it, the pool has the declared endpoints only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub orders: Option<Orders>,
 }
 
 fn slots() -> u32 {
     32
 }
 
+/// What may be ordered for a pool in each region.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Orders {
+    /// Availability zones in which endpoints may be ordered.
+    pub zones: Vec<String>,
+    /// Kinds that may be ordered.
+    #[serde(default = "all_kinds")]
+    pub kinds: Vec<EndpointKind>,
+    /// Fewest endpoints in a region, the declared ones counted.
+    #[serde(default)]
+    pub min: usize,
+    /// Most endpoints in a region, the declared ones counted.
+    pub max: usize,
+    /// Cost of one endpoint for an hour, in any one unit.
+    pub prices: Prices,
+    /// Most cost of ordered endpoints in an hour, in the unit of the prices.
+    pub budget: f64,
+    /// Tokens a second, prompt and output together, that one endpoint serves.
+    pub rate: f64,
+    /// Time from an order to the arrival of its endpoints.
+    #[serde(with = "humantime_serde")]
+    pub lag: Duration,
+    /// Time for which an endpoint must have been superfluous to be released.
+    #[serde(default = "hold", with = "humantime_serde")]
+    pub hold: Duration,
+    /// Work for which capacity is given up first when the budget or the maximum is reached.
+    #[serde(default)]
+    pub degrade: Degrade,
+}
+
+fn all_kinds() -> Vec<EndpointKind> {
+    vec![EndpointKind::Standard, EndpointKind::Cheap]
+}
+
+fn hold() -> Duration {
+    Duration::from_secs(210)
+}
+
+/// Cost of one endpoint for an hour.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Prices {
+    /// Of a standard endpoint.
+    pub standard: f64,
+    /// Of a cheap endpoint.
+    pub cheap: f64,
+}
+
+/// Work for which capacity is given up first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Degrade {
+    /// Long work, which can wait and be resumed.
+    #[default]
+    Long,
+    /// Work with a short deadline.
+    Deadline,
+}
+
 /// How an endpoint is paid for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/config/src/snapshot/current.rs
+++ b/crates/config/src/snapshot/current.rs
@@ -34,6 +34,17 @@
         self.load().generation
     }
 
+    /// Puts `next`, the present generation with other ordered endpoints, in force; refuses any other
+    /// generation.
+    pub fn renew(&self, next: Snapshot) -> bool {
+        let seen = self.held.load_full();
+        if next.generation != seen.generation {
+            return false;
+        }
+        let before = self.held.compare_and_swap(&seen, Arc::new(next));
+        Arc::ptr_eq(&before, &seen)
+    }
+
     /// Puts `next` in force; refuses a generation that is not above the present one.
     pub fn advance(&self, next: Snapshot) -> bool {
         let next = Arc::new(next);
--- a/crates/config/src/verify/mod.rs
+++ b/crates/config/src/verify/mod.rs
@@ -4,6 +4,7 @@
 //! checks read only the document; they resolve names themselves rather than through the compiler.
 
 mod fleet;
+mod orders;
 mod orgs;
 mod routes;
 mod text;
@@ -47,6 +48,10 @@
     pub const WEIGHT: u32 = 1_000_000;
     /// Most concurrent requests of one endpoint.
     pub const SLOTS: u32 = 65_536;
+    /// Most endpoints that may be ordered for a pool in a region.
+    pub const ORDERED: usize = 4_000;
+    /// Longest arrival lag or hold time of ordered endpoints.
+    pub const LAG: Duration = Duration::from_secs(60 * 60);
     /// Most tokens that one request may generate.
     pub const OUTPUT: u32 = 1 << 20;
     /// Longest one-way delay between two availability zones.
@@ -69,6 +74,7 @@
     orgs::models(doc, &mut faults);
     fleet::zones(doc, &mut faults);
     fleet::pools(doc, &mut faults);
+    orders::orders(doc, &mut faults);
     fleet::endpoints(doc, &mut faults);
     orgs::budgets(doc, &mut faults);
     routes::routes(doc, &mut faults);
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -111,6 +111,8 @@
         Idempotent => "idempotent_lost", 502;
         /// A model stream broke and was resumed.
         StreamResumed => "stream_resumed", 502;
+        /// The endpoint was about to be taken away, and the work went on elsewhere.
+        EndpointLeaving => "endpoint_leaving", 503;
         /// A connection stayed silent while new ones worked.
         ConnectionSilent => "connection_silent", 504;
     }
--- a/crates/flow/src/desk.rs
+++ b/crates/flow/src/desk.rs
@@ -25,7 +25,7 @@
     std::{
         sync::{
             Arc, Mutex, MutexGuard, Weak,
-            atomic::{AtomicBool, Ordering::Relaxed},
+            atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
         },
         time::Duration,
     },
@@ -38,6 +38,9 @@
 /// Organisation under which requests on open routes queue together.
 pub const OPEN_ORG: OrgId = OrgId::MAX;
 
+/// Time to the deadline from which work counts as long work, which can wait and be resumed.
+pub const LONG_WORK: Duration = Duration::from_secs(60);
+
 /// Interval at which free slots are looked for while requests wait.
 pub const TICK: Duration = Duration::from_millis(5);
 /// Requests granted at one look at most.
@@ -99,6 +102,7 @@
     table: Arc<ArcSwap<Table>>,
     state: Mutex<State>,
     clock: Clock,
+    asked: [AtomicU64; 2],
     /// Retries that the pool may still make.
     pub retries: Budget,
 }
@@ -120,8 +124,8 @@
 impl Desk {
     /// Makes the admission to a pool of the endpoints in `table`.
     pub fn open(pool: PoolId, table: Arc<ArcSwap<Table>>, clock: Clock) -> Arc<Self> {
-        let (state, retries) = (Mutex::default(), Budget::default());
-        Arc::new(Self { pool, table, state, clock, retries })
+        let (state, asked, retries) = (Mutex::default(), Default::default(), Budget::default());
+        Arc::new(Self { pool, table, state, clock, asked, retries })
     }
 
     /// Renews this instance's part of the pool's `slots` after counts were exchanged with the
@@ -145,6 +149,8 @@
         let (verdict, granted) = oneshot::channel();
         let ticket = {
             let now = (self.clock)();
+            let long = entry.deadline.saturating_sub(now) >= LONG_WORK;
+            self.asked[usize::from(long)].fetch_add(entry.cost.into(), Relaxed);
             let mut state = self.lock();
             let latest = latest_grant(state.pace, &entry, now);
             let pushed = state.queue.push(org, entry.weight, entry.cost, latest, now);
@@ -192,6 +198,11 @@
         }
     }
 
+    /// Cost of all work asked for since the start, refused or not: with a near deadline, and long.
+    pub fn asked(&self) -> [u64; 2] {
+        [0, 1].map(|i| self.asked[i].load(Relaxed))
+    }
+
     /// Number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.lock().queue.len()
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -20,7 +20,10 @@
         health::Kind,
         retry::{self, may_retry},
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
@@ -200,6 +203,8 @@
 pub enum Cause {
     /// The endpoint went down during the exchange.
     Crash,
+    /// The endpoint, known to be leaving, was taken away during the exchange.
+    Left,
     /// Anything else.
     Other,
 }
@@ -207,7 +212,7 @@
 /// Decides whether the request may be sent again after `failure`.
 ///
 /// Returns the permission and the reason to count. `repeat` is present if the request may run more
-/// than once. A crash does not draw on the pool's
+/// than once. A crash or an announced departure does not draw on the pool's
 /// retry budget: it breaks each exchange of an endpoint once, and the endpoint is then offline.
 pub fn repeat(
     gate: &Gate,
@@ -221,7 +226,7 @@
     let kind = retry::Failure { sent, declared_unrun: failure.declared };
     let (desk, left) = (gate.desk(pool), left(gate, job));
     let free = retry::Budget::default();
-    let budget = if cause == Cause::Crash { &free } else { &desk.retries };
+    let budget = if cause == Cause::Other { &desk.retries } else { &free };
     let allowed = attempts < gate.limits().attempts;
     let reason = may_retry(kind, repeat.is_some(), attempts, left, budget);
     let again = repeat.map(Grant::Again);
@@ -261,7 +266,11 @@
             (kind, Cause::Other)
         }
         f if matches!(f.step, Step::Head | Step::Body) && !reachable(gate, &target).await => {
-            (Kind::Failure, Cause::Crash)
+            let table = gate.table.load();
+            match table.endpoint(target.id).live.leaving.load(Ordering::Relaxed) {
+                true => (Kind::Neutral, Cause::Left),
+                false => (Kind::Failure, Cause::Crash),
+            }
         }
         _ => (Kind::Failure, Cause::Other),
     };
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -34,6 +34,7 @@
         sync::{Arc, Mutex, atomic::Ordering},
         time::Duration,
     },
+    tokio::sync::Notify,
 };
 
 /// Bounds that an instance keeps regardless of the configuration.
@@ -126,6 +127,8 @@
     pub table: Arc<ArcSwap<Table>>,
     /// Names of endpoints that the platform's list shows as leaving.
     leaving: ArcSwap<IndexSet<String>>,
+    /// Wakes streams when endpoints are about to be taken away.
+    pub(crate) ending: Notify,
     links: ArcSwap<Links>,
     desks: ArcSwap<Vec<Arc<Desk>>>,
     /// Held while a configuration is put in force.
@@ -153,6 +156,7 @@
             flight: Flight::default(),
             table: Arc::new(ArcSwap::from_pointee(table)),
             leaving: ArcSwap::default(),
+            ending: Notify::new(),
             links: ArcSwap::default(),
             desks: ArcSwap::default(),
             rebuild: Mutex::default(),
@@ -284,6 +288,36 @@
         }
     }
 
+    /// Marks the endpoints named in `ending` as about to be taken away, and only those: their streams
+    /// go on elsewhere at once.
+    pub fn set_ending(&self, ending: &IndexSet<String>) {
+        let (snapshot, table) = (self.current.load(), self.table.load());
+        for (id, endpoint) in snapshot.endpoints() {
+            let ends = ending.contains(&*endpoint.name);
+            table.endpoint(id).live.ending.store(ends, Ordering::Relaxed);
+        }
+        self.ending.notify_waiters();
+    }
+
+    /// Waits until an endpoint is about to be taken away.
+    pub async fn ended(&self, id: EndpointId) {
+        loop {
+            // Made before the look, so that no change in between is missed.
+            let changed = self.ending.notified();
+            if self.table.load().endpoint(id).live.ending.load(Ordering::Relaxed) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Requests of this instance at an endpoint of the configuration in force.
+    pub fn requests_at(&self, name: &str) -> u32 {
+        let (snapshot, table) = (self.current.load(), self.table.load());
+        let found = snapshot.endpoints().find(|(_, e)| *e.name == *name);
+        found.map_or(0, |(id, _)| table.endpoint(id).live.outstanding.load(Ordering::Relaxed))
+    }
+
     /// Connections to an endpoint.
     pub fn links(&self, id: EndpointId) -> Option<Arc<Pool>> {
         self.links.load().get(id as usize).cloned().flatten()
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -155,7 +155,16 @@
     /// Reads the next event, resuming the stream on another engine when it breaks.
     pub async fn next(&mut self, mut source: Source) -> Result<(Event, Source)> {
         loop {
-            let failure = match source.tokens.next().await {
+            let gate = self.gate.clone();
+            let next = tokio::select! {
+                next = source.tokens.next() => next,
+                () = gate.ended(source.target.id) => {
+                    let grant = self.leave(source);
+                    source = self.start(grant).await?;
+                    continue;
+                }
+            };
+            let failure = match next {
                 Ok(event) => {
                     // Crashes come with the prompt; after a token the next suspect may follow.
                     source.target.seat = None;
@@ -172,6 +181,22 @@
         }
     }
 
+    /// Gives an exchange up because its endpoint is about to be taken away. This is no failure of
+    /// the endpoint or the request, so it counts against neither.
+    fn leave(&mut self, source: Source) -> Grant {
+        let id = source.target.id;
+        log::info!(
+            "request {}: endpoint {} is taken away; {} tokens delivered",
+            self.job.id,
+            source.target.links.address(),
+            self.delivered
+        );
+        source.target.stay.end(Kind::Neutral);
+        self.tried.retain(|tried| *tried != id);
+        self.gate.meter.retry(Retry::EndpointLeaving);
+        Grant::Again(Repeatable::generation())
+    }
+
     /// Decides after a failure whether the request may go on from the last token delivered.
     async fn recover(&mut self, target: Target, failure: Failure) -> Result<Grant> {
         log::info!("request {}: {failure}; {} tokens delivered", self.job.id, self.delivered);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`http`] carries one call; the other modules translate a typed port into calls and answers back.
 //! The client never repeats a call: what may be repeated is decided by the callers of the ports.
 
+pub mod fleet;
 pub mod http;
 pub mod instances;
 pub mod store;
--- a/crates/route/src/live.rs
+++ b/crates/route/src/live.rs
@@ -46,6 +46,8 @@
     pub foreign: AtomicU32,
     /// Whether the endpoint is leaving and takes no new work.
     pub leaving: AtomicBool,
+    /// Whether the endpoint is about to be taken away, so that its streams go on elsewhere.
+    pub ending: AtomicBool,
     /// Failure detector.
     pub health: Health,
     running: AtomicU32,
@@ -67,6 +69,7 @@
             outstanding: AtomicU32::new(0),
             foreign: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
+            ending: AtomicBool::new(false),
             health: Health::default(),
             running: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
--- a/crates/standin/src/platform/fleet.rs
+++ b/crates/standin/src/platform/fleet.rs
@@ -1,7 +1,7 @@
 //! Fleet, usage and instance list: plain tables, with lists that lag.
 
 use {
-    super::Shared,
+    super::{Shared, supply::Supply},
     crate::server::{self, Call},
     http::StatusCode,
     indexmap::IndexMap,
@@ -9,6 +9,7 @@
     serde_json::{Value, json},
     std::{
         net::SocketAddr,
+        sync::Arc,
         time::{Duration, Instant},
     },
     volo_http::response::Response,
@@ -107,6 +108,9 @@
     sealed: IndexMap<(String, String), Value>,
     endpoints: Past<FleetEndpoint>,
     instances: Past<Instance>,
+    /// When leaving endpoints are taken away.
+    ends: IndexMap<String, Instant>,
+    pub supply: Option<Supply>,
 }
 
 impl Fleet {
@@ -118,24 +122,65 @@
         push(&mut self.endpoints, list);
     }
 
-    /// Takes an order once per token and returns its identifier.
-    fn order(&mut self, order: FleetOrder) -> String {
+    /// Takes an order once per token; its identifier, and whether it is new.
+    fn order(&mut self, order: FleetOrder) -> (String, bool) {
         if let Some(id) = self.tokens.get(&order.token) {
-            return id.clone();
+            return (id.clone(), false);
         }
         let id = format!("order-{}", self.orders.len() + 1);
         self.tokens.insert(order.token.clone(), id.clone());
         self.orders.push(order);
-        id
+        (id, true)
     }
 
-    fn release(&mut self, release: Release) {
-        if self.tokens.insert(release.token, release.endpoint.clone()).is_none() {
-            let mut list = self.endpoints.last().map(|(_, l)| l.clone()).unwrap_or_default();
-            list.retain(|e| e.name != release.endpoint);
-            push(&mut self.endpoints, list);
+    /// Takes a release once per token; whether it is new.
+    fn release(&mut self, release: Release) -> bool {
+        let new = self.tokens.insert(release.token, release.endpoint.clone()).is_none();
+        if new {
             self.releases.push(release.endpoint);
         }
+        new
+    }
+
+    /// The newest list.
+    fn present(&self) -> Vec<FleetEndpoint> {
+        self.endpoints.last().map(|(_, l)| l.clone()).unwrap_or_default()
+    }
+
+    pub(super) fn add(&mut self, endpoint: FleetEndpoint) {
+        let mut list = self.present();
+        list.push(endpoint);
+        push(&mut self.endpoints, list);
+    }
+
+    pub(super) fn remove(&mut self, name: &str) {
+        let mut list = self.present();
+        list.retain(|e| e.name != name);
+        push(&mut self.endpoints, list);
+    }
+
+    /// Marks the cheap endpoints of a zone as leaving at `end`; returns their names.
+    pub(super) fn announce(&mut self, zone: &str, end: Instant) -> Vec<String> {
+        let mut list = self.present();
+        let mut names = Vec::new();
+        for e in list.iter_mut().filter(|e| e.zone == zone && e.kind == "cheap") {
+            e.state = "leaving".into();
+            self.ends.insert(e.name.clone(), end);
+            names.push(e.name.clone());
+        }
+        push(&mut self.endpoints, list);
+        names
+    }
+
+    /// The list as of `lag` ago, with the time that is left to leaving endpoints.
+    fn listed(&self, lag: Duration) -> Vec<FleetEndpoint> {
+        let mut list = seen(&self.endpoints, lag).to_vec();
+        for e in list.iter_mut().filter(|e| e.state == "leaving") {
+            let end = self.ends.get(&e.name);
+            let left = end.map(|t| t.saturating_duration_since(Instant::now()).as_millis() as u64);
+            e.leaving_ms = left.or(e.leaving_ms);
+        }
+        list
     }
 
     /// Keeps a report; true if it conflicts with an earlier one.
@@ -172,11 +217,11 @@
 }
 
 /// Answers one call outside `/store/v1`.
-pub(super) fn answer(shared: &Shared, call: &Call) -> Response {
+pub(super) fn answer(shared: &Arc<Shared>, call: &Call) -> Response {
     route(shared, call).unwrap_or_else(server::empty)
 }
 
-fn route(shared: &Shared, call: &Call) -> Result<Response, StatusCode> {
+fn route(shared: &Arc<Shared>, call: &Call) -> Result<Response, StatusCode> {
     let faults = shared.faults();
     let mut fleet = shared.fleet();
     let done = server::empty(StatusCode::NO_CONTENT);
@@ -186,14 +231,25 @@
             if faults.no_cheap && order.kind == "cheap" {
                 return Err(StatusCode::CONFLICT);
             }
-            Ok(server::json(StatusCode::OK, &json!({ "order": fleet.order(order) })))
+            let (id, new) = fleet.order(order.clone());
+            drop(fleet);
+            if new {
+                shared.deliver(id.clone(), order);
+            }
+            Ok(server::json(StatusCode::OK, &json!({ "order": id })))
         }
         ("POST", "/fleet/v1/release") => {
-            fleet.release(call.json()?);
+            let release: Release = call.json()?;
+            let name = release.endpoint.clone();
+            let new = fleet.release(release);
+            drop(fleet);
+            if new {
+                shared.take_away(&name);
+            }
             Ok(done)
         }
         ("GET", "/fleet/v1/endpoints") => {
-            let list = seen(&fleet.endpoints, faults.list_lag);
+            let list = fleet.listed(faults.list_lag);
             Ok(server::json(StatusCode::OK, &json!({ "endpoints": list })))
         }
         ("POST", "/usage/v1/report") => match fleet.report(call.json()?) {
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -6,8 +6,10 @@
 
 mod fleet;
 mod store;
+mod supply;
 
 pub use fleet::{FleetEndpoint, FleetOrder, Instance, UsageEntry};
+pub use supply::Supply;
 
 use {
     crate::server::{self, Call},
@@ -43,6 +45,10 @@
     pub list_lag: Duration,
     /// Refuses orders of the cheap kind.
     pub no_cheap: bool,
+    /// Orders and releases take effect and are answered with 500.
+    pub lose_orders: bool,
+    /// Further time from an order to its endpoints.
+    pub late: Duration,
 }
 
 pub(crate) struct Shared {
@@ -190,7 +196,8 @@
         true => store::answer(&shared, &call).await,
         false => fleet::answer(&shared, &call),
     };
-    if call.method == "POST" && shared.lose_ack() {
+    let lost = faults.lose_orders && call.method == "POST" && call.path.starts_with("/fleet/");
+    if lost || (call.method == "POST" && shared.lose_ack()) {
         return server::empty(StatusCode::INTERNAL_SERVER_ERROR);
     }
     reply
