Order and release endpoints from running instances

No instance ordered anything, and an endpoint that the platform listed served only if the document named it. Authority is asked for again before every write, order and release.

fleet_orders covers: an ordered endpoint serves; a zone reclaimed at 5 s notice under 24 streams, each whole and none resumed after a cut; cheap refused; lost answers with the holder killed; store outage.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -7,14 +7,19 @@
         settings::{Bounds, Log, Peers, Settings, Stop, Usage},
     },
     agate_config::{Document, doc::PoolKind, publish, section::Section},
-    agate_standin::{Engine, EngineSettings, Platform, Service, platform::Instance as Listed},
+    agate_standin::{
+        Engine, EngineSettings, Platform, PlatformFaults, Service,
+        platform::{Instance as Listed, Supply},
+    },
     eyre::{Result, WrapErr, bail, eyre},
+    indexmap::IndexMap,
     std::{
         fs::{self, OpenOptions},
         io::{self, Write},
         net::SocketAddr,
         os::unix::fs::OpenOptionsExt,
         path::{Path, PathBuf},
+        sync::{Arc, Mutex},
         time::Duration,
     },
 };
@@ -27,6 +32,8 @@
 /// Time for which a stopping instance still takes new requests.
 const GRACE: Duration = Duration::from_millis(100);
 
+/// Time from an order to its endpoints in the demo.
+const SUPPLY_LAG: Duration = Duration::from_secs(1);
 /// Length of a usage window in the demo.
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -40,6 +47,8 @@
     pub engines: Vec<Engine>,
     /// The services' stand-ins.
     pub services: Vec<Service>,
+    /// The stand-ins of ordered endpoints, by name; only the running ones.
+    pub ordered: Ordered,
     /// The document in force.
     pub document: Document,
     _secret: Secret,
@@ -60,20 +69,33 @@
 
     /// As [`Demo::spawn`], with settings of usage windows.
     pub async fn spawn_metered(
-        mut document: Document,
+        document: Document,
         listen: SocketAddr,
         count: u16,
         bounds: Bounds,
         usage: Usage,
+    ) -> Result<Self> {
+        Self::spawn_faulty(document, listen, count, (bounds, usage), |_| ()).await
+    }
+
+    /// As [`Demo::spawn_metered`], with faults of the platform from the start.
+    pub async fn spawn_faulty(
+        mut document: Document,
+        listen: SocketAddr,
+        count: u16,
+        (bounds, usage): (Bounds, Usage),
+        faults: impl FnOnce(&mut PlatformFaults),
     ) -> Result<Self> {
         let platform = Platform::bind(loopback()).await?;
+        platform.set(faults);
         let (mut engines, mut services) = (Vec::new(), Vec::new());
         let names: Vec<String> = document.fleet.endpoints.keys().cloned().collect();
         for name in names {
-            let kind = document.fleet.pools[&document.fleet.endpoints[&name].pool].kind;
+            let pool = document.fleet.endpoints[&name].pool.clone();
+            let kind = document.fleet.pools[&pool].kind;
             let address = match kind {
                 PoolKind::Engine => {
-                    let engine = Engine::bind(loopback(), engine_settings(&document, &name));
+                    let engine = Engine::bind(loopback(), engine_settings(&document, &pool, &name));
                     engines.push(engine.await?);
                     engines.last().expect("just pushed").address()
                 }
@@ -109,7 +131,9 @@
             };
             instances.push(Instance::spawn(&settings, store.clone()).await?);
         }
-        let demo = Self { instances, platform, engines, services, document, _secret: secret };
+        let ordered = supply(&platform, &document);
+        let demo =
+            Self { instances, platform, engines, services, ordered, document, _secret: secret };
         demo.list_instances();
         Ok(demo)
     }
@@ -207,12 +231,40 @@
     problems.iter().map(|p| format!("\n  {p}")).collect()
 }
 
-/// Settings of the engine `name`, which loads the current version of every model of its pool.
-fn engine_settings(document: &Document, name: &str) -> EngineSettings {
-    let endpoint = &document.fleet.endpoints[name];
-    let models = document.models.iter().filter(|(_, m)| m.pool == endpoint.pool);
+/// Stand-ins of ordered endpoints, by name.
+pub type Ordered = Arc<Mutex<IndexMap<String, Engine>>>;
+
+/// Lets the platform bring ordered engines to life and end them.
+fn supply(platform: &Platform, document: &Document) -> Ordered {
+    let ordered = Ordered::default();
+    let (document, begun, ended) = (Arc::new(document.clone()), ordered.clone(), ordered.clone());
+    platform.supply(Supply {
+        lag: SUPPLY_LAG,
+        start: Arc::new(move |name, order| {
+            let (name, begun) = (name.to_owned(), begun.clone());
+            let settings = engine_settings(&document, &order.pool, &name);
+            Box::pin(async move {
+                let engine = Engine::bind(loopback(), settings).await.ok()?;
+                let address = engine.address();
+                begun.lock().expect("no panic while locked").insert(name, engine);
+                Some(address)
+            })
+        }),
+        end: Arc::new(move |name| {
+            let engine = ended.lock().expect("no panic while locked").shift_remove(name);
+            if let Some(engine) = engine {
+                engine.stop();
+            }
+        }),
+    });
+    ordered
+}
+
+/// Settings of the engine `name` of a pool, which loads the current version of all its models.
+fn engine_settings(document: &Document, pool: &str, name: &str) -> EngineSettings {
+    let models = document.models.iter().filter(|(_, m)| m.pool == pool);
     let models = models.map(|(n, m)| (n.clone(), m.current.clone().unwrap_or_default()));
-    let pool = &document.fleet.pools[&endpoint.pool];
+    let pool = &document.fleet.pools[pool];
     EngineSettings {
         name: name.to_owned(),
         models: models.collect(),
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -5,6 +5,7 @@
         census::{Listed, UNKNOWN},
         claims,
         figures::{Figures, Sources},
+        fleet::{Fleet, serving::Serving},
         mesh::Mesh,
         operator::{Operator, View},
         settings::{self, Settings},
@@ -38,7 +39,7 @@
     std::{
         net::SocketAddr,
         sync::{
-            Arc, Mutex,
+            Arc,
             atomic::{AtomicBool, Ordering},
         },
         time::{Duration, Instant},
@@ -89,6 +90,7 @@
     mesh: Arc<Mesh>,
     usage: Arc<Usage>,
     bounds: settings::Stop,
+    fleet: Arc<Fleet>,
     started: Arc<AtomicBool>,
     ended: CancellationToken,
 }
@@ -133,7 +135,9 @@
         usage.start(&store, &gate.meter.registry);
         mesh.count(&gate);
         mesh.meter(&gate.meter.registry);
-        let installed = follow_config(settings, store, &mesh, &gate);
+        let serving = Serving::open(gate.clone());
+        let installed = follow_config(settings, store.clone(), &mesh, serving.clone());
+        let fleet = Fleet::spawn(settings, store, &mesh, serving);
         let own = settings.name.as_str().into();
         let tasks = vec![
             tokio::spawn(follow_members(own, mesh.clone(), client.clone())),
@@ -143,7 +147,8 @@
         ];
         wait_installed(installed).await?;
         let sources = Sources { gate: gate.clone(), mesh: mesh.clone(), client };
-        let stop = Stop::open(settings, Figures::open(sources), &mesh, usage.clone(), &gate);
+        let work = (usage.clone(), fleet);
+        let stop = Stop::open(settings, Figures::open(sources), &mesh, work, &gate);
         let ended = stop.ended.clone().cancelled_owned();
         let operator = Operator::bind(settings.operator, stop.view.clone(), ended).await?;
         let tls = settings.tls.as_ref().map(|t| Tls::open(t.files())).transpose();
@@ -171,6 +176,11 @@
         self.front.reload();
     }
 
+    /// Whether this instance may order endpoints for some pool.
+    pub fn is_fleet_holder(&self) -> bool {
+        self.stop.fleet.is_holder()
+    }
+
     /// Stops gracefully: no request in progress is cut before the limit on a stop.
     pub async fn stop(self) {
         self.stop.clone().run().await;
@@ -182,6 +192,7 @@
     /// Ends at once, as a crash would: nothing is finished or handed over.
     pub fn kill(self) {
         self.usage.halt();
+        self.stop.fleet.halt();
         self.front.close();
         self.tasks.iter().for_each(JoinHandle::abort);
     }
@@ -192,7 +203,7 @@
         settings: &Settings,
         figures: Figures,
         mesh: &Arc<Mesh>,
-        usage: Arc<Usage>,
+        (usage, fleet): (Arc<Usage>, Arc<Fleet>),
         gate: &Arc<Gate>,
     ) -> Self {
         let view = View {
@@ -207,6 +218,7 @@
             mesh: mesh.clone(),
             usage,
             bounds: settings.stop.clone(),
+            fleet,
             started: Arc::default(),
             ended: CancellationToken::new(),
         }
@@ -226,6 +238,7 @@
         if !gate.once.drain().await {
             log::warn!("the outcome of some calls could not be recorded in the store");
         }
+        self.fleet.stop().await;
         self.usage.hand_over().await;
         if let Some(member) = self.mesh.member()
             && let Err(e) = member.leave().await
@@ -285,16 +298,11 @@
     settings: &Settings,
     store: Store,
     mesh: &Arc<Mesh>,
-    gate: &Arc<Gate>,
+    serving: Arc<Serving>,
 ) -> watch::Receiver<u64> {
     let (tell, installed) = watch::channel(0);
-    let (names, gate) = (Mutex::new(Names::default()), gate.clone());
     let install = move |head: &agate_config::head::Head, document: Document| {
-        let snapshot = {
-            let mut names = names.lock().expect("no panic while compiling");
-            Snapshot::compile(&document, head.generation, &mut names)
-        };
-        if gate.install(snapshot) {
+        if serving.install(head.generation, document) {
             log::info!("configuration {} is in force", head.generation);
             tell.send_replace(head.generation);
         }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod diff;
 pub mod explain;
 mod figures;
+pub mod fleet;
 pub mod instance;
 mod loads;
 pub mod logs;
--- a/crates/cli/src/mesh.rs
+++ b/crates/cli/src/mesh.rs
@@ -71,6 +71,7 @@
     links: OnceLock<LinkMeter>,
     /// Told when the platform's list was read.
     pub listing: Notify,
+    fleet: OnceLock<Serve>,
     clock: Clock,
     zone: Name,
 }
@@ -93,6 +94,7 @@
             list: Mutex::default(),
             links: OnceLock::new(),
             listing: Notify::new(),
+            fleet: OnceLock::new(),
             clock,
             zone: zone.into(),
         })
@@ -165,6 +167,11 @@
         let _ = self.usage.set(serve);
     }
 
+    /// Sets what answers the requests about the fleet, whose topics begin with `fleet/`.
+    pub fn serve_fleet(&self, serve: Serve) {
+        let _ = self.fleet.set(serve);
+    }
+
     /// Asks another instance about `topic`.
     pub async fn ask<T: DeserializeOwned>(
         &self,
@@ -277,7 +284,8 @@
                 Answer::Accepted
             }
             _ => {
-                let answer = self.usage.get().and_then(|serve| serve(topic, bytes));
+                let serves = [&self.usage, &self.fleet].into_iter().filter_map(OnceLock::get);
+                let answer = serves.into_iter().find_map(|serve| serve(topic, bytes));
                 answer.map_or(Answer::Refused, Answer::Bytes)
             }
         }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -5,7 +5,7 @@
         Endpoint, Fit, Grant, Intent, Kind, Life, Mix, Name, Need, Record, Settings, What,
         intent::name_hash,
     },
-    agate_core::{Forecast, Mono},
+    agate_core::{FenceToken, Forecast, Mono},
     indexmap::{IndexMap, IndexSet},
     std::{collections::VecDeque, time::Duration},
 };
@@ -84,6 +84,8 @@
     pub(crate) listed: bool,
     pub(crate) grant: Option<Grant>,
     pub(crate) since: Mono,
+    /// Fencing token of the last grant.
+    pub(crate) fence: Option<FenceToken>,
     pub(crate) pending: Vec<Pending>,
     pub(crate) known: IndexSet<u32>,
     pub(crate) sequence: u32,
@@ -106,6 +108,7 @@
             listed: false,
             grant: None,
             since: Mono::ZERO,
+            fence: None,
             pending: Vec::new(),
             known: IndexSet::new(),
             sequence: 0,
--- a/crates/fleet/src/step.rs
+++ b/crates/fleet/src/step.rs
@@ -47,7 +47,13 @@
 
 fn granted(state: &mut State, grant: Grant, record: Record, now: Mono) {
     state.grant = Some(grant);
-    (state.since, state.sequence) = (now, 0);
+    state.since = now;
+    // Numbers go on within a term, so that none is given to two intentions.
+    if state.fence.replace(grant.fence) != Some(grant.fence) {
+        state.sequence = 0;
+    }
+    let own = record.intents.iter().filter(|i| i.fence == grant.fence).map(|i| i.sequence + 1);
+    state.sequence = own.fold(state.sequence, u32::max);
     (state.planned, state.listed) = (None, false);
     state.needs.clear();
     state.known = record.known;
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -195,6 +195,19 @@
         taken
     }
 
+    /// Puts the generation in force anew, with other ordered endpoints; false if another one is in
+    /// force.
+    pub fn renew(&self, snapshot: Snapshot) -> bool {
+        let _held = self.rebuild.lock().expect("no panic while rebuilding");
+        if snapshot.generation != self.current.generation() {
+            return false;
+        }
+        self.rebuild(&snapshot);
+        let taken = self.current.renew(snapshot);
+        self.settle();
+        taken
+    }
+
     /// Makes tables with all endpoints and pools of `snapshot`.
     fn rebuild(&self, snapshot: &Snapshot) {
         let specs = snapshot.endpoints().map(|(id, e)| spec(snapshot, id, e));
