--- a/crates/cli/tests/rotated_secret.rs
+++ b/crates/cli/tests/rotated_secret.rs
@@ -47,7 +47,8 @@
         platform: demo.platform.address(),
         peers: Some(Peers { listen: any, secrets: secrets.iter().map(|s| s.0.clone()).collect() }),
         limits: Bounds::default(),
-        stop: Stop { grace: std::time::Duration::ZERO },
+        stop: Stop { grace: std::time::Duration::ZERO, ..Stop::default() },
+        tls: None,
         usage: Usage::default(),
         log: Log::default(),
     };
