Control engines' roles from running instances

The pure role controller had no adapter: no instance changed a role.

agate-order reads an engine's state and gives orders, each on a connection of its own with linger 0 and a TCP user timeout, with the lease asked at each write to the socket. cli/src/control stands for the lease of each piece, steps the controller, keeps its record of intentions by compare-and-swap and carries its actions out. The holder tells all instances once a second which engines are drained and which roles changed; the answers carry the pool's demand and the requests still open at drained engines, because engines report load with a lag. A pool asks for it with `roles`; without, nothing changes.

Tests on the whole path, on a busy machine. Each was seen to fail with a planted fault: taking the engine's own load as the truth and taking the last of a role (follow_demand, both cases each), guessing the state of an engine that does not answer (engine_crashes, both), a successor that ignores the record (holder_killed::ordered; ::draining passed, since the successor chose the same engine again), acting past the lease (authority_lapses), writing without asking the lease (bounded_orders nothing_sent::no_authority).

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -6,7 +6,12 @@
         instance::Instance,
         settings::{Bounds, Log, Peers, Settings, Stop, Usage},
     },
-    agate_config::{Document, doc::PoolKind, publish, section::Section},
+    agate_config::{
+        Document,
+        doc::{PoolKind, Role},
+        publish,
+        section::Section,
+    },
     agate_standin::{
         Engine, EngineSettings, Platform, PlatformFaults, Service,
         platform::{Instance as Listed, Supply},
@@ -265,8 +270,14 @@
     let models = document.models.iter().filter(|(_, m)| m.pool == pool);
     let models = models.map(|(n, m)| (n.clone(), m.current.clone().unwrap_or_default()));
     let pool = &document.fleet.pools[pool];
+    let role = match document.fleet.endpoints.get(name).map_or(Role::Both, |e| e.role) {
+        Role::Both => "both",
+        Role::Prefill => "prefill",
+        Role::Decode => "decode",
+    };
     EngineSettings {
         name: name.to_owned(),
+        role: role.into(),
         models: models.collect(),
         slots: pool.slots as usize,
         fenced: pool.fenced,
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -4,6 +4,7 @@
     crate::{
         census::{Listed, UNKNOWN},
         claims,
+        control::Control,
         figures::{Figures, Sources},
         fleet::{Fleet, serving::Serving},
         mesh::Mesh,
@@ -76,6 +77,8 @@
     pub mesh: Arc<Mesh>,
     /// Its usage counters.
     pub usage: Arc<Usage>,
+    /// Its control of engines' roles.
+    pub control: Arc<Control>,
     front: Front,
     operator: Operator,
     stop: Stop,
@@ -91,6 +94,7 @@
     usage: Arc<Usage>,
     bounds: settings::Stop,
     fleet: Arc<Fleet>,
+    control: Arc<Control>,
     started: Arc<AtomicBool>,
     ended: CancellationToken,
 }
@@ -137,6 +141,7 @@
         mesh.meter(&gate.meter.registry);
         let serving = Serving::open(gate.clone());
         let installed = follow_config(settings, store.clone(), &mesh, serving.clone());
+        let control = Control::spawn(&settings.name, &store, &mesh, &gate);
         let fleet = Fleet::spawn(settings, store, &mesh, serving);
         let own = settings.name.as_str().into();
         let tasks = vec![
@@ -147,7 +152,7 @@
         ];
         wait_installed(installed).await?;
         let sources = Sources { gate: gate.clone(), mesh: mesh.clone(), client };
-        let work = (usage.clone(), fleet);
+        let work = (usage.clone(), fleet, control.clone());
         let stop = Stop::open(settings, Figures::open(sources), &mesh, work, &gate);
         let ended = stop.ended.clone().cancelled_owned();
         let operator = Operator::bind(settings.operator, stop.view.clone(), ended).await?;
@@ -158,7 +163,7 @@
             .wrap_err_with(|| format!("binding the callers' address {}", settings.listen))?;
         log::info!("instance {} serves operators at {}", settings.name, operator.address());
         log::info!("instance {} serves callers at {}", settings.name, front.address());
-        Ok(Self { gate, mesh, usage, front, operator, stop, _peers: peers, tasks })
+        Ok(Self { gate, mesh, usage, control, front, operator, stop, _peers: peers, tasks })
     }
 
     /// Address for callers.
@@ -193,6 +198,7 @@
     pub fn kill(self) {
         self.usage.halt();
         self.stop.fleet.halt();
+        self.control.halt();
         self.front.close();
         self.tasks.iter().for_each(JoinHandle::abort);
     }
@@ -203,7 +209,7 @@
         settings: &Settings,
         figures: Figures,
         mesh: &Arc<Mesh>,
-        (usage, fleet): (Arc<Usage>, Arc<Fleet>),
+        (usage, fleet, control): (Arc<Usage>, Arc<Fleet>, Arc<Control>),
         gate: &Arc<Gate>,
     ) -> Self {
         let view = View {
@@ -219,6 +225,7 @@
             usage,
             bounds: settings.stop.clone(),
             fleet,
+            control,
             started: Arc::default(),
             ended: CancellationToken::new(),
         }
@@ -234,6 +241,7 @@
         sleep(self.bounds.grace).await;
         let gate = &self.view.gate;
         gate.flight.close();
+        self.control.release().await;
         self.drain(gate).await;
         if !gate.once.drain().await {
             log::warn!("the outcome of some calls could not be recorded in the store");
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod census;
 mod claims;
 pub mod configs;
+pub mod control;
 pub mod counts;
 pub mod demo;
 pub mod diff;
--- a/crates/cli/src/mesh.rs
+++ b/crates/cli/src/mesh.rs
@@ -72,6 +72,7 @@
     /// Told when the platform's list was read.
     pub listing: Notify,
     fleet: OnceLock<Serve>,
+    roles: OnceLock<Serve>,
     clock: Clock,
     zone: Name,
 }
@@ -95,6 +96,7 @@
             links: OnceLock::new(),
             listing: Notify::new(),
             fleet: OnceLock::new(),
+            roles: OnceLock::new(),
             clock,
             zone: zone.into(),
         })
@@ -172,6 +174,11 @@
         let _ = self.fleet.set(serve);
     }
 
+    /// Sets what answers the holders of pieces of engines.
+    pub fn serve_roles(&self, serve: Serve) {
+        let _ = self.roles.set(serve);
+    }
+
     /// Asks another instance about `topic`.
     pub async fn ask<T: DeserializeOwned>(
         &self,
@@ -284,7 +291,8 @@
                 Answer::Accepted
             }
             _ => {
-                let serves = [&self.usage, &self.fleet].into_iter().filter_map(OnceLock::get);
+                let serves =
+                    [&self.usage, &self.fleet, &self.roles].into_iter().filter_map(OnceLock::get);
                 let answer = serves.into_iter().find_map(|serve| serve(topic, bytes));
                 answer.map_or(Answer::Refused, Answer::Bytes)
             }
--- a/crates/config/src/doc.rs
+++ b/crates/config/src/doc.rs
@@ -193,6 +193,45 @@
     /// What may be ordered; without it, the pool has the declared endpoints only.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub orders: Option<Orders>,
+    /// Control of the roles of the engines; without it they keep the roles of the document.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub roles: Option<Roles>,
+}
+
+/// Control of the roles of a pool's engines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Roles {
+    /// Prompt tokens a second of a prefill engine.
+    pub prefill: u32,
+    /// Output tokens a second of a decode engine.
+    pub decode: u32,
+    /// Time for which a role change takes an engine away, with the drain.
+    #[serde(default = "away", with = "humantime_serde")]
+    pub away: Duration,
+    /// Time for which a split is expected to stay.
+    #[serde(default = "dwell", with = "humantime_serde")]
+    pub dwell: Duration,
+    /// Pieces of the pool, each controlled by one instance.
+    #[serde(default = "one")]
+    pub pieces: u32,
+}
+
+impl Roles {
+    /// Piece that an engine belongs to; it depends on nothing but the name and the number of pieces.
+    pub fn piece(&self, engine: &str) -> u32 {
+        let hash = blake3::hash(engine.as_bytes());
+        let word: [u8; 4] = hash.as_bytes()[..4].try_into().expect("a hash is longer");
+        u32::from_le_bytes(word) % self.pieces.max(1)
+    }
+}
+
+fn away() -> Duration {
+    Duration::from_secs(20)
+}
+
+fn dwell() -> Duration {
+    Duration::from_secs(60)
 }
 
 fn slots() -> u32 {
--- a/crates/config/src/snapshot/compile.rs
+++ b/crates/config/src/snapshot/compile.rs
@@ -120,6 +120,7 @@
             kind: pool.kind,
             fenced: pool.fenced,
             slots: pool.slots,
+            roles: pool.roles.clone(),
             endpoints: Vec::new(),
         })
     });
--- a/crates/config/src/snapshot/mod.rs
+++ b/crates/config/src/snapshot/mod.rs
@@ -13,7 +13,7 @@
 
 use {
     crate::{
-        doc::{BookingKey, EndpointKind, PoolKind, Role, RouteKind},
+        doc::{BookingKey, EndpointKind, PoolKind, Role, Roles, RouteKind},
         hash::{self, KeyHash},
     },
     agate_core::{EndpointId, Generation, Interner, ModelId, OrgId, PoolId, RouteId, ZoneId},
@@ -111,6 +111,8 @@
     pub fenced: bool,
     /// Concurrent requests that one endpoint takes.
     pub slots: u32,
+    /// Control of the roles of its engines, if wanted.
+    pub roles: Option<Roles>,
     /// Its endpoints, in document order.
     pub endpoints: Vec<EndpointId>,
 }
--- a/crates/config/src/verify/fleet.rs
+++ b/crates/config/src/verify/fleet.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Faults, bounds},
-    crate::doc::{Document, Endpoint, PoolKind, Role, Zone},
+    crate::doc::{Document, Endpoint, Pool, PoolKind, Role, Roles, Zone},
     indexmap::IndexMap,
     std::net::SocketAddr,
 };
@@ -51,7 +51,44 @@
             || format!("fleet.pools.{name}.fenced"),
             || "services take no orders, so they check no fencing token".into(),
         );
+        if let Some(wanted) = &pool.roles {
+            roles(name, pool, wanted, doc, faults);
+        }
+    }
+}
+
+fn roles(name: &str, pool: &Pool, roles: &Roles, doc: &Document, faults: &mut Faults) {
+    let place = |field: &str| format!("fleet.pools.{name}.roles{field}");
+    let engines = pool.kind == PoolKind::Engine;
+    faults.check(engines, || place(""), || "only engines have a role".into());
+    for (field, rate) in [("prefill", roles.prefill), ("decode", roles.decode)] {
+        faults.check(rate > 0, || place(&format!(".{field}")), || "must be above zero".into());
+    }
+    for (field, time) in [("away", roles.away), ("dwell", roles.dwell)] {
+        faults.check(
+            !time.is_zero() && time <= bounds::DEADLINE,
+            || place(&format!(".{field}")),
+            || format!("{time:?} is not above zero and at most {:?}", bounds::DEADLINE),
+        );
+    }
+    let most = bounds::PIECES;
+    let fits = (1..=most).contains(&roles.pieces);
+    faults.check(fits, || place(".pieces"), || format!("accepted are 1 to {most}"));
+    let mut sizes = IndexMap::<u32, usize>::new();
+    for (engine, e) in doc.fleet.endpoints.iter().filter(|(_, e)| e.pool == name) {
+        *sizes.entry(roles.piece(engine)).or_default() += 1;
+        faults.check(
+            e.role != Role::Both,
+            || format!("fleet.endpoints.{engine}.role"),
+            || "an engine whose role is controlled starts as prefill or decode".into(),
+        );
     }
+    let largest = sizes.values().copied().max().unwrap_or_default();
+    faults.check(
+        largest <= bounds::PIECE,
+        || place(".pieces"),
+        || format!("a piece would have {largest} engines, at most {}", bounds::PIECE),
+    );
 }
 
 pub fn endpoints(doc: &Document, faults: &mut Faults) {
--- a/crates/config/src/verify/mod.rs
+++ b/crates/config/src/verify/mod.rs
@@ -52,6 +52,10 @@
     pub const ORDERED: usize = 4_000;
     /// Longest arrival lag or hold time of ordered endpoints.
     pub const LAG: Duration = Duration::from_secs(60 * 60);
+    /// Most pieces of one pool.
+    pub const PIECES: u32 = 64;
+    /// Most engines of one piece.
+    pub const PIECE: usize = 1_000;
     /// Most tokens that one request may generate.
     pub const OUTPUT: u32 = 1 << 20;
     /// Longest one-way delay between two availability zones.
--- a/crates/config/tests/hostile.rs
+++ b/crates/config/tests/hostile.rs
@@ -190,7 +190,8 @@
 
 fn documents() -> impl Strategy<Value = Document> {
     let kind = prop_oneof![Just(PoolKind::Engine), Just(PoolKind::Service)];
-    let pool = kind.prop_map(|kind| Pool { kind, fenced: false, slots: 4, orders: None });
+    let pool =
+        kind.prop_map(|kind| Pool { kind, fenced: false, slots: 4, orders: None, roles: None });
     let zone = name().prop_map(|region| Zone { region, delays: IndexMap::new() });
     let fleet = (table(zone), table(pool), table(endpoints()));
     (table(organisations()), table(models()), fleet).prop_map(|(orgs, models, fleet)| {
--- a/crates/flow/src/desk.rs
+++ b/crates/flow/src/desk.rs
@@ -105,6 +105,17 @@
     asked: [AtomicU64; 2],
     /// Retries that the pool may still make.
     pub retries: Budget,
+    /// Work asked of the pool so far.
+    pub work: Work,
+}
+
+/// Work asked of a pool since the instance started; the counts only grow.
+#[derive(Debug, Default)]
+pub struct Work {
+    /// Estimated prompt tokens of the requests that asked for admission.
+    pub prompt: AtomicU64,
+    /// Output tokens delivered.
+    pub output: AtomicU64,
 }
 
 /// Permission to occupy one place of the pool until it is dropped.
@@ -125,7 +136,8 @@
     /// Makes the admission to a pool of the endpoints in `table`.
     pub fn open(pool: PoolId, table: Arc<ArcSwap<Table>>, clock: Clock) -> Arc<Self> {
         let (state, asked, retries) = (Mutex::default(), Default::default(), Budget::default());
-        Arc::new(Self { pool, table, state, clock, asked, retries })
+        let work = Work::default();
+        Arc::new(Self { pool, table, state, clock, asked, retries, work })
     }
 
     /// Renews this instance's part of the pool's `slots` after counts were exchanged with the
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -109,6 +109,15 @@
 /// output tokens. It must not block.
 pub type Count = Arc<dyn Fn(&str, &str, u64, u64) + Send + Sync>;
 
+/// What the holders of pieces of engines told of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Engines {
+    /// Names of those that get no new work.
+    pub draining: IndexSet<String>,
+    /// Roles, by name, of those whose role is not that of the document.
+    pub roles: IndexMap<String, doc::Role>,
+}
+
 /// Tells whether the configuration is fresh enough to serve keyed work.
 pub type Fresh = Arc<dyn Fn() -> bool + Send + Sync>;
 
@@ -129,6 +138,8 @@
     leaving: ArcSwap<IndexSet<String>>,
     /// Wakes streams when endpoints are about to be taken away.
     pub(crate) ending: Notify,
+    /// What the holders of pieces of engines told.
+    engines: ArcSwap<Engines>,
     links: ArcSwap<Links>,
     desks: ArcSwap<Vec<Arc<Desk>>>,
     /// Held while a configuration is put in force.
@@ -157,6 +168,7 @@
             table: Arc::new(ArcSwap::from_pointee(table)),
             leaving: ArcSwap::default(),
             ending: Notify::new(),
+            engines: ArcSwap::default(),
             links: ArcSwap::default(),
             desks: ArcSwap::default(),
             rebuild: Mutex::default(),
@@ -210,7 +222,8 @@
 
     /// Makes tables with all endpoints and pools of `snapshot`.
     fn rebuild(&self, snapshot: &Snapshot) {
-        let specs = snapshot.endpoints().map(|(id, e)| spec(snapshot, id, e));
+        let engines = self.engines.load();
+        let specs = snapshot.endpoints().map(|(id, e)| spec(snapshot, &engines, id, e));
         let (home, distances) = (self.home(snapshot), distances(snapshot));
         let old = self.table.load().relocate(home, distances);
         self.table.store(Arc::new(Table::rebuild(&old, specs)));
@@ -292,11 +305,40 @@
         self.apply_leaving();
     }
 
+    /// Takes over which engines are being drained, and the roles of those whose role is not that of
+    /// the document.
+    pub fn set_engines(&self, engines: Engines) {
+        let old = self.engines.load_full();
+        if *old == engines {
+            return;
+        }
+        let moved = old.roles != engines.roles;
+        self.engines.store(Arc::new(engines));
+        if moved {
+            let _held = self.rebuild.lock().expect("no panic while rebuilding");
+            self.rebuild(&self.current.load());
+        }
+        self.apply_leaving();
+    }
+
+    /// Requests of this instance at each of these endpoints.
+    pub fn open_at(&self, names: &[String]) -> Vec<u32> {
+        let (snapshot, table) = (self.current.load(), self.table.load());
+        let mut open: IndexMap<&str, u32> = names.iter().map(|n| (&**n, 0)).collect();
+        for (id, endpoint) in snapshot.endpoints() {
+            if let Some(count) = open.get_mut(&*endpoint.name) {
+                *count = table.endpoint(id).live.outstanding.load(Ordering::Relaxed);
+            }
+        }
+        names.iter().map(|n| open[&**n]).collect()
+    }
+
     fn apply_leaving(&self) {
         let (snapshot, leaving) = (self.current.load(), self.leaving.load());
-        let table = self.table.load();
+        let (table, engines) = (self.table.load(), self.engines.load());
         for (id, endpoint) in snapshot.endpoints() {
-            let gone = endpoint.leaving || leaving.contains(&*endpoint.name);
+            let named = |set: &IndexSet<String>| set.contains(&*endpoint.name);
+            let gone = endpoint.leaving || named(&leaving) || named(&engines.draining);
             table.endpoint(id).live.leaving.store(gone, Ordering::Relaxed);
         }
     }
@@ -362,14 +404,20 @@
     (report.slots > 0).then_some(report)
 }
 
-fn spec<'a>(snapshot: &Snapshot, id: EndpointId, endpoint: &'a EndpointEntry) -> Spec<'a> {
+fn spec<'a>(
+    snapshot: &Snapshot,
+    engines: &Engines,
+    id: EndpointId,
+    endpoint: &'a EndpointEntry,
+) -> Spec<'a> {
+    let role = engines.roles.get(&*endpoint.name).copied().unwrap_or(endpoint.role);
     Spec {
         id,
         name: &endpoint.name,
         pool: endpoint.pool,
         zone: endpoint.zone,
         slots: snapshot.pool(endpoint.pool).map_or(1, |p| p.slots),
-        role: match endpoint.role {
+        role: match role {
             doc::Role::Both => Role::Whole,
             doc::Role::Prefill => Role::Prefill,
             doc::Role::Decode => Role::Decode,
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -27,7 +27,10 @@
     bytes::Bytes,
     http::{HeaderValue, Method, Request, Response, header::CONTENT_TYPE},
     http_body_util::Full,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering::Relaxed},
+        time::Duration,
+    },
     volo_http::body::Body,
 };
 
@@ -63,6 +66,7 @@
     let (ask, proof) = prompt::parse(&job.body, proof)?;
     let (model, proof) = authorise(&job, &ask, proof)?;
     let (pool, shape) = (model.pool, shape(&job, &ask, model));
+    gate.desk(pool).work.prompt.fetch_add(shape.prompt.into(), Relaxed);
     let (slot, proof) = admit(gate, &job, pool, shape.cost, proof).await?;
     let mut run = Run {
         gate: gate.clone(),
@@ -257,6 +261,8 @@
         let histogram = if self.delivered == 0 { &meter.first } else { &meter.between };
         Meter::observe(histogram, now.saturating_sub(self.last));
         self.last = now;
+        let fresh = delivered.saturating_sub(self.delivered);
+        self.gate.desk(self.pool).work.output.fetch_add(fresh.into(), Relaxed);
         self.delivered = delivered;
     }
 
--- a/crates/lease/src/runner.rs
+++ b/crates/lease/src/runner.rs
@@ -71,6 +71,13 @@
         machine::may_act(&self.inner.state(), self.inner.now())
     }
 
+    /// Time from now for which this instance may act unless it renews; `None` without authority.
+    pub fn left(&self) -> Option<Duration> {
+        let now = self.inner.now();
+        let state = self.inner.state();
+        state.term.filter(|t| now < t.until).map(|t| t.until - now)
+    }
+
     /// Time from now until the first order to an endpoint that ignores tokens may be sent, if
     /// orders live at most `life`; `None` without authority.
     pub fn first_order_in(&self, life: Duration) -> Option<Duration> {
--- a/crates/standin/src/tap.rs
+++ b/crates/standin/src/tap.rs
@@ -45,6 +45,10 @@
     pub append: Vec<u8>,
     /// Holds all bytes back, on new connections too, until cleared.
     pub stall: bool,
+    /// Holds a connection up when a piece of request begins with this; empty: none. As in a network
+    /// that loses every packet, what is held is lost if its sender resets the connection before
+    /// [`Tap::release`].
+    pub hold: Vec<u8>,
 }
 
 #[derive(Debug)]
@@ -54,6 +58,8 @@
     kills: watch::Sender<u64>,
     accepted: AtomicU64,
     silent: AtomicU64,
+    held: AtomicU64,
+    releases: watch::Sender<u64>,
     upstream: Mutex<SocketAddr>,
 }
 
@@ -78,6 +84,8 @@
             kills: watch::Sender::new(0),
             accepted: AtomicU64::new(0),
             silent: AtomicU64::new(0),
+            held: AtomicU64::new(0),
+            releases: watch::Sender::new(0),
             upstream: Mutex::new(upstream),
         });
         tokio::spawn(accept_loop(holder, address, listener, shared.clone()));
@@ -104,6 +112,16 @@
         self.shared.silent.store(self.accepted(), Ordering::SeqCst);
     }
 
+    /// Number of connections held up so far.
+    pub fn held(&self) -> u64 {
+        self.shared.held.load(Ordering::SeqCst)
+    }
+
+    /// Lets the connections go on that are held up now.
+    pub fn release(&self) {
+        self.shared.releases.send_modify(|r| *r += 1);
+    }
+
     /// Closes every connection.
     pub fn kill(&self) {
         self.shared.kills.send_modify(|k| *k += 1);
@@ -221,6 +239,10 @@
                 continue;
             }
             let n = n?;
+            let held = !f.hold.is_empty() && buf[..n].starts_with(&f.hold);
+            if held && !self.reply {
+                self.hold(&from).await?;
+            }
             if n == 0 {
                 return to.shutdown().await;
             }
@@ -239,6 +261,16 @@
     }
 }
 
+impl Pump {
+    /// Waits for the release; fails if the sender has reset the connection meanwhile.
+    async fn hold(&self, from: &OwnedReadHalf) -> io::Result<()> {
+        let mut releases = self.shared.releases.subscribe();
+        self.shared.held.fetch_add(1, Ordering::SeqCst);
+        let _ = releases.changed().await;
+        from.as_ref().take_error()?.map_or(Ok(()), Err)
+    }
+}
+
 /// Whether a piece of reply ends as a chunked body or a JSON body does.
 fn ends_message(piece: &[u8]) -> bool {
     piece.ends_with(b"\r\n0\r\n\r\n") || piece.ends_with(b"0\r\n\r\n") || piece.ends_with(b"}")
