Hold orders up in the network while the lease passes on

A tap now holds a connection up from a given start of its bytes. As lost packets do, they are gone if the sender resets meanwhile, and come before the end of the connection otherwise.

--- a/crates/cli/tests/role_orders.rs
+++ b/crates/cli/tests/role_orders.rs
@@ -194,6 +194,32 @@
     assert!(callers.end().await > 0);
 }
 
+#[rstest]
+#[case::refusing(true)]
+#[case::ignoring(false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stuck_order(#[case] fenced: bool) {
+    let mut demo = begin(fenced).await;
+    let holder = holder(&demo).expect("just seen");
+    let former = demo.instances.remove(holder);
+    let hold =
+        |bytes: &[u8]| demo.engines.iter().for_each(|e| e.tap().set(|f| f.hold = bytes.into()));
+    hold(ORDER);
+    let callers = decode_load(&demo);
+    until("an order is stuck", || demo.engines.iter().any(|e| e.tap().held() > 0)).await;
+    former.kill();
+    hold(&[]);
+    until("a successor gives orders", || greatest_fence(&demo.engines) > 0).await;
+    all_decode(&demo.engines).await;
+    let before: Vec<_> = demo.engines.iter().map(Engine::orders).collect();
+    demo.engines.iter().for_each(|e| e.tap().release());
+    // Whatever was held and not lost arrives before an exchange that begins now.
+    assert!(callers.end().await > 0);
+    let after: Vec<_> = demo.engines.iter().map(Engine::orders).collect();
+    assert_eq!(before, after, "a held order was delivered");
+    demo.engines.iter().for_each(check);
+}
+
 #[rstest]
 #[case::draining(OrderKind::Drain)]
 #[case::ordered(OrderKind::Role)]
@@ -228,10 +254,13 @@
     let callers = decode_load(&demo);
     until("an order is stuck", || demo.engines.iter().any(|e| e.tap().held() > 0)).await;
     demo.platform.set(|f| f.outage = true);
-    until("the authority lapsed", || holder(&demo).is_none()).await;
+    let lost = || metric(&demo, "agatetrack_role_authority_total{event=\"lost\"}");
+    until("the authority lapsed", || lost() > 0).await;
+    let calls = || demo.platform.counts().values().sum::<u64>();
+    let lapsed = calls();
+    until("the last orders are reset", || calls() >= lapsed + 10).await;
     hold(&[]);
     demo.engines.iter().for_each(|e| e.tap().release());
-    let calls = || demo.platform.counts().values().sum::<u64>();
     let before = calls();
     until("the store was asked many times", || calls() >= before + 60).await;
     let given = demo.engines.iter().any(|e| !e.orders().is_empty());
--- a/crates/order/tests/bounded_orders.rs
+++ b/crates/order/tests/bounded_orders.rs
@@ -1,4 +1,4 @@
-//! Outcomes of orders to an engine.
+//! Outcomes of orders, and that nothing of an order is delivered after its end.
 
 use {
     agate_ctl::{Role, Verb},
@@ -73,3 +73,30 @@
     assert!(matches!(outcome, Outcome::Unsent(_)), "{outcome:?}");
     assert!(engine.orders().is_empty());
 }
+
+#[rstest]
+#[case::expired(false)]
+#[case::dropped(true)]
+#[tokio::test]
+async fn held_up(#[case] dropped: bool) {
+    let engine = engine(Duration::ZERO).await;
+    engine.tap().set(|f| f.hold = b"POST /admin/order".into());
+    let (drain, address) = (order(1, Verb::Drain), engine.address());
+    let life = if dropped { PATIENCE } else { LIFE / 10 };
+    let given = tokio::spawn(async move { give(address, &drain, life, Arc::new(|| true)).await });
+    until(|| engine.tap().held() == 1).await;
+    if dropped {
+        given.abort();
+        assert!(given.await.is_err_and(|e| e.is_cancelled()));
+    } else {
+        let outcome = given.await.expect("no panic");
+        assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+    }
+    engine.tap().set(|f| f.hold.clear());
+    engine.tap().release();
+    // What is still held would be forwarded before this one is answered.
+    let outcome = give(address, &order(1, Verb::Undrain), LIFE, Arc::new(|| true)).await;
+    assert!(matches!(outcome, Outcome::Done), "{outcome:?}");
+    let ids: Vec<_> = engine.orders().iter().map(|o| o.kind).collect();
+    assert_eq!(ids, [agate_standin::engine::OrderKind::Undrain]);
+}
--- a/crates/standin/src/tap.rs
+++ b/crates/standin/src/tap.rs
@@ -221,7 +221,7 @@
 impl Pump {
     async fn run(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) -> io::Result<()> {
         let mut buf = vec![0; CHUNK_BYTES];
-        let mut passed = 0;
+        let (mut passed, mut late) = (0, false);
         let mut faults = self.shared.faults.subscribe();
         loop {
             let n = from.read(&mut buf).await;
@@ -242,6 +242,11 @@
             let held = !f.hold.is_empty() && buf[..n].starts_with(&f.hold);
             if held && !self.reply {
                 self.hold(&from).await?;
+                late = true;
+            }
+            // A packet that comes late comes before the end of its connection.
+            if n == 0 && late {
+                return pending().await;
             }
             if n == 0 {
                 return to.shutdown().await;
