--- a/crates/cli/src/control/term.rs
+++ b/crates/cli/src/control/term.rs
@@ -14,7 +14,7 @@
     agate_order::{Order, give},
     agate_store::Revision,
     agate_wire::Name,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, task::JoinSet},
 };
@@ -25,7 +25,7 @@
 const ASK_PERIOD: Duration = Duration::from_secs(1);
 /// Instances asked in one period at most; with more of them, each is asked less often.
 const ASKED: usize = 64;
-/// Time after the start of a term from which the demand is known.
+/// Time after the first question from which the demand is known.
 const LISTEN: Duration = Duration::from_secs(3);
 
 /// What tasks report back.
@@ -52,8 +52,10 @@
     voices: Voices,
     /// When drained engines were first seen to be so.
     drained: IndexMap<usize, Mono>,
-    begun: Mono,
-    asked: Option<Mono>,
+    /// Engines that were asked for their state and answered or failed to.
+    seen: IndexSet<usize>,
+    /// When the first and the last question was sent to the instances.
+    asked: Option<(Mono, Mono)>,
     turn: usize,
     /// Part of the identifiers of orders that differs between terms.
     start: u32,
@@ -94,7 +96,7 @@
             revision,
             voices: Voices::default(),
             drained: IndexMap::new(),
-            begun: now,
+            seen: IndexSet::new(),
             asked: None,
             turn: 0,
             start: rand::random(),
@@ -115,10 +117,13 @@
         let Some(left) = self.lease.left().filter(|_| self.may_act()) else { return false };
         let now = self.common.now();
         self.input(Input::Renewed(now + left));
-        if self.asked.is_none_or(|at| now >= at + ASK_PERIOD) {
-            self.asked = Some(now);
+        let due = self.asked.is_none_or(|(_, last)| now >= last + ASK_PERIOD);
+        // Until all roles were read, what is told of them could be wrong.
+        if due && self.seen.len() == self.post.engines.len() {
+            let first = self.asked.map_or(now, |(first, _)| first);
+            self.asked = Some((first, now));
             self.ask(now);
-            if now >= self.begun + LISTEN {
+            if now >= first + LISTEN {
                 self.input(Input::Observed(self.voices.demand(now)));
             }
         }
@@ -130,6 +135,7 @@
     pub fn take(&mut self, event: Event) {
         match event {
             Event::Read(i, number, reading) => {
+                self.seen.insert(i);
                 let reading = reading.map(|r| self.corrected(i, r));
                 self.input(Input::Read(i, number, reading));
             }
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -87,6 +87,27 @@
 #[case("deadline: 20s", "deadline: 0s", "routes[0].deadline")]
 #[case("  palmse:", "  pal mse:", "organisations.pal mse")]
 #[case("      first:", "      -first:", "organisations.palmse.keys.-first")]
+#[case(
+    "fenced: false, slots: 32",
+    "roles: {prefill: 0, decode: 9}",
+    "fleet.pools.glaze-oracle.roles.prefill"
+)]
+#[case(
+    "fenced: false, slots: 32",
+    "roles: {prefill: 9, decode: 9, pieces: 65}",
+    "fleet.pools.glaze-oracle.roles.pieces"
+)]
+#[case(
+    "fenced: false, slots: 32",
+    "roles: {prefill: 9, decode: 9, away: 0s}",
+    "fleet.pools.glaze-oracle.roles.away"
+)]
+#[case(
+    "fenced: false, slots: 32",
+    "roles: {prefill: 9, decode: 9}",
+    "fleet.endpoints.glaze-oracle-1.role"
+)]
+#[case("slots: 64", "roles: {prefill: 9, decode: 9}", "fleet.pools.order-desk.roles")]
 fn planted_faults(#[case] from: &str, #[case] to: &str, #[case] place: &str) {
     let text = SAVIKODA.replacen(from, to, 1);
     assert_ne!(text, SAVIKODA, "the edit applies");
--- a/crates/order/src/state.rs
+++ b/crates/order/src/state.rs
@@ -29,9 +29,10 @@
     waiting: u32,
 }
 
-/// Reads the state and the load of the engine at `peer` within `limit`.
+/// Reads the state of the engine at `peer` within `limit`.
 ///
-/// The load may lag behind. Errors: also if the engine has another role than the two of
+/// The load, which may lag behind, is asked of a drained engine only, because nothing else depends on
+/// it; the reading of another engine has no running requests. Errors: also if the engine has another role than the two of
 /// [`Role`].
 pub async fn read(peer: SocketAddr, limit: Duration) -> Result<Reading> {
     let both = async {
@@ -39,7 +40,10 @@
             .await
             .map_err(|source| Error::Connect { step: STEP, peer, source })?;
         let state: State = get(&mut link, peer, "/admin/state").await?;
-        let load: Load = get(&mut link, peer, "/load").await?;
+        let load: Option<Load> = match state.draining {
+            true => Some(get(&mut link, peer, "/load").await?),
+            false => None,
+        };
         Ok((state, load))
     };
     let (state, load) =
@@ -52,7 +56,7 @@
             return Err(Error::Malformed { step: STEP, peer, cause });
         }
     };
-    let running = load.running.saturating_add(load.waiting);
+    let running = load.map_or(0, |l| l.running.saturating_add(l.waiting));
     Ok(Reading { role, draining: state.draining, running, busy: state.order.is_some() })
 }
 
