Compare free slots with those of endpoints that take requests

An instance renews its part of scarce slots by comparing the free ones, counted at endpoints near it that take requests, with all slots of the document, those of prefill engines, leaving ones and far ones included. So slots always looked scarce, and a part below one slot was granted only every few exchanges, which the queue took for its rate of service.

Change: `Table::capacity` counts the endpoints that `Table::room` looks at. `counted_slots` tests it.

--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -296,9 +296,9 @@
             let count = foreign.get(&name_hash(&endpoint.name)).copied().unwrap_or(0);
             table.endpoint(id).live.foreign.store(count, Ordering::Relaxed);
         }
-        for (id, pool) in snapshot.pools() {
-            let slots = pool.slots * pool.endpoints.len() as u32;
-            self.desk(id).exchange(slots, sharers, PENDING);
+        let now = self.now();
+        for (id, _) in snapshot.pools() {
+            self.desk(id).exchange(table.capacity(id, now), sharers, PENDING);
         }
     }
 
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -241,6 +241,16 @@
         }
     }
 
+    /// Slots of the endpoints at which [`Table::room`] looks, filled or not.
+    pub fn capacity(&self, pool: PoolId, now: Mono) -> u32 {
+        let Some(pool) = self.pools.get(pool as usize) else { return 0 };
+        let slots = |ids: &[EndpointId]| ids.iter().map(|id| self.use_of(*id, now).0).sum::<u32>();
+        match slots(&pool.local) {
+            0 => slots(&pool.near) + slots(&pool.far),
+            local => local,
+        }
+    }
+
     /// Whether any member of a pool takes requests.
     pub fn usable(&self, pool: PoolId, now: Mono) -> bool {
         self.members(pool).any(|id| self.use_of(id, now).0 > 0)
--- a/crates/route/tests/endpoint_choice.rs
+++ b/crates/route/tests/endpoint_choice.rs
@@ -162,3 +162,23 @@
         t.start(0);
     }
 }
+
+/// The slots that free ones are compared with are those of endpoints that take requests.
+#[test]
+fn counted_slots() {
+    let names: Vec<_> = (0..4).map(|i| format!("worker-{i}")).collect();
+    let spec = |id: u32| Spec {
+        id,
+        name: &names[id as usize],
+        pool: 0,
+        zone: 0,
+        slots: 4,
+        role: if id == 0 { Role::Prefill } else { Role::Decode },
+        leaving: id == 1,
+    };
+    let t = Table::rebuild(&Table::new(0, Distances::default(), 7), (0..4).map(spec));
+    t.start(2);
+    assert_eq!(t.capacity(0, NOW), 8);
+    assert_eq!(t.free_slots(0, 100, NOW), 7);
+    assert_eq!(t.capacity(9, NOW), 0);
+}
