Let no connection take the ports of the paused process, and mend doc links

Cause: paused_process failed in one of six runs of mine: a process never named its address. The test let go of a port of the system's ephemeral range before the process bound it, so any connection could take it between (inferred; the log of the process was not kept). Rustdoc refused links to private modules in cli::control.

Change: ports below the ephemeral range; the links are plain names.

--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -2,8 +2,8 @@
 //!
 //! The configuration names the pools whose roles are controlled, each in pieces. A few instances
 //! stand for the lease of each piece; its holder steps the pure controller of [`agate_ctl`], which
-//! decides what to read, to record and to order. This module only moves data: [`post`] makes pieces
-//! from the configuration, [`term`] carries out one holder's actions, [`talk`] and [`voices`] hold
+//! decides what to read, to record and to order. This module only moves data: `post` makes pieces
+//! from the configuration, `term` carries out one holder's actions, `talk` and `voices` hold
 //! what holder and instances tell each other.
 
 mod meter;
--- a/crates/cli/tests/paused_process.rs
+++ b/crates/cli/tests/paused_process.rs
@@ -60,12 +60,12 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// A port that is free for both TCP and UDP.
+/// A port that is free for both TCP and UDP. It lies below those that the system gives to
+/// connections, so that none takes it before the process binds it.
 fn free() -> SocketAddr {
     loop {
-        let tcp = TcpListener::bind(loopback()).expect("a free port");
-        let address = tcp.local_addr().expect("bound");
-        if UdpSocket::bind(address).is_ok() {
+        let address = SocketAddr::new(loopback().ip(), rand::random_range(10_000..30_000));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
