Keep one type for the authority of a lease's holder

Cause: `agate-ctl` and `agate-fleet` each declared the same `Grant`: fencing token, end, first order.

Change: it stands in `agate-core`; both crates give it out under the old path. No behaviour changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! and under the operating system's clock in production.
 
 pub mod forecast;
+pub mod grant;
 pub mod ids;
 pub mod intern;
 pub mod reason;
@@ -12,6 +13,7 @@
 
 pub use {
     forecast::Forecast,
+    grant::Grant,
     ids::{EndpointId, FenceToken, Generation, ModelId, OrgId, PoolId, RouteId, ZoneId},
     intern::Interner,
     reason::{Outcome, Refusal, Retry},
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -18,9 +18,10 @@
 mod settings;
 
 pub use {
+    agate_core::Grant,
     change::{Change, Phase},
     forecast::{Demand, Forecast},
-    piece::{Action, Engine, Grant, Input, Outcome, Piece, Reading, Role, Verb, step},
+    piece::{Action, Engine, Input, Outcome, Piece, Reading, Role, Verb, step},
     plan::{Split, choose_split, served_share},
     record::{MAX_CHANGES, MAX_RECORD, RecordError, Saved, decode, encode},
     settings::Settings,
--- a/crates/ctl/src/piece.rs
+++ b/crates/ctl/src/piece.rs
@@ -4,7 +4,7 @@
     crate::{
         Change, Demand, Forecast, Phase, RecordError, Saved, Settings, Split, choose_split, encode,
     },
-    agate_core::{FenceToken, Mono, ZoneId},
+    agate_core::{FenceToken, Grant, Mono, ZoneId},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -74,17 +74,6 @@
     }
 }
 
-/// Authority over the piece.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// Fencing token.
-    pub fence: FenceToken,
-    /// Time after which the authority must not be used.
-    pub until: Mono,
-    /// Time before which orders of an earlier holder may still arrive.
-    pub first_order: Mono,
-}
-
 /// Result of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/fleet/src/input.rs
+++ b/crates/fleet/src/input.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Kind, Name, Record},
-    agate_core::{FenceToken, Mono},
+    agate_core::{Grant, Mono},
 };
 
 /// State of a listed endpoint.
@@ -31,17 +31,6 @@
     pub fixed: bool,
 }
 
-/// Authority over the pool.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// Fencing token.
-    pub fence: FenceToken,
-    /// Time after which the authority must not be used.
-    pub until: Mono,
-    /// Time before which orders of an earlier holder may still arrive.
-    pub first_order: Mono,
-}
-
 /// Result of an order or a release.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,8 +22,9 @@
 mod step;
 
 pub use {
+    agate_core::Grant,
     degrade::{Work, shares},
-    input::{Action, Endpoint, Grant, Input, Life, Outcome},
+    input::{Action, Endpoint, Input, Life, Outcome},
     intent::{
         Intent, MAX_INTENTS, MAX_KNOWN, MAX_RECORD, Record, RecordError, What, decode, encode,
     },
