Kill the fleet's holder after both its orders took effect

Cause: `fleet_orders::successor_repeats` took the platform's orders as soon as there was one, although the holder sends two, one for each availability zone. Killed between them, its successor rightly sends the second under its recorded token (`glaze-oracle/1/1`, of the first term), which the test took for a second effect; or that second order's endpoint arrived too late for the test's patience.

Change: the test waits for both orders and asserts that each token had one effect; all other assertions stand.

--- a/crates/cli/tests/fleet_orders.rs
+++ b/crates/cli/tests/fleet_orders.rs
@@ -185,8 +185,9 @@
     change(3, &[EndpointKind::Standard])(&mut document);
     let set = |f: &mut PlatformFaults| (f.lose_orders, f.late) = (true, LATE);
     let mut demo = faulty(document, set).await;
-    until("an order took effect", || !demo.platform.orders().is_empty()).await;
+    until("both orders took effect", || demo.platform.orders().len() == 2).await;
     let first = demo.platform.orders();
+    assert_eq!(effective(&demo), 2);
     let holder = demo.instances.iter().position(|i| i.is_fleet_holder()).expect("it ordered");
     demo.instances.remove(holder).kill();
     demo.platform.set(|f| f.lose_orders = false);
