--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -45,6 +45,13 @@
         #[arg(long, value_name = "FILE")]
         settings: PathBuf,
     },
+    /// Run one instance on the operators' platform.
+    #[command(after_help = "Example:\n  agatetrack edge --settings /etc/agatetrack/local.yaml")]
+    Edge {
+        /// Settings file of the instance.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
     /// Run instances and every outside system as stand-ins in one process, over loopback.
     #[command(after_help = "Example:\n  agatetrack demo --document examples/board.yaml")]
     Demo {
--- a/crates/cli/src/configs.rs
+++ b/crates/cli/src/configs.rs
@@ -88,7 +88,7 @@
             return Ok(ExitCode::from(INVALID));
         }
     };
-    let store = agate_platform::store::open(platform);
+    let store = agate_native::store::open(platform);
     let present = publish::load(&store).await?.map(|(_, document)| document).unwrap_or_default();
     for line in diff::lines(&present, &wanted) {
         println!("{line}");
@@ -111,7 +111,7 @@
             return Ok(ExitCode::from(INVALID));
         }
     };
-    let store = agate_platform::store::open(platform);
+    let store = agate_native::store::open(platform);
     let mut edit = edit(author, doc, named_sections(&text)?);
     edit.token = token.unwrap_or(edit.token);
     // A repeat must name the generation that the first try started from, so it is settled here.
@@ -177,7 +177,7 @@
 }
 
 async fn show(platform: SocketAddr, output: Output) -> Result<ExitCode> {
-    let store = agate_platform::store::open(platform);
+    let store = agate_native::store::open(platform);
     let Some((head, document)) = publish::load(&store).await? else {
         return Err(eyre!("no configuration has been applied"));
     };
@@ -197,7 +197,7 @@
 }
 
 async fn history(platform: SocketAddr, limit: usize, output: Output) -> Result<ExitCode> {
-    let store = agate_platform::store::open(platform);
+    let store = agate_native::store::open(platform);
     for head in heads(&store, limit).await? {
         match output {
             Output::Json => println!("{}", serde_json::to_string(&head)?),
@@ -224,7 +224,7 @@
 }
 
 async fn rollback(generation: u64, platform: SocketAddr, author: &str) -> Result<ExitCode> {
-    let store = agate_platform::store::open(platform);
+    let store = agate_native::store::open(platform);
     let mut edit = edit(author, Document::default(), Section::ALL.to_vec());
     edit.comment = format!("rollback to generation {generation}");
     let applied = publish::revert(&store, generation, edit).await?;
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -111,7 +111,7 @@
             };
             document.fleet.endpoints[&name].address = address;
         }
-        let store = agate_platform::store::open(platform.address());
+        let store = agate_native::store::open(platform.address());
         let change = edit("demo", document.clone(), Section::ALL.to_vec());
         publish::apply(&store, &change).await.wrap_err("applying the document")?;
         let secret = Secret::create().wrap_err("writing the demo's shared secret")?;
--- /dev/null
+++ b/crates/cli/src/edge.rs
@@ -0,0 +1,248 @@
+//! Puts one instance on the operators' platform together and runs it.
+
+pub mod lines;
+pub mod settings;
+
+use {
+    agate_adapter::{PATHS, SOURCE, headers, orders, store},
+    agate_duty::{
+        order::{Answer, Order},
+        runner::{self, Calls, Counter, Duties, Parts, Reported},
+        window,
+    },
+    agate_lease::Lease,
+    agate_link::call::Caller,
+    agate_relay::{
+        gate::{self, Gate},
+        ready::Monitor,
+        server::Front,
+        spare::Rates,
+    },
+    agate_store::{Client, breaker, client},
+    agate_view::{
+        Belief,
+        follow::{self, Followers, Pace},
+        peers::Peer,
+    },
+    eyre::{Result, WrapErr},
+    flexi_logger::LoggerHandle,
+    futures_util::FutureExt,
+    http::StatusCode,
+    settings::Settings,
+    std::{path::Path, process::ExitCode, sync::Arc, time::Duration},
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+/// Name of the lease of all duties.
+const LEASE: &str = "duties";
+/// Time to live of that lease; above the time within which the platform forbids holders to take
+/// turns, with room for a renewal that is lost.
+const LEASE_TTL: Duration = Duration::from_millis(4_500);
+/// Time between two renewals of it.
+const LEASE_RENEW: Duration = Duration::from_millis(1_200);
+/// Time between two looks of a candidate.
+const LEASE_POLL: Duration = Duration::from_millis(1_500);
+/// Time from the end of a usage window until every instance has written its counts.
+const GATHER: Duration = Duration::from_millis(1_700);
+/// Part of the bound on withdrawn keys that a proof may be old; the rest is for the way to the store.
+const KEY_AGE_PART: f64 = 0.9;
+/// Part of it above which the instance asks the balancer for no more connections.
+const READY_AGE_PART: f64 = 0.55;
+/// Time for which connections are still accepted after a stop was announced, for the balancer to
+/// notice: two checks a second apart, and one on its way.
+const STOP_ACCEPTING: Duration = Duration::from_millis(2_600);
+/// Time before the end of the grace period at which a stop no longer waits.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// One running instance.
+pub struct Edge {
+    gate: Arc<Gate>,
+    front: Front,
+    duties: Duties,
+    lease: Lease,
+    stop: Duration,
+    _monitor: Monitor,
+    _followers: Followers,
+}
+
+impl Edge {
+    /// Starts an instance.
+    ///
+    /// Errors: an address cannot be bound.
+    pub async fn spawn(settings: &Settings) -> Result<Self> {
+        let belief = Belief::new();
+        let store = open_store(settings);
+        let incarnation = format!("{}-{:x}", settings.name, rand::random::<u32>());
+        let counter = Counter::new(settings.usage.window);
+        let counting = counter.clone();
+        let gate =
+            Gate::new(headers::dialect(), belief.clone(), gate_settings(settings), move |org| {
+                counting.count(org);
+            });
+        tokio::spawn(gate.clone().follow());
+        let own = Peer {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peers,
+        };
+        let followers = follow::spawn(store.clone(), SOURCE, Pace::default(), own, belief.clone());
+        let monitor = Monitor::bind(settings.monitor, PATHS, gate.clone()).await;
+        let monitor = monitor.wrap_err_with(|| format!("binding monitor {}", settings.monitor))?;
+        let front = Front::bind(settings.listen, gate.clone()).await;
+        let front = front.wrap_err_with(|| format!("binding listen {}", settings.listen))?;
+        let lease = Lease::spawn(store.clone(), lease_settings(&incarnation));
+        lease.set_wanted(true);
+        let windows = window::Settings {
+            length: settings.usage.window,
+            gather: GATHER,
+            late: settings.usage.late,
+        };
+        let calls = calls(settings);
+        let duties = runner::spawn(Parts {
+            store,
+            belief,
+            lease: lease.clone(),
+            calls,
+            counter,
+            windows,
+            incarnation,
+        });
+        let stop = settings.stop.limit;
+        Ok(Self { gate, front, duties, lease, stop, _monitor: monitor, _followers: followers })
+    }
+
+    /// Stops gracefully within the grace period.
+    ///
+    /// The lease is not released but left to lapse: a successor that acted at once could be
+    /// followed by this instance's next start sooner than the platform allows.
+    pub async fn stop(self) {
+        let begun = Instant::now();
+        let end = begun + self.stop.saturating_sub(STOP_MARGIN);
+        log::info!(event = "stopping", open = self.gate.flight.open(); "stop announced");
+        self.gate.announce_stop();
+        self.lease.set_wanted(false);
+        sleep(STOP_ACCEPTING).await;
+        self.front.close();
+        let left = self.front.ended(end.saturating_duration_since(Instant::now())).await;
+        self.duties.hand_over().await;
+        log::info!(
+            event = "stopped", cut = left, took_ms = begun.elapsed().as_millis() as u64;
+            "the instance ends"
+        );
+    }
+}
+
+/// Runs an instance until it is told to stop.
+pub async fn run(file: &Path) -> Result<ExitCode> {
+    let settings = settings::open(file)?;
+    let logs = lines::open(&settings.log.level)?;
+    log::info!(
+        event = "starting", version = env!("CARGO_PKG_VERSION"), settings:? = settings;
+        "the instance starts"
+    );
+    let (mut term, mut hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let edge = Edge::spawn(&settings).await?;
+    let mut current = settings;
+    let mut next = Instant::now() + settings::WATCH_PERIOD;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hangup.recv() => reload(file, &mut current, &logs),
+            () = sleep_until(next) => {
+                next = Instant::now() + settings::WATCH_PERIOD;
+                reload(file, &mut current, &logs);
+            }
+        }
+    }
+    edge.stop().await;
+    logs.flush();
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reads the settings again; the log level is taken over, everything else needs a restart.
+fn reload(file: &Path, current: &mut Settings, logs: &LoggerHandle) {
+    match settings::open(file) {
+        Ok(next) if next == *current => {}
+        Ok(next) => {
+            if let Err(e) = logs.parse_new_spec(&next.log.level) {
+                log::error!(event = "reload_refused", cause:% = e; "the log level stays");
+            }
+            log::info!(event = "reloaded", settings:? = next; "the settings changed");
+            *current = next;
+        }
+        Err(e) => log::error!(event = "reload_refused", cause:% = e; "the settings in force stay"),
+    }
+}
+
+fn open_store(settings: &Settings) -> agate_store::Store {
+    let mut shape = client::Settings::for_fleet(1);
+    shape.deadline = Duration::from_millis(1_000);
+    shape.attempts = 2;
+    shape.breaker = breaker::Settings {
+        failures: 8,
+        base: Duration::from_millis(100),
+        max: Duration::from_millis(400),
+    };
+    Client::open(store::open(settings.store), shape, rand::random()).store()
+}
+
+fn gate_settings(settings: &Settings) -> gate::Settings {
+    gate::Settings {
+        zone: settings.zone.as_str().into(),
+        key_age: settings.keys.age.mul_f64(KEY_AGE_PART),
+        ready_age: settings.keys.age.mul_f64(READY_AGE_PART),
+        rates: Rates {
+            ratio: settings.retries.ratio,
+            slack: settings.retries.slack,
+            window: settings.retries.window,
+        },
+    }
+}
+
+fn lease_settings(incarnation: &str) -> agate_lease::Settings {
+    let mut out = agate_lease::Settings::new(LEASE, incarnation);
+    out.ttl = LEASE_TTL;
+    out.renew = LEASE_RENEW;
+    out.poll = LEASE_POLL;
+    out
+}
+
+fn calls(settings: &Settings) -> Calls {
+    let caller = Arc::new(Caller::new(settings.orders));
+    let holder: Arc<str> = settings.name.as_str().into();
+    let (report_caller, report_holder) = (caller.clone(), holder.clone());
+    let report = move |token, window, sealed: window::Sealed| {
+        let (caller, holder) = (report_caller.clone(), report_holder.clone());
+        async move {
+            let authority = orders::Authority { holder: &holder, token };
+            let sent = orders::report_usage(&caller, authority, window, sealed.counts()).await;
+            match sent {
+                Ok(status) if status.is_success() => Reported::Done,
+                Ok(StatusCode::TOO_MANY_REQUESTS) => Reported::Again,
+                Ok(status) if status.is_client_error() => Reported::Refused,
+                Ok(_) | Err(_) => Reported::Again,
+            }
+        }
+        .boxed()
+    };
+    let order = move |token, order: Order| {
+        let (caller, holder) = (caller.clone(), holder.clone());
+        async move {
+            let authority = orders::Authority { holder: &holder, token };
+            let Order { subject, spot, count } = order;
+            let (service, zone) = (&*subject.service, &*subject.zone);
+            let sent =
+                orders::order_endpoints(&caller, authority, service, zone, count, spot).await;
+            match sent {
+                Ok(status) if status.is_success() => Answer::Accepted,
+                Ok(StatusCode::CONFLICT) => Answer::Scarce,
+                Ok(_) | Err(_) => Answer::Unknown,
+            }
+        }
+        .boxed()
+    };
+    Calls { report: Box::new(report), order: Box::new(order) }
+}
--- /dev/null
+++ b/crates/cli/src/edge/settings.rs
@@ -0,0 +1,132 @@
+//! Settings file of an instance on the operators' platform.
+
+use {
+    crate::settings::Invalid,
+    serde::Deserialize,
+    std::{fs, net::SocketAddr, path::Path, time::Duration},
+};
+
+/// Time between two looks at the file, which may change without a signal.
+pub const WATCH_PERIOD: Duration = Duration::from_secs(2);
+
+/// Settings of one instance.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, unique in the fleet.
+    pub name: String,
+    /// Availability zone in which it runs.
+    pub zone: String,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address of the readiness check and of the metrics.
+    pub monitor: SocketAddr,
+    /// Address for messages between instances.
+    pub peers: SocketAddr,
+    /// Address of the key-value service.
+    pub store: SocketAddr,
+    /// Address that takes orders for endpoints and usage reports.
+    pub orders: SocketAddr,
+    /// Keys of callers.
+    pub keys: Keys,
+    /// Repeated attempts of the whole fleet.
+    pub retries: Retries,
+    /// Graceful stop.
+    pub stop: Stop,
+    /// Usage windows.
+    pub usage: Usage,
+    /// Logging.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Keys of callers.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Keys {
+    /// Time within which a withdrawn key must have stopped working.
+    #[serde(with = "humantime_serde")]
+    pub age: Duration,
+}
+
+/// Repeated attempts of the whole fleet, for each service.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retries {
+    /// Repeated attempts as a part of the requests.
+    pub ratio: f64,
+    /// Window in which both are counted.
+    #[serde(with = "humantime_serde")]
+    pub window: Duration,
+    /// Repeated attempts besides.
+    pub slack: f64,
+}
+
+/// Graceful stop.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stop {
+    /// Time from the signal to the end of the process.
+    #[serde(with = "humantime_serde")]
+    pub limit: Duration,
+}
+
+/// Usage windows.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Usage {
+    /// Length of a window.
+    #[serde(with = "humantime_serde")]
+    pub window: Duration,
+    /// Time from the end of a window within which it is reported.
+    #[serde(with = "humantime_serde")]
+    pub late: Duration,
+}
+
+/// Logging.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Filter in the form of `flexi_logger`, such as `info` or `info, agate_relay=debug`.
+    pub level: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { level: "info".into() }
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// Errors: every problem found, with its place and what is accepted.
+pub fn open(file: &Path) -> Result<Settings, Invalid> {
+    let fail = |problems| Invalid::new(file, problems);
+    let text = fs::read_to_string(file).map_err(|e| fail(vec![e.to_string()]))?;
+    let settings: Settings =
+        serde_saphyr::from_str(&text).map_err(|e| fail(vec![e.to_string()]))?;
+    let problems = check(&settings);
+    if problems.is_empty() { Ok(settings) } else { Err(fail(problems)) }
+}
+
+/// Lists what is wrong with settings that were read.
+pub fn check(settings: &Settings) -> Vec<String> {
+    let Settings { name, zone, keys, retries, stop, usage, log, .. } = settings;
+    let rules: [(bool, &str); 9] = [
+        (name.is_empty(), "name: must not be empty"),
+        (zone.is_empty(), "zone: must not be empty"),
+        (keys.age.is_zero(), "keys.age: accepted are durations above zero"),
+        (!(0.0..=1.0).contains(&retries.ratio), "retries.ratio: accepted are 0 to 1"),
+        (retries.slack < 0.0, "retries.slack: accepted are 0 and more"),
+        (retries.window.is_zero(), "retries.window: accepted are durations above zero"),
+        (stop.limit < Duration::from_secs(1), "stop.limit: accepted are one second and more"),
+        (usage.window.is_zero(), "usage.window: accepted are durations above zero"),
+        (usage.late.is_zero(), "usage.late: accepted are durations above zero"),
+    ];
+    let mut out: Vec<String> =
+        rules.iter().filter(|(broken, _)| *broken).map(|(_, text)| (*text).to_owned()).collect();
+    if let Err(e) = flexi_logger::LogSpecification::parse(&log.level) {
+        out.push(format!("log.level: {e}"));
+    }
+    out
+}
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -4,7 +4,7 @@
     crate::args::Output,
     agate_core::Outcome,
     agate_flow::decision::{Decision, Try},
-    agate_platform::http::Http,
+    agate_native::http::Http,
     eyre::{Result, WrapErr, eyre},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, process::ExitCode, time::Duration},
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -14,7 +14,7 @@
     crate::{mesh::Mesh, settings::Settings},
     agate_flow::gate::Gate,
     agate_lease::Lease,
-    agate_platform::{fleet as platform, http::Http},
+    agate_native::{fleet as platform, http::Http},
     agate_store::Store,
     agate_wire::Name,
     holder::Holder,
--- a/crates/cli/src/fleet/holder.rs
+++ b/crates/cli/src/fleet/holder.rs
@@ -12,7 +12,7 @@
     agate_core::FenceToken,
     agate_fleet::{Action, Grant, Input, Kind, Outcome, Record, State, decode, step},
     agate_lease::{Lease, Settings as LeaseSettings, rank::candidates},
-    agate_platform::fleet::{self as platform, Error, Order, Release},
+    agate_native::fleet::{self as platform, Error, Order, Release},
     agate_store::{Purpose, Revision},
     std::{sync::Arc, time::Duration},
     tokio::time::sleep,
--- a/crates/cli/src/fleet/pool.rs
+++ b/crates/cli/src/fleet/pool.rs
@@ -6,7 +6,7 @@
         doc::{Degrade, EndpointKind},
     },
     agate_fleet::{Endpoint, Kind, Life, Name, Prices, Settings, Work, WorkKind},
-    agate_platform::fleet::{self as platform, State},
+    agate_native::fleet::{self as platform, State},
 };
 
 /// Settings of a pool; none if it takes no orders in the region.
--- a/crates/cli/src/fleet/serving.rs
+++ b/crates/cli/src/fleet/serving.rs
@@ -12,7 +12,7 @@
     },
     agate_core::{Generation, Mono},
     agate_flow::gate::Gate,
-    agate_platform::fleet::{self as platform, Kind, State as Life},
+    agate_native::fleet::{self as platform, Kind, State as Life},
     indexmap::{IndexMap, IndexSet},
     std::{
         net::SocketAddr,
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -26,11 +26,11 @@
         tls::Tls,
     },
     agate_member::{Listing, Server},
-    agate_once::{Once, Settings as Claims},
-    agate_platform::{
+    agate_native::{
         http::Http,
         instances::{self, Entry, State},
     },
+    agate_once::{Once, Settings as Claims},
     agate_store::{
         Store,
         client::{Client, Settings as StoreSettings},
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod counts;
 pub mod demo;
 pub mod diff;
+pub mod edge;
 pub mod explain;
 mod figures;
 pub mod fleet;
@@ -42,6 +43,7 @@
 pub async fn run(args: Args) -> Result<ExitCode> {
     match args.command {
         Command::Serve { settings } => serve(&settings).await,
+        Command::Edge { settings } => edge::run(&settings).await,
         Command::Demo { document, listen, instances } => {
             run_demo(document.as_deref(), listen, instances).await
         }
@@ -69,7 +71,7 @@
     };
     let logs = logs::open(&settings.log)?;
     let mut hangup = signal(SignalKind::hangup()).wrap_err("waiting for signals")?;
-    let store = agate_platform::store::open(settings.platform);
+    let store = agate_native::store::open(settings.platform);
     let instance = Instance::spawn(&settings, store).await?;
     let mut stopped = pin!(standins::stopped());
     loop {
@@ -105,7 +107,7 @@
 }
 
 async fn status(operator: SocketAddr, output: Output) -> Result<ExitCode> {
-    let http = agate_platform::http::Http::open(operator);
+    let http = agate_native::http::Http::open(operator);
     let (code, body) = http.get("/status", STATUS_LIMIT).await.map_err(|e| eyre!(e.cause))?;
     if !code.is_success() {
         return Err(eyre!("the instance at {operator} answered with status {code}"));
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -224,6 +224,13 @@
     problems: Vec<String>,
 }
 
+impl Invalid {
+    /// Problems of `file`.
+    pub fn new(file: &Path, problems: Vec<String>) -> Self {
+        Self { file: file.display().to_string(), problems }
+    }
+}
+
 impl fmt::Display for Invalid {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "settings file {} is invalid:", self.file)?;
@@ -237,7 +244,7 @@
 ///
 /// Errors: every problem found, with its place and what is accepted.
 pub fn open(file: &Path) -> Result<Settings, Invalid> {
-    let fail = |problems| Invalid { file: file.display().to_string(), problems };
+    let fail = |problems| Invalid::new(file, problems);
     let text = fs::read_to_string(file).map_err(|e| fail(vec![e.to_string()]))?;
     let mut settings: Settings =
         serde_saphyr::from_str(&text).map_err(|e| fail(vec![e.to_string()]))?;
--- a/crates/cli/src/usage/reports.rs
+++ b/crates/cli/src/usage/reports.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::settings::Settings,
-    agate_platform::{
+    agate_native::{
         http::Http,
         usage::{self, Error, Report, Row},
     },
--- a/crates/cli/tests/bounded_stop.rs
+++ b/crates/cli/tests/bounded_stop.rs
@@ -32,7 +32,7 @@
         usage: Usage::default(),
         log: Log::default(),
     };
-    let store = agate_platform::store::open(settings.platform);
+    let store = agate_native::store::open(settings.platform);
     Instance::spawn(&settings, store).await.expect("the instance starts")
 }
 
--- a/crates/cli/tests/fleet_orders.rs
+++ b/crates/cli/tests/fleet_orders.rs
@@ -13,7 +13,7 @@
     },
     agate_core::Retry,
     agate_flow::gate::Gate,
-    agate_platform::{
+    agate_native::{
         fleet::{Kind, Order, order},
         http::Http,
     },
--- a/crates/cli/tests/instance_faults.rs
+++ b/crates/cli/tests/instance_faults.rs
@@ -86,7 +86,7 @@
 #[tokio::test]
 async fn change_in_force() {
     let demo = start(4, |_| {}).await;
-    let store = agate_platform::store::open(demo.platform.address());
+    let store = agate_native::store::open(demo.platform.address());
     for weight in [7, 8, 9] {
         let mut document = demo.document.clone();
         document.organisations["palmse"].weight = weight;
--- a/crates/cli/tests/new_endpoints.rs
+++ b/crates/cli/tests/new_endpoints.rs
@@ -46,7 +46,7 @@
             }
         })
     };
-    let store = agate_platform::store::open(demo.platform.address());
+    let store = agate_native::store::open(demo.platform.address());
     let mut document = demo.document.clone();
     for number in 0..CHANGES {
         grow(&mut document, number);
--- a/crates/cli/tests/own_keys.rs
+++ b/crates/cli/tests/own_keys.rs
@@ -11,7 +11,7 @@
 async fn withdraw(demo: &Demo, org: &str) {
     let mut document = demo.document.clone();
     document.organisations[org].keys.clear();
-    let store = agate_platform::store::open(demo.platform.address());
+    let store = agate_native::store::open(demo.platform.address());
     let change = edit("test", document, vec![Section::Organisations]);
     publish::apply(&store, &change).await.expect("the change is accepted");
 }
--- a/crates/cli/tests/paused_process.rs
+++ b/crates/cli/tests/paused_process.rs
@@ -114,7 +114,7 @@
 
 async fn apply(platform: &Platform, document: &Document) {
     let change = edit("test", document.clone(), Section::ALL.to_vec());
-    let store = agate_platform::store::open(platform.address());
+    let store = agate_native::store::open(platform.address());
     publish::apply(&store, &change).await.expect("accepted");
 }
 
--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -164,7 +164,7 @@
         let runtime = runtime.worker_threads(2).thread_name(thread).enable_all().build();
         let runtime = runtime.expect("threads can be started");
         let started = runtime.spawn(async move {
-            let store = agate_platform::store::open(settings.platform);
+            let store = agate_native::store::open(settings.platform);
             Instance::spawn(&settings, store).await
         });
         let instance = started.await.expect("no panic").expect("the instance starts");
@@ -224,7 +224,7 @@
             change(&mut document);
             document.clone()
         };
-        let store = agate_platform::store::open(self.platform.address());
+        let store = agate_native::store::open(self.platform.address());
         let sections = agate_config::section::Section::ALL.to_vec();
         let edit = agate_cli::configs::edit("test", document, sections);
         loop {
--- a/crates/cli/tests/rotated_secret.rs
+++ b/crates/cli/tests/rotated_secret.rs
@@ -52,7 +52,7 @@
         usage: Usage::default(),
         log: Log::default(),
     };
-    let store = agate_platform::store::open(demo.platform.address());
+    let store = agate_native::store::open(demo.platform.address());
     Instance::spawn(&settings, store).await.expect("the instance starts")
 }
 
--- a/crates/cli/tests/usage_reports.rs
+++ b/crates/cli/tests/usage_reports.rs
@@ -8,7 +8,7 @@
         instance::Instance,
         settings::{Log, Settings, Stop, Usage},
     },
-    agate_platform::http::Http,
+    agate_native::http::Http,
     agate_standin::Platform,
     indexmap::IndexMap,
     rstest::rstest,
@@ -158,7 +158,7 @@
     work(demo.instances[0].address(), 4).await;
     demo.instances.remove(0).stop().await;
     let next = settings(demo.platform.address());
-    let next = Instance::spawn(&next, agate_platform::store::open(demo.platform.address())).await;
+    let next = Instance::spawn(&next, agate_native::store::open(demo.platform.address())).await;
     let _next = next.expect("the next instance starts");
     all_reported(&demo, 4).await;
 }
--- /dev/null
+++ b/crates/duty/src/count.rs
@@ -0,0 +1,110 @@
+//! Usage counted by one instance, and its record in the store.
+
+use {
+    crate::{Counts, Window},
+    agate_core::{Mono, Wall},
+    agate_view::table::Name,
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Prefix of the records.
+pub const PREFIX: &str = "agate/usage/";
+/// Windows that a record holds; older ones were reported or are too late.
+pub const KEPT: u64 = 4;
+/// Version of the record's format; its first byte.
+const VERSION: u8 = 1;
+/// Time for which a jump of the time of day must last before it is believed.
+pub const BELIEVE_JUMP: Duration = Duration::from_secs(30);
+/// Difference from the expected time of day that counts as a jump.
+const JUMP: Duration = Duration::from_millis(200);
+
+/// Time of day that does not follow jumps which are undone soon.
+#[derive(Clone, Debug)]
+pub struct SteadyWall {
+    wall: Wall,
+    at: Mono,
+    jumped: Option<Mono>,
+}
+
+impl SteadyWall {
+    /// Starts from what the time of day reads now.
+    pub fn new(wall: Wall, now: Mono) -> Self {
+        Self { wall, at: now, jumped: None }
+    }
+
+    /// Steady time of day, given what the time of day reads at `now`.
+    pub fn read(&mut self, wall: Wall, now: Mono) -> Wall {
+        let expected = self.wall + now.saturating_sub(self.at);
+        if expected.abs_diff(wall) < JUMP {
+            self.jumped = None;
+            return expected;
+        }
+        let since = *self.jumped.get_or_insert(now);
+        if now.saturating_sub(since) < BELIEVE_JUMP {
+            return expected;
+        }
+        *self = Self::new(wall, now);
+        wall
+    }
+}
+
+/// Counts of one incarnation of an instance.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    windows: IndexMap<Window, IndexMap<String, u64>>,
+}
+
+impl Tally {
+    /// Counts one request of `org` that began to run in `window`.
+    pub fn count(&mut self, window: Window, org: &Name) {
+        let counts = self.windows.entry(window).or_default();
+        match counts.get_mut(&**org) {
+            Some(n) => *n += 1,
+            None => drop(counts.insert(org.to_string(), 1)),
+        }
+        self.windows.retain(|w, _| *w + KEPT > window);
+    }
+
+    /// Newest window in which something was counted.
+    pub fn newest(&self) -> Option<Window> {
+        self.windows.keys().copied().max()
+    }
+
+    /// Bytes of the record.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![VERSION]).expect("plain data has a postcard form")
+    }
+
+    /// Reads a record; `None` if another build wrote it or it is damaged.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let (version, body) = bytes.split_first()?;
+        if *version != VERSION {
+            return None;
+        }
+        postcard::from_bytes(body).ok()
+    }
+}
+
+/// Sum of the counts of `window` over all instances, in the order of names.
+pub fn sum<'a>(tallies: impl IntoIterator<Item = &'a Tally>, window: Window) -> Counts {
+    let mut out = Counts::new();
+    for counts in tallies.into_iter().filter_map(|t| t.windows.get(&window)) {
+        for (org, n) in counts {
+            *out.entry(org.as_str().into()).or_default() += n;
+        }
+    }
+    out.sort_keys();
+    out
+}
+
+/// Window that `time` falls in, for windows of `length`.
+pub fn window_of(time: Wall, length: Duration) -> Window {
+    (time.as_nanos() / length.as_nanos().max(1)) as Window
+}
+
+/// Time at which `window` ends.
+pub fn end_of(window: Window, length: Duration) -> Wall {
+    length * u32::try_from(window + 1).unwrap_or(u32::MAX)
+}
--- a/crates/flow/src/caller.rs
+++ b/crates/flow/src/caller.rs
@@ -4,10 +4,10 @@
     crate::{
         header,
         reply::{Refused, Result},
-        truth::Untouched,
     },
     agate_config::snapshot::{Current, KeyMatch, RouteEntry, Snapshot},
     agate_core::{OrgId, Refusal},
+    agate_link::truth::Untouched,
     http::HeaderMap,
 };
 
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -4,17 +4,19 @@
 use {
     crate::{
         desk::{Denied, Entry, Slot},
-        exchange::{Failure, Step},
         gate::{Gate, Stay},
-        link::{self, Pool},
         meter::Meter,
         quarantine::Verdict,
         reply::{Refused, Result},
         serve::Job,
         suspect::Seat,
-        truth::{Grant, Repeatable, Untouched},
     },
     agate_core::{EndpointId, PoolId, Refusal, Retry},
+    agate_link::{
+        exchange::{Failure, Step},
+        link::{self, Pool},
+        truth::{Grant, Repeatable, Untouched},
+    },
     agate_route::{
         choose::{Ask, Choice, weigh},
         health::Kind,
--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -9,9 +9,7 @@
         caller::Caller,
         decision::Ring,
         desk::{Clock, Desk},
-        flight::Flight,
         header,
-        link::Pool,
         meter::Meter,
         spend::Spends,
         suspect::Suspects,
@@ -21,6 +19,7 @@
         snapshot::{Current, EndpointEntry, Snapshot},
     },
     agate_core::{EndpointId, Mono, PoolId, ZoneId},
+    agate_link::{flight::Flight, link::Pool},
     agate_once::Once,
     agate_route::{
         health::Kind,
--- a/crates/flow/src/header.rs
+++ b/crates/flow/src/header.rs
@@ -1,8 +1,12 @@
 //! Names of headers, and the passes that clean them between callers and endpoints.
 
-use http::{
-    HeaderMap, HeaderName,
-    header::{self, HeaderValue},
+use {
+    agate_link::exchange::Signs,
+    http::{
+        HeaderMap, HeaderName, StatusCode,
+        header::{self, HeaderValue},
+        response::Parts,
+    },
 };
 
 /// Identifier of a request, echoed by endpoints that support it.
@@ -21,6 +25,14 @@
 /// Keeps the cached prompt prefixes of different organisations apart in an engine.
 pub const CACHE_SALT: HeaderName = HeaderName::from_static("x-cache-salt");
 
+/// How endpoints of this interface mark their answers.
+pub const SIGNS: Signs = Signs { id: REQUEST_ID, unrun };
+
+fn unrun(head: &Parts) -> bool {
+    let said = head.headers.get(NOT_RUN).is_some_and(|v| v == "true");
+    said && head.status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 /// Headers that concern one connection only.
 const HOP: [HeaderName; 9] = [
     header::CONNECTION,
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -8,9 +8,8 @@
     crate::{
         desk::Slot,
         dispatch::{self, Shape, Target, admit, blame, check_key, next_target},
-        exchange::{self, Failure, Patience},
         gate::{Gate, Limits},
-        link::IDLE_LIMIT,
+        header::SIGNS,
         meter::Meter,
         prompt::{self, Ask},
         reply::{Refused, Result},
@@ -19,11 +18,15 @@
         spend::{Charge, Denied},
         sse,
         token::{Event, Tokens, Usage},
-        truth::{Grant, Repeatable, Untouched},
     },
     agate_admit::queue::cost,
     agate_config::snapshot::ModelEntry,
     agate_core::{EndpointId, ModelId, Mono, PoolId, Refusal, Retry},
+    agate_link::{
+        exchange::{self, Failure, Patience},
+        link::IDLE_LIMIT,
+        truth::{Grant, Repeatable, Untouched},
+    },
     agate_route::{health::Kind, prefix},
     bytes::Bytes,
     http::{HeaderValue, Method, Request, Response, header::CONTENT_TYPE},
@@ -163,7 +166,8 @@
             let patience = Patience { fresh: limit, reused: limit, rest: self.rest };
             let request = self.request();
             let sent =
-                exchange::send(&target.links, request, &self.job.id, granted, patience).await;
+                exchange::send(&target.links, request, &self.job.id, &SIGNS, granted, patience)
+                    .await;
             let failure = match sent {
                 Ok(answer) if answer.head.status.is_success() => {
                     self.gate.note_load(target.id, &answer.head);
--- a/crates/flow/src/prompt.rs
+++ b/crates/flow/src/prompt.rs
@@ -1,11 +1,9 @@
 //! What a model request asks for.
 
 use {
-    crate::{
-        reply::{Refused, Result},
-        truth::Untouched,
-    },
+    crate::reply::{Refused, Result},
     agate_core::Refusal,
+    agate_link::truth::Untouched,
     bytes::Bytes,
     serde::Deserialize,
     serde_json::{Map, Value},
--- a/crates/flow/src/reply.rs
+++ b/crates/flow/src/reply.rs
@@ -1,8 +1,9 @@
 //! Refusals and the error bodies that callers see.
 
 use {
-    crate::{header, truth::Untouched},
+    crate::header,
     agate_core::{Outcome, Refusal},
+    agate_link::truth::Untouched,
     http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE},
     serde::Serialize,
     std::time::Duration,
--- a/crates/flow/src/server.rs
+++ b/crates/flow/src/server.rs
@@ -7,9 +7,9 @@
     crate::{
         connection,
         gate::Gate,
-        link,
         tls::{Failed, Loaded, Tls, WATCH_PERIOD},
     },
+    agate_link::link,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -7,15 +7,17 @@
     crate::{
         booking::{self, Claimed},
         dispatch::{Shape, Target, admit, blame, check_key, left, next_target, repeat},
-        exchange::{self, Patience},
         gate::Gate,
         header,
-        link::IDLE_LIMIT,
         reply::{Refused, Result},
         serve::{Job, unless_cut},
-        truth::{Grant, Repeatable, Untouched},
     },
     agate_core::{EndpointId, Outcome, PoolId, Refusal},
+    agate_link::{
+        exchange::{self, Patience},
+        link::IDLE_LIMIT,
+        truth::{Grant, Repeatable, Untouched},
+    },
     agate_once::Permit,
     agate_route::health::Kind,
     bytes::Bytes,
@@ -132,7 +134,7 @@
         log::info!("request {}: {failure}", job.id);
         silent |= failure.silent;
         let cause = blame(gate, job, target, &failure).await;
-        let again = Repeatable::idempotent(job.entry());
+        let again = Repeatable::idempotent(job.entry().idempotent);
         let attempts = tried.len() as u32;
         let (next, reason) = repeat(gate, job, pool, (*failure, cause), again, attempts)?;
         gate.meter.retry(reason);
@@ -156,7 +158,9 @@
     grant: Grant,
     patience: Patience,
 ) -> exchange::Result<(http::response::Parts, Bytes)> {
-    let answer = exchange::send(&target.links, request(job), &job.id, grant, patience).await?;
+    let answer =
+        exchange::send(&target.links, request(job), &job.id, &header::SIGNS, grant, patience)
+            .await?;
     gate.note_load(target.id, &answer.head);
     answer.collect(gate.limits().answer, patience.fresh).await
 }
--- a/crates/flow/src/token.rs
+++ b/crates/flow/src/token.rs
@@ -4,7 +4,7 @@
 //! one another without a gap, a finish reason arrived, and the end marker was the last event.
 
 use {
-    crate::exchange::{Answer, Failure, Step},
+    agate_link::exchange::{Answer, Failure, Step},
     bytes::Bytes,
     eventsource_stream::{EventStream, Eventsource},
     futures_util::{Stream, StreamExt, stream},
@@ -140,7 +140,15 @@
 
     fn invalid(&self, cause: impl std::fmt::Display) -> Box<Failure> {
         let (step, peer, cause) = (Step::Match, self.peer, cause.to_string());
-        Box::new(Failure { step, peer, cause, grant: None, declared: false, silent: false })
+        Box::new(Failure {
+            step,
+            peer,
+            cause,
+            grant: None,
+            declared: false,
+            silent: false,
+            head: None,
+        })
     }
 }
 
--- a/crates/lease/src/runner.rs
+++ b/crates/lease/src/runner.rs
@@ -1,4 +1,7 @@
-//! Runs the machine of one lease over a store and the operating system's monotonic clock.
+//! Runs the machine of one lease over a store and a clock that counts suspension too.
+//!
+//! A holder that was suspended must find its term lapsed, so the time for which the monotonic clock
+//! stood still is added to it.
 
 use {
     crate::{
@@ -7,6 +10,7 @@
     },
     agate_core::{FenceToken, Mono},
     agate_store::{Call, Error, Purpose, Record, Reply, Store},
+    agate_view::clock,
     std::{
         sync::{
             Arc, Mutex, MutexGuard,
@@ -34,6 +38,8 @@
 struct Inner {
     state: Mutex<State>,
     origin: Instant,
+    // Suspended time at the origin.
+    suspended: Duration,
     store: Store,
     key: String,
     inputs: mpsc::UnboundedSender<Input>,
@@ -57,6 +63,7 @@
             key: record::key(&settings.name),
             state: Mutex::new(State::new(settings)),
             origin: Instant::now(),
+            suspended: clock::suspended(),
             store,
             inputs,
             token: watch::Sender::new(None),
@@ -129,7 +136,7 @@
         let wake = machine::next_wake(&inner.state());
         let sleep = async {
             match wake {
-                Some(at) => tokio::time::sleep_until(inner.origin + at).await,
+                Some(at) => tokio::time::sleep(at.saturating_sub(inner.now())).await,
                 None => std::future::pending().await,
             }
         };
@@ -145,7 +152,7 @@
 
 impl Inner {
     fn now(&self) -> Mono {
-        self.origin.elapsed()
+        self.origin.elapsed() + clock::suspended().saturating_sub(self.suspended)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/flow/src/exchange.rs
+++ b/crates/link/src/exchange.rs
@@ -4,12 +4,11 @@
 
 use {
     crate::{
-        header,
         link::{Link, Pool, open},
         truth::{Declared, Grant},
     },
     bytes::Bytes,
-    http::{Request, response::Parts},
+    http::{HeaderName, Request, response::Parts},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     std::{
@@ -52,6 +51,8 @@
     pub declared: bool,
     /// Whether the link stayed silent until a time limit.
     pub silent: bool,
+    /// Head of the answer, if one came.
+    pub head: Option<Box<Parts>>,
 }
 
 /// Result of an exchange.
@@ -79,6 +80,15 @@
     pub rest: Duration,
 }
 
+/// How an interface marks its answers.
+#[derive(Clone, Debug)]
+pub struct Signs {
+    /// Header in which an endpoint echoes the identifier of the request.
+    pub id: HeaderName,
+    /// Whether an answer states that the endpoint ran nothing.
+    pub unrun: fn(&Parts) -> bool,
+}
+
 /// Sends `request` and waits for the head of the answer.
 ///
 /// The answer must echo `id` if it carries a request identifier at all.
@@ -86,6 +96,7 @@
     pool: &Arc<Pool>,
     request: Request<Full<Bytes>>,
     id: &str,
+    signs: &Signs,
     grant: Grant,
     patience: Patience,
 ) -> Result<Answer> {
@@ -116,13 +127,14 @@
         }
     };
     let (head, body) = answer.into_parts();
-    if head.headers.get(&header::REQUEST_ID).is_some_and(|v| v.as_bytes() != id.as_bytes()) {
+    if head.headers.get(&signs.id).is_some_and(|v| v.as_bytes() != id.as_bytes()) {
         return Err(fail(Step::Match, peer, "answer to another request", grant.after(1)));
     }
-    if let Some(said) = Declared::read(&head) {
+    if let Some(said) = Declared::read(&head, signs) {
         let grant = Some(grant.declared(said));
         let mut failure = fail(Step::Head, peer, "endpoint declared that it ran nothing", grant);
         failure.declared = true;
+        failure.head = Some(Box::new(head));
         return Err(failure);
     }
     Ok(Answer { head, peer, body, link, pool: pool.clone() })
@@ -175,6 +187,7 @@
             .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
         if keep {
             let (pool, mut link) = (self.pool, self.link);
+            link.heed(&self.head.headers);
             // The link is idle only when hyper has finished the exchange on it.
             tokio::spawn(async move {
                 if link.sender.ready().await.is_ok() {
@@ -199,5 +212,6 @@
         grant,
         declared: false,
         silent: false,
+        head: None,
     })
 }
--- a/crates/flow/src/link.rs
+++ b/crates/link/src/link.rs
@@ -7,12 +7,13 @@
 use {
     crate::tally::{Count, Tally},
     bytes::Bytes,
+    http::HeaderMap,
     http_body_util::Full,
     hyper::client::conn::http1::{SendRequest, handshake},
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
     std::{
-        io,
+        fmt, io,
         net::SocketAddr,
         sync::Mutex,
         time::{Duration, Instant},
@@ -30,6 +31,8 @@
 const KEEPALIVE_GAP: Duration = Duration::from_secs(2);
 /// Longest time that a link stays idle before it is closed.
 pub const IDLE_LIMIT: Duration = Duration::from_secs(15);
+/// Time before the end of the idle time that a peer announced at which a link is closed.
+const REST_MARGIN: Duration = Duration::from_millis(700);
 /// Most idle links kept for one endpoint.
 const IDLE_LINKS: usize = 64;
 
@@ -41,9 +44,23 @@
     pub count: Count,
     /// When the connection was opened.
     pub born: Instant,
+    /// Longest idle time after which it may be used again.
+    pub rest: Duration,
     driver: JoinHandle<()>,
 }
 
+impl Link {
+    /// Takes over the idle time that the peer announced in an answer's `Keep-Alive` header.
+    pub fn heed(&mut self, headers: &HeaderMap) {
+        let value = headers.get("keep-alive").and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let mut fields = value.split(',').filter_map(|f| f.trim().strip_prefix("timeout="));
+        if let Some(seconds) = fields.next().and_then(|s| s.parse().ok()) {
+            let announced = Duration::from_secs(seconds);
+            self.rest = announced.saturating_sub(REST_MARGIN).min(IDLE_LIMIT);
+        }
+    }
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         // Ending the driver closes the socket at once, which cancels work at the endpoint.
@@ -66,7 +83,7 @@
             log::trace!("connection to endpoint {address} ended: {e}");
         }
     });
-    Ok(Link { sender, count, born: Instant::now(), driver })
+    Ok(Link { sender, count, born: Instant::now(), rest: IDLE_LIMIT, driver })
 }
 
 /// Sets the options that bound how long a dead connection can look alive.
@@ -96,6 +113,12 @@
     state: Mutex<State>,
 }
 
+impl fmt::Debug for Pool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Pool({})", self.address)
+    }
+}
+
 impl Pool {
     /// Makes an empty pool for `address`.
     pub fn new(address: SocketAddr) -> Self {
@@ -110,7 +133,7 @@
     /// Takes the idle link used last, if one is still fit for use and was idle for `rest` at most.
     pub fn take(&self, rest: Duration) -> Option<Link> {
         let mut state = self.state.lock().expect("no panic under the pool lock");
-        state.idle.retain(|i| i.since.elapsed() < IDLE_LIMIT && i.link.sender.is_ready());
+        state.idle.retain(|i| i.since.elapsed() < i.link.rest && i.link.sender.is_ready());
         let last = state.idle.pop_if(|i| i.since.elapsed() <= rest);
         last.map(|i| i.link)
     }
--- a/crates/flow/src/truth.rs
+++ b/crates/link/src/truth.rs
@@ -6,7 +6,7 @@
 //! back only if the dispatch wrote nothing or the endpoint declared that it ran nothing. Replies
 //! that say "not run" consume it, so the type system rejects any other way to build one.
 
-use agate_config::snapshot::RouteEntry;
+use crate::exchange::Signs;
 
 /// Proof that no endpoint ran any part of the request that it belongs to.
 #[derive(Debug)]
@@ -14,7 +14,7 @@
 
 impl Untouched {
     /// Makes the proof for a request that was just accepted. Called once per request.
-    pub(crate) fn accept() -> Self {
+    pub fn accept() -> Self {
         Self(())
     }
 }
@@ -25,12 +25,12 @@
 
 impl Repeatable {
     /// The route declares its calls idempotent.
-    pub(crate) fn idempotent(route: &RouteEntry) -> Option<Self> {
-        route.idempotent.then_some(Self(()))
+    pub fn idempotent(declared: bool) -> Option<Self> {
+        declared.then_some(Self(()))
     }
 
     /// Token generation has no effect beyond its answer, so it may be resumed.
-    pub(crate) fn generation() -> Self {
+    pub fn generation() -> Self {
         Self(())
     }
 }
@@ -46,7 +46,7 @@
 
 impl Grant {
     /// Permission left after an exchange that wrote `written` bytes and failed.
-    pub(crate) fn after(self, written: u64) -> Option<Self> {
+    pub fn after(self, written: u64) -> Option<Self> {
         match self {
             Grant::First(proof) => (written == 0).then_some(Grant::First(proof)),
             Grant::Again(r) => Some(Grant::Again(r)),
@@ -54,7 +54,7 @@
     }
 
     /// The proof that nothing ran, if it still holds.
-    pub(crate) fn untouched(self) -> Option<Untouched> {
+    pub fn untouched(self) -> Option<Untouched> {
         match self {
             Grant::First(proof) => Some(proof),
             Grant::Again(_) => None,
@@ -62,7 +62,7 @@
     }
 
     /// Permission left after an endpoint stated that it ran nothing in this exchange.
-    pub(crate) fn declared(self, _: Declared) -> Self {
+    pub fn declared(self, _: Declared) -> Self {
         self
     }
 }
@@ -73,8 +73,7 @@
 
 impl Declared {
     /// Reads the statement from the head of an endpoint's answer.
-    pub(crate) fn read(head: &http::response::Parts) -> Option<Self> {
-        let said = head.headers.get(crate::header::NOT_RUN).is_some_and(|v| v == "true");
-        (said && head.status == http::StatusCode::SERVICE_UNAVAILABLE).then_some(Self(()))
+    pub fn read(head: &http::response::Parts, signs: &Signs) -> Option<Self> {
+        (signs.unrun)(head).then_some(Self(()))
     }
 }
--- a/crates/platform/src/http.rs
+++ b/crates/native/src/http.rs
@@ -86,6 +86,11 @@
         timeout(limit, exchange).await.map_err(|_| self.fail(path, "timed out"))?
     }
 
+    /// Failure of a call that this interface does not have.
+    pub fn unsupported(&self, path: &str) -> Error {
+        self.fail(path, "this interface has no such call")
+    }
+
     fn fail(&self, path: &str, cause: impl std::fmt::Display) -> Error {
         let path = path.split('?').next().unwrap_or(path).to_owned();
         Error { path, peer: self.peer, cause: cause.to_string() }
--- a/crates/platform/src/store.rs
+++ b/crates/native/src/store.rs
@@ -85,6 +85,7 @@
         Call::List { prefix } => {
             http.get(&format!("/store/v1/list?prefix={}", escape(prefix)), ANSWER_LIMIT).await
         }
+        Call::Range { .. } => Err(http.unsupported("/store/v1/range")),
         Call::Watch { key, after, wait } => {
             let (key, wait_ms) = (escape(key), wait.as_millis());
             let path = format!("/store/v1/watch?key={key}&after={after}&wait_ms={wait_ms}");
@@ -145,6 +146,7 @@
     match call {
         Call::Get { .. } => "get",
         Call::List { .. } => "list",
+        Call::Range { .. } => "range",
         Call::Swap { .. } => "swap",
         Call::Watch { .. } => "watch",
         Call::Grant { .. } => "grant",
--- /dev/null
+++ b/crates/relay/src/fleet.rs
@@ -0,0 +1,228 @@
+//! The endpoints that this instance uses, each with its connections and what is known of its load.
+//!
+//! The table is replaced whole when entries or the configuration change; an endpoint that stays
+//! keeps its connections and figures.
+
+use {
+    crate::{
+        load::Reading,
+        place::{self, Candidate, Choice, Want},
+    },
+    agate_core::Mono,
+    agate_link::link::Pool,
+    agate_route::{
+        health::{self, Health, Kind},
+        ranking::name_hash,
+    },
+    agate_view::{
+        roster::{Entry, Stage},
+        table::{Name, Table},
+    },
+    arc_swap::ArcSwap,
+    indexmap::IndexMap,
+    std::{
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
+        },
+        time::{Duration, Instant},
+    },
+};
+
+/// Connections to an endpoint assumed to be allowed while its service is not configured.
+const CONNECTIONS: u32 = 16;
+/// Part of the connections that an endpoint accepts which all instances together use.
+const CONNECTION_PART: f64 = 0.85;
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Its entry.
+    pub entry: Entry,
+    /// Hash of its name.
+    pub hash: u64,
+    /// Connections to it.
+    pub pool: Arc<Pool>,
+    /// What is known of its load, kept over changes of the entry.
+    pub live: Arc<Live>,
+    /// Most requests of this instance there at once.
+    pub most: u32,
+}
+
+/// Figures of one endpoint.
+#[derive(Debug, Default)]
+pub struct Live {
+    /// Requests of this instance.
+    pub open: AtomicU32,
+    /// Set when it said that another incarnation has its address.
+    pub gone: AtomicBool,
+    /// Failure detector.
+    pub health: Health,
+    /// Reading of prompts.
+    pub reading: Mutex<Reading>,
+}
+
+impl Live {
+    fn reading(&self) -> std::sync::MutexGuard<'_, Reading> {
+        self.reading.lock().expect("no panic under the lock of a reading")
+    }
+}
+
+/// Endpoints by service.
+pub type Services = IndexMap<Name, Vec<Arc<Endpoint>>>;
+
+/// All endpoints.
+pub struct Fleet {
+    services: ArcSwap<Services>,
+    origin: Instant,
+    zone: Name,
+}
+
+/// A request at an endpoint; its end is counted when this is dropped.
+#[derive(Debug)]
+pub struct Stay {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    tokens: u32,
+    ahead: u64,
+    since: Instant,
+    reading: bool,
+}
+
+/// What a request needs of its endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Service that it goes to.
+    pub service: &'a Name,
+    /// What is placed.
+    pub want: Want,
+    /// Stage that a model engine must have; `None` for plain services.
+    pub stage: Option<Stage>,
+    /// Endpoints that were tried already.
+    pub tried: &'a [Name],
+}
+
+impl Fleet {
+    /// Makes an empty fleet seen from `zone`.
+    pub fn new(zone: Name) -> Self {
+        Self { services: ArcSwap::default(), origin: Instant::now(), zone }
+    }
+
+    fn now(&self) -> Mono {
+        self.origin.elapsed()
+    }
+
+    /// Endpoints by service.
+    pub fn services(&self) -> arc_swap::Guard<Arc<Services>> {
+        self.services.load()
+    }
+
+    /// Takes over the newest entries and the newest configuration.
+    pub fn install(&self, entries: &[Entry], table: Option<&Table>, instances: usize) {
+        let old = self.services.load();
+        let mut next = Services::new();
+        for entry in entries.iter().filter(|e| !e.leaving) {
+            let kept = old.get(&entry.service).into_iter().flatten();
+            let kept = kept.into_iter().find(|e| e.entry.same(entry));
+            let (pool, live) = match kept {
+                Some(e) => (e.pool.clone(), e.live.clone()),
+                None => (Arc::new(Pool::new(entry.address)), Arc::default()),
+            };
+            let service = table.and_then(|t| t.services.get(&entry.service));
+            let most = share(service.map_or(CONNECTIONS, |s| s.connections), instances);
+            let hash = name_hash(&entry.name);
+            let endpoint = Endpoint { entry: entry.clone(), hash, pool, live, most };
+            next.entry(entry.service.clone()).or_default().push(Arc::new(endpoint));
+        }
+        self.services.store(Arc::new(next));
+    }
+
+    /// Chooses an endpoint and counts the request there.
+    pub fn choose(&self, need: &Need<'_>) -> Result<Stay, Choice> {
+        let services = self.services.load();
+        let Some(all) = services.get(need.service) else { return Err(Choice::None) };
+        let fits: Vec<&Arc<Endpoint>> = all.iter().filter(|e| e.fits(need)).collect();
+        let now = self.now();
+        let pool: Vec<&Health> = fits.iter().map(|e| &e.live.health).collect();
+        health::return_early(&pool, now);
+        let candidates: Vec<Candidate> =
+            fits.iter().map(|e| e.candidate(&self.zone, now)).collect();
+        match place::choose(&need.want, &candidates) {
+            Choice::At { index, tokens } => Ok(Stay::new(fits[index].clone(), tokens)),
+            other => Err(other),
+        }
+    }
+
+    /// Records how an exchange with an endpoint went.
+    pub fn judge(&self, endpoint: &Endpoint, kind: Kind) {
+        if health::on_result(&endpoint.live.health, kind, self.now()) {
+            let left = health::offline_left(&endpoint.live.health, self.now());
+            log::warn!(
+                event = "endpoint_offline", endpoint = &*endpoint.entry.name,
+                for_ms = left.as_millis() as u64;
+                "an endpoint failed too often and is left out"
+            );
+        }
+    }
+}
+
+impl Endpoint {
+    fn fits(&self, need: &Need<'_>) -> bool {
+        let staged = need.stage.is_none() || self.entry.stage == need.stage;
+        let gone = self.live.gone.load(Relaxed);
+        staged && !gone && !need.tried.contains(&self.entry.name)
+    }
+
+    fn candidate(&self, zone: &Name, now: Mono) -> Candidate {
+        Candidate {
+            hash: self.hash,
+            near: self.entry.zone == *zone,
+            healthy: health::usable(&self.live.health, now),
+            open: self.live.open.load(Relaxed),
+            most: self.most,
+            slots: self.entry.slots,
+            reading: *self.live.reading(),
+        }
+    }
+}
+
+impl Stay {
+    fn new(endpoint: Arc<Endpoint>, tokens: u32) -> Self {
+        endpoint.live.open.fetch_add(1, Relaxed);
+        let ahead = endpoint.live.reading().sent(tokens);
+        Self { endpoint, tokens, ahead, since: Instant::now(), reading: true }
+    }
+
+    /// Notes that the first token came, and learns from it.
+    pub fn first_token(&mut self) {
+        if self.end_reading() {
+            self.endpoint.live.reading().learn(self.ahead, self.since.elapsed());
+        }
+    }
+
+    /// Time since the request was placed.
+    pub fn elapsed(&self) -> Duration {
+        self.since.elapsed()
+    }
+
+    fn end_reading(&mut self) -> bool {
+        let reading = std::mem::take(&mut self.reading);
+        if reading {
+            self.endpoint.live.reading().read(self.tokens);
+        }
+        reading
+    }
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        self.end_reading();
+        self.endpoint.live.open.fetch_sub(1, Relaxed);
+    }
+}
+
+/// Connections of one of `instances` to an endpoint that accepts `all`.
+fn share(all: u32, instances: usize) -> u32 {
+    let own = f64::from(all) * CONNECTION_PART / instances.max(1) as f64;
+    (own as u32).max(1)
+}
--- /dev/null
+++ b/crates/relay/src/meter.rs
@@ -0,0 +1,92 @@
+//! Counters and histograms of the request path.
+
+use {
+    crate::refusal::Cause,
+    prometheus::{
+        HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    },
+    std::time::Duration,
+};
+
+/// Bounds of latency histograms, in seconds.
+const BUCKETS: [f64; 12] = [0.01, 0.025, 0.05, 0.08, 0.12, 0.2, 0.3, 0.5, 0.8, 1.5, 4.0, 15.0];
+
+/// Counters of one instance.
+pub struct Meter {
+    /// Requests taken, by kind.
+    pub requests: IntCounterVec,
+    /// Answers of endpoints passed on, by kind and status class.
+    pub answers: IntCounterVec,
+    /// Requests not served, by cause and promise.
+    pub refusals: IntCounterVec,
+    /// Attempts beyond the first, by reason.
+    pub retries: IntCounterVec,
+    /// Exchanges with endpoints that failed, by step.
+    pub failures: IntCounterVec,
+    /// Streams that went on at another endpoint.
+    pub resumed: IntCounter,
+    /// Time from a request's arrival to the first byte of its answer, by kind.
+    pub first: HistogramVec,
+    /// Time from a request's arrival to the end of its answer, by kind.
+    pub whole: HistogramVec,
+    registry: Registry,
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let made = IntCounterVec::new(Opts::new(name, help), labels);
+            let made = made.expect("names of metrics are valid");
+            registry.register(Box::new(made.clone())).expect("names of metrics are unique");
+            made
+        };
+        let histogram = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let made = HistogramVec::new(opts, &["kind"]).expect("names of metrics are valid");
+            registry.register(Box::new(made.clone())).expect("names of metrics are unique");
+            made
+        };
+        let resumed = IntCounter::new("agate_streams_resumed_total", "streams resumed elsewhere")
+            .expect("names of metrics are valid");
+        registry.register(Box::new(resumed.clone())).expect("names of metrics are unique");
+        Self {
+            requests: counter("agate_requests_total", "requests taken", &["kind"]),
+            answers: counter("agate_answers_total", "answers passed on", &["kind", "class"]),
+            refusals: counter("agate_refusals_total", "requests not served", &["cause", "promise"]),
+            retries: counter("agate_retries_total", "further attempts", &["reason"]),
+            failures: counter("agate_failures_total", "failed exchanges", &["step"]),
+            resumed,
+            first: histogram("agate_first_byte_seconds", "arrival to first byte of the answer"),
+            whole: histogram("agate_whole_seconds", "arrival to end of the answer"),
+            registry,
+        }
+    }
+}
+
+impl Meter {
+    /// Counts a request that was not served.
+    pub fn refuse(&self, cause: Cause, untouched: bool) {
+        let promise = if untouched { "not_run" } else { "unknown" };
+        self.refusals.with_label_values(&[cause.label(), promise]).inc();
+    }
+
+    /// Records a time by kind of request.
+    pub fn observe(histogram: &HistogramVec, kind: &str, time: Duration) {
+        histogram.with_label_values(&[kind]).observe(time.as_secs_f64());
+    }
+
+    /// Registry for further metrics of the same process.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        if let Err(e) = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut out) {
+            log::error!("encoding the metrics: {e}");
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/relay/src/run.rs
@@ -0,0 +1,380 @@
+//! Sends a request to one endpoint after another until there is an answer.
+
+use {
+    crate::{
+        Body,
+        dialect::{Outgoing, Part, Verdict},
+        fleet::{Need, Stay},
+        full,
+        gate::Gate,
+        meter::Meter,
+        place::{ADMIT_PART, Choice, Want},
+        refusal::{Cause, Refused},
+        serve::Job,
+        stream,
+    },
+    agate_link::{
+        exchange::{self, Answer, Failure, Patience, Step},
+        flight::Guard,
+        link::IDLE_LIMIT,
+        truth::{Grant, Repeatable, Untouched},
+    },
+    agate_route::health::Kind as Result_,
+    agate_view::{
+        roster::Stage,
+        table::{Kind, Name},
+    },
+    http::{Request, Response, StatusCode, header::CONTENT_LENGTH},
+    http_body_util::Full,
+    std::{
+        sync::{Arc, atomic::Ordering::Relaxed},
+        time::{Duration, Instant},
+    },
+};
+
+/// Time left below which a request is not started any more.
+const LEAST_LEFT: Duration = Duration::from_millis(10);
+/// Time after which a caller may come back when no endpoint is known.
+const NO_ENDPOINT_AFTER: Duration = Duration::from_millis(300);
+/// Bounds of the time after which a caller may come back to a full service.
+const FULL_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// Largest plain answer that is held back until it is whole, in bytes.
+const HELD_ANSWER: usize = 1 << 20;
+/// Sends over connections that had been closed meanwhile, before a request counts as failed.
+const STALE_LINKS: usize = 4;
+
+/// Result of a request.
+pub type Outcome = Result<Response<Body>, Refused>;
+
+/// Attempts of one request so far.
+#[derive(Debug)]
+pub struct Attempts {
+    /// Permission to send it again.
+    grant: Option<Grant>,
+    /// Endpoints that it was sent to.
+    pub tried: Vec<Name>,
+    /// Cause of the newest failure.
+    cause: Cause,
+}
+
+/// An endpoint's answer that is being passed on, with its place there.
+pub struct Leg {
+    /// The answer.
+    pub answer: Answer,
+    /// The request's place at the endpoint.
+    pub stay: Stay,
+}
+
+/// Runs a request to the head of its answer, for plain answers to their end.
+pub async fn run(gate: &Arc<Gate>, job: Job, guard: Option<Guard>) -> Outcome {
+    let job = Arc::new(job);
+    let mut attempts = Attempts {
+        grant: Some(Grant::First(Untouched::accept())),
+        tried: Vec::new(),
+        cause: Cause::Full,
+    };
+    loop {
+        let leg = start(gate, &job, &mut attempts, job.ask.resume.as_deref()).await?;
+        let verdict = (gate.dialect.judge)(&leg.answer.head);
+        if let Verdict::Spoilt(why) = verdict {
+            spoilt(gate, &job, &leg, why);
+            again(gate, &job, &mut attempts, Cause::Spoilt)?;
+            continue;
+        }
+        let last = !may_go_on(&job, &attempts);
+        if verdict == Verdict::Failed && job.route.kind.repeatable() && !last {
+            gate.fleet.judge(&leg.stay.endpoint, Result_::Neutral);
+            if again(gate, &job, &mut attempts, Cause::Rejected).is_ok() {
+                continue;
+            }
+            attempts.grant = None;
+        }
+        if job.route.kind.streams() && verdict == Verdict::Good {
+            return Ok(stream::pass(gate.clone(), job, leg, attempts, guard));
+        }
+        match collect(gate, &job, leg).await {
+            Ok(response) => return Ok(response),
+            Err(cause) => again(gate, &job, &mut attempts, cause)?,
+        }
+    }
+}
+
+/// Whether the route and the time left allow another attempt.
+fn may_go_on(job: &Job, attempts: &Attempts) -> bool {
+    (attempts.tried.len() as u32) < job.route.attempts && job.left() > LEAST_LEFT
+}
+
+/// Prepares another attempt after one that may have run the request, or ends the request.
+pub fn again(gate: &Gate, job: &Job, attempts: &mut Attempts, cause: Cause) -> Result<(), Refused> {
+    attempts.cause = cause;
+    let repeatable = Repeatable::idempotent(job.route.kind.repeatable());
+    let Some(proof) = repeatable.filter(|_| may_go_on(job, attempts)) else {
+        return Err(Refused::unknown(cause));
+    };
+    if !gate.take_spare(&job.service) {
+        return Err(Refused::unknown(cause));
+    }
+    gate.meter.retries.with_label_values(&[cause.label()]).inc();
+    log::info!(
+        event = "retry", request = job.ask.id.as_str(), cause = cause.label(),
+        attempts = attempts.tried.len(), left_ms = job.left().as_millis() as u64;
+        "the request is sent to another endpoint"
+    );
+    attempts.grant = Some(Grant::Again(proof));
+    Ok(())
+}
+
+/// Sends the request until some endpoint begins to answer.
+pub async fn start(
+    gate: &Arc<Gate>,
+    job: &Job,
+    attempts: &mut Attempts,
+    resume: Option<&str>,
+) -> Result<Leg, Refused> {
+    loop {
+        let grant = attempts.grant.take().expect("a new attempt has a grant");
+        let (mut stay, grant) = place(gate, job, attempts, grant)?;
+        let outgoing = outgoing(job, &stay, resume, Part::Whole);
+        let sent = send(gate, job, &stay, &outgoing, grant).await;
+        attempts.tried.push(stay.endpoint.entry.name.clone());
+        match sent {
+            Ok(answer) => {
+                if !job.route.kind.streams() {
+                    stay.first_token();
+                    count_start(gate, job);
+                }
+                return Ok(Leg { answer, stay });
+            }
+            Err(failure) => failed(gate, job, attempts, &stay, *failure)?,
+        }
+    }
+}
+
+/// Chooses an endpoint, after checking that the request may still run.
+fn place(
+    gate: &Gate,
+    job: &Job,
+    attempts: &Attempts,
+    grant: Grant,
+) -> Result<(Stay, Grant), Refused> {
+    if job.left() < LEAST_LEFT {
+        return Err(refuse(grant, Cause::Late, None));
+    }
+    if job.key.is_some() && !gate.keys_fresh() {
+        return Err(refuse(grant, Cause::ConfigOld, Some(NO_ENDPOINT_AFTER)));
+    }
+    if !key_in_force(gate, job) {
+        return Err(refuse(grant, Cause::KeyUnknown, None));
+    }
+    let need = need(job, &attempts.tried);
+    match gate.fleet.choose(&need) {
+        Ok(stay) => Ok((stay, grant)),
+        Err(Choice::Full(wait)) => {
+            let after = wait.clamp(FULL_AFTER.0, FULL_AFTER.1);
+            Err(refuse(grant, attempts.cause, Some(after)))
+        }
+        Err(_) => Err(refuse(grant, Cause::NoEndpoint, Some(NO_ENDPOINT_AFTER))),
+    }
+}
+
+/// Whether the key is still in force in the newest configuration.
+fn key_in_force(gate: &Gate, job: &Job) -> bool {
+    let Some(key) = &job.key else { return true };
+    let table = gate.belief.table.load();
+    table.as_ref().is_some_and(|t| t.org(key).is_some())
+}
+
+fn need<'a>(job: &'a Job, tried: &'a [Name]) -> Need<'a> {
+    let prompt = job.ask.prompt.as_ref();
+    let want = Want {
+        subject: prompt.and_then(|p| p.subject()),
+        tokens: prompt.map_or(0, |p| p.input),
+        shared: prompt.map_or(0, |p| p.shared()),
+        within: within(job),
+    };
+    let engine = job.table.services.get(&job.service).is_some_and(|s| s.engine.is_some());
+    Need { service: &job.service, want, stage: engine.then_some(Stage::Decode), tried }
+}
+
+/// Longest time to a first token for which the request is worth starting.
+fn within(job: &Job) -> Duration {
+    let passed = job.arrived.elapsed();
+    let objective = job.route.objective.saturating_sub(passed).mul_f64(ADMIT_PART);
+    match job.route.kind {
+        // An answer behind the objective is still worth something to those that wait long.
+        Kind::Stream { resumable: true } => job.left().mul_f64(ADMIT_PART),
+        _ => objective,
+    }
+}
+
+fn outgoing<'a>(
+    job: &'a Job,
+    stay: &'a Stay,
+    resume: Option<&'a str>,
+    part: Part<'a>,
+) -> Outgoing<'a> {
+    Outgoing {
+        endpoint: &stay.endpoint.entry.name,
+        left: job.left(),
+        org: job.org.as_ref().map(|o| &*o.name),
+        resume,
+        urgency: job.rank().min(9),
+        part,
+    }
+}
+
+/// Sends the request over a connection that still works.
+async fn send(
+    gate: &Gate,
+    job: &Job,
+    stay: &Stay,
+    outgoing: &Outgoing<'_>,
+    mut grant: Grant,
+) -> exchange::Result<Answer> {
+    let pool = &stay.endpoint.pool;
+    let mut stale = 0;
+    loop {
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job.uri.clone();
+        *request.headers_mut() = (gate.dialect.compose)(&job.headers, outgoing);
+        request.headers_mut().remove(CONTENT_LENGTH);
+        let patience = Patience { fresh: job.left(), reused: job.left(), rest: IDLE_LIMIT };
+        let sent =
+            exchange::send(pool, request, &job.ask.id, &gate.dialect.signs, grant, patience).await;
+        match sent {
+            Err(mut failure) if failure.step == Step::Write && stale < STALE_LINKS => {
+                stale += 1;
+                match failure.grant.take() {
+                    Some(kept) => grant = kept,
+                    None => return Err(failure),
+                }
+            }
+            other => return other,
+        }
+    }
+}
+
+/// Judges a failed exchange; `Ok` if the request may be sent to another endpoint.
+fn failed(
+    gate: &Gate,
+    job: &Job,
+    attempts: &mut Attempts,
+    stay: &Stay,
+    mut failure: Failure,
+) -> Result<(), Refused> {
+    let endpoint = &stay.endpoint;
+    let cause = match (failure.declared, failure.silent) {
+        (true, _) => Cause::Rejected,
+        (_, true) => Cause::Late,
+        _ => Cause::Lost,
+    };
+    let misdirected = failure.head.as_deref().is_some_and(gate.dialect.misdirected);
+    if misdirected {
+        endpoint.live.gone.store(true, Relaxed);
+    }
+    gate.meter.failures.with_label_values(&[step_label(failure.step)]).inc();
+    log::info!(
+        event = "attempt_failed", request = job.ask.id.as_str(),
+        endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
+        declared = failure.declared, misdirected, unrun = failure.grant.is_some(),
+        after_ms = stay.elapsed().as_millis() as u64,
+        roster_age_ms = gate.belief.roster.age().map(|a| a.as_millis() as u64);
+        "an endpoint did not answer the request"
+    );
+    let kind = match cause {
+        Cause::Rejected => Result_::Busy,
+        Cause::Late if job.left() > LEAST_LEFT => Result_::Failure,
+        Cause::Late => Result_::Neutral,
+        _ => Result_::Failure,
+    };
+    gate.fleet.judge(endpoint, kind);
+    let Some(grant) = failure.grant.take() else { return again(gate, job, attempts, cause) };
+    attempts.cause = cause;
+    if !may_go_on(job, attempts) || !gate.take_spare(&job.service) {
+        return Err(refuse(grant, cause, Some(FULL_AFTER.0)));
+    }
+    gate.meter.retries.with_label_values(&["unrun"]).inc();
+    attempts.grant = Some(grant);
+    Ok(())
+}
+
+fn step_label(step: Step) -> &'static str {
+    match step {
+        Step::Connect => "connect",
+        Step::Write => "write",
+        Step::Head => "head",
+        Step::Body => "body",
+        Step::Match => "match",
+    }
+}
+
+/// Refuses a request, truthfully by what its grant proves.
+fn refuse(grant: Grant, cause: Cause, after: Option<Duration>) -> Refused {
+    match grant.untouched() {
+        Some(proof) => Refused::not_run(cause, after, proof),
+        None => Refused::unknown(cause),
+    }
+}
+
+fn spoilt(gate: &Gate, job: &Job, leg: &Leg, why: &str) {
+    let endpoint = &leg.stay.endpoint;
+    gate.fleet.judge(endpoint, Result_::Failure);
+    gate.meter.failures.with_label_values(&["spoilt"]).inc();
+    log::info!(
+        event = "answer_spoilt", request = job.ask.id.as_str(),
+        endpoint = &*endpoint.entry.name, status = leg.answer.head.status.as_u16(), cause = why;
+        "the endpoint's bytes are not passed on"
+    );
+}
+
+/// Reads a plain answer to its end and passes it on.
+async fn collect(gate: &Gate, job: &Job, leg: Leg) -> Result<Response<Body>, Cause> {
+    let Leg { answer, stay } = leg;
+    let status = answer.head.status;
+    let (head, body) = match answer.collect(HELD_ANSWER, job.left()).await {
+        Ok(whole) => whole,
+        Err(failure) => {
+            gate.fleet.judge(&stay.endpoint, Result_::Failure);
+            log::info!(
+                event = "answer_cut", request = job.ask.id.as_str(),
+                endpoint = &*stay.endpoint.entry.name, cause = failure.cause.as_str();
+                "the endpoint's answer is not whole"
+            );
+            return Err(if failure.silent { Cause::Late } else { Cause::Lost });
+        }
+    };
+    gate.fleet.judge(&stay.endpoint, Result_::Success);
+    let mut response = Response::new(full(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = (gate.dialect.relay)(&head.headers);
+    note_answer(gate, job, &stay, status);
+    Ok(response)
+}
+
+/// Counts and logs an answer that was passed on whole.
+pub fn note_answer(gate: &Gate, job: &Job, stay: &Stay, status: StatusCode) {
+    let kind = job.route.kind.label();
+    let class = if status.is_success() { "success" } else { "failure" };
+    gate.meter.answers.with_label_values(&[kind, class]).inc();
+    Meter::observe(&gate.meter.whole, kind, job.arrived.elapsed());
+    log::debug!(
+        event = "answered", request = job.ask.id.as_str(), route = &*job.route.name,
+        endpoint = &*stay.endpoint.entry.name, status = status.as_u16(),
+        took_ms = job.arrived.elapsed().as_millis() as u64;
+        "answer passed on"
+    );
+}
+
+/// Counts a request that began to run.
+pub fn count_start(gate: &Gate, job: &Job) {
+    Meter::observe(&gate.meter.first, job.route.kind.label(), job.arrived.elapsed());
+    if let Some(org) = &job.org {
+        (gate.started)(&org.name);
+    }
+}
+
+/// When the request's time is up.
+pub fn end_of(job: &Job) -> Instant {
+    job.end
+}
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -90,6 +90,7 @@
         Reply::Value(Some(r)) => server::json(StatusCode::OK, &record(&r)),
         Reply::Value(None) if watched => server::empty(StatusCode::NO_CONTENT),
         Reply::Value(None) => server::empty(StatusCode::NOT_FOUND),
+        Reply::Page(_) => unreachable!("this interface has no call that answers with a page"),
         Reply::Keys(keys) => server::json(StatusCode::OK, &json!({ "keys": keys })),
         Reply::Swapped(r) => server::json(StatusCode::OK, &json!({ "revision": r })),
         Reply::Conflict(Some(r)) => server::json(StatusCode::CONFLICT, &record(&r)),
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -28,7 +28,13 @@
 
 /// Parts of the burst, in fifths, that are kept for purposes more urgent than this one.
 fn reserved_fifths(purpose: Purpose) -> u32 {
-    Purpose::ALL.iter().position(|p| *p == purpose).unwrap_or(0) as u32
+    match purpose {
+        Purpose::Lease => 0,
+        Purpose::Config | Purpose::Roster => 1,
+        Purpose::Claim => 2,
+        Purpose::Record => 3,
+        Purpose::Report => 4,
+    }
 }
 
 /// Token bucket of one kind of call.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -24,6 +24,6 @@
 pub use {
     client::Client,
     memory::Memory,
-    port::{Call, Error, Purpose, Record, Reply, Result, Revision, Store},
+    port::{Call, Error, Freshness, Item, Page, Purpose, Record, Reply, Result, Revision, Store},
     resolve::{Swap, Write, swap_resolved},
 };
--- a/crates/store/src/meter.rs
+++ b/crates/store/src/meter.rs
@@ -15,6 +15,8 @@
     Get,
     /// List of keys.
     List,
+    /// Read of the records under a prefix.
+    Range,
     /// Compare-and-swap.
     Swap,
     /// Watch of one key.
@@ -27,7 +29,7 @@
     Revoke,
 }
 
-const KINDS: usize = 7;
+const KINDS: usize = 8;
 
 impl Kind {
     /// Kind of `call`.
@@ -35,6 +37,7 @@
         match call {
             Call::Get { .. } => Kind::Get,
             Call::List { .. } => Kind::List,
+            Call::Range { .. } => Kind::Range,
             Call::Swap { .. } => Kind::Swap,
             Call::Watch { .. } => Kind::Watch,
             Call::Grant { .. } => Kind::Grant,
@@ -48,6 +51,7 @@
         match self {
             Kind::Get => "get",
             Kind::List => "list",
+            Kind::Range => "range",
             Kind::Swap => "swap",
             Kind::Watch => "watch",
             Kind::Grant => "grant",
@@ -58,7 +62,7 @@
 
     /// Whether calls of this kind change the service's state.
     pub fn is_write(self) -> bool {
-        !matches!(self, Kind::Get | Kind::List | Kind::Watch)
+        !matches!(self, Kind::Get | Kind::List | Kind::Range | Kind::Watch)
     }
 }
 
@@ -92,7 +96,7 @@
 
     /// All calls that only read, each watch once.
     pub fn reads(&self) -> u64 {
-        [Kind::Get, Kind::List, Kind::Watch].iter().map(|k| self.kind(*k)).sum()
+        [Kind::Get, Kind::List, Kind::Range, Kind::Watch].iter().map(|k| self.kind(*k)).sum()
     }
 
     /// All calls that change the service's state.
--- a/crates/store/src/model.rs
+++ b/crates/store/src/model.rs
@@ -5,13 +5,16 @@
 //! key was deleted; an expired lease and its records are gone before any later call is applied.
 
 use {
-    crate::{Call, Record, Reply, Revision, port::LeaseId},
+    crate::{Call, Item, Page, Record, Reply, Revision, port::LeaseId},
     std::{collections::BTreeMap, time::Duration},
 };
 
 /// Largest value that the service holds, in bytes.
 pub const MAX_VALUE: usize = 1024 * 1024;
 
+/// Most records in one page of a range.
+pub const MAX_PAGE: usize = 500;
+
 /// A call that the service refuses because its value is too large.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("value of {size} bytes is above the limit of {MAX_VALUE}")]
@@ -69,6 +72,7 @@
         Ok(match call {
             Call::Get { key } => Reply::Value(self.read(key)),
             Call::List { prefix } => Reply::Keys(self.list(prefix)),
+            Call::Range { prefix, after, .. } => Reply::Page(self.range(prefix, after)),
             Call::Watch { key, after, .. } => {
                 Reply::Value(self.read(key).filter(|r| r.revision > *after))
             }
@@ -100,6 +104,23 @@
         from.map(|(k, _)| k).take_while(|k| k.starts_with(prefix)).cloned().collect()
     }
 
+    fn range(&self, prefix: &str, after: &str) -> Page {
+        let mut page = Page::default();
+        let from = self.records.range(prefix.max(after).to_owned()..);
+        for (key, entry) in from.take_while(|(k, _)| k.starts_with(prefix)) {
+            if !after.is_empty() && key.as_str() <= after {
+                continue;
+            }
+            if page.items.len() == MAX_PAGE {
+                page.truncated = true;
+                break;
+            }
+            let record = Record { revision: entry.revision, value: entry.value.clone() };
+            page.items.push(Item { key: key.clone(), record });
+        }
+        page
+    }
+
     fn swap(
         &mut self,
         key: &str,
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -25,6 +25,33 @@
     pub value: Vec<u8>,
 }
 
+/// One record of a range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Key of the record.
+    pub key: String,
+    /// Its value and revision.
+    pub record: Record,
+}
+
+/// One page of a range, in key order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// Records of the page.
+    pub items: Vec<Item>,
+    /// Whether more records follow behind the last one.
+    pub truncated: bool,
+}
+
+/// How fresh the answer to a read has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Freshness {
+    /// The read sees every change acknowledged before it was sent.
+    Linearizable,
+    /// The answer may be seconds old; the service charges less for it.
+    Stale,
+}
+
 /// What a call is for; decides its priority and its label in metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Purpose {
@@ -38,12 +65,20 @@
     Record,
     /// Sealing of usage windows.
     Report,
+    /// Reading which endpoints and instances there are.
+    Roster,
 }
 
 impl Purpose {
     /// Every purpose, highest priority first.
-    pub const ALL: [Purpose; 5] =
-        [Purpose::Lease, Purpose::Config, Purpose::Claim, Purpose::Record, Purpose::Report];
+    pub const ALL: [Purpose; 6] = [
+        Purpose::Lease,
+        Purpose::Config,
+        Purpose::Claim,
+        Purpose::Record,
+        Purpose::Report,
+        Purpose::Roster,
+    ];
 
     /// Label in metrics.
     pub fn label(self) -> &'static str {
@@ -53,6 +88,7 @@
             Purpose::Claim => "claim",
             Purpose::Record => "record",
             Purpose::Report => "report",
+            Purpose::Roster => "roster",
         }
     }
 }
@@ -70,6 +106,15 @@
         /// Prefix of the keys.
         prefix: String,
     },
+    /// Reads one page of the records under a prefix, with values.
+    Range {
+        /// Prefix of the keys.
+        prefix: String,
+        /// Key after which the page begins; empty for the first page.
+        after: String,
+        /// How fresh the answer has to be.
+        freshness: Freshness,
+    },
     /// Writes `value` if the key's revision is `expect` (zero: if the key is absent).
     Swap {
         /// Key to write.
@@ -110,7 +155,10 @@
 impl Call {
     /// Whether the call changes the service's state.
     pub fn is_write(&self) -> bool {
-        !matches!(self, Call::Get { .. } | Call::List { .. } | Call::Watch { .. })
+        !matches!(
+            self,
+            Call::Get { .. } | Call::List { .. } | Call::Range { .. } | Call::Watch { .. }
+        )
     }
 }
 
@@ -121,6 +169,8 @@
     Value(Option<Record>),
     /// Result of `List`, in key order.
     Keys(Vec<String>),
+    /// Result of `Range`.
+    Page(Page),
     /// A `Swap` took effect at this revision.
     Swapped(Revision),
     /// A `Swap` found another revision; the record now present is returned.
@@ -230,6 +280,29 @@
         }
     }
 
+    /// Reads all records under `prefix`, page by page; the pages are no snapshot.
+    pub async fn range(
+        &self,
+        purpose: Purpose,
+        prefix: &str,
+        freshness: Freshness,
+    ) -> Result<Vec<Item>> {
+        let mut out: Vec<Item> = Vec::new();
+        loop {
+            let after = out.last().map_or_else(String::new, |i| i.key.clone());
+            let call = Call::Range { prefix: prefix.to_owned(), after, freshness };
+            let page = match self.call(purpose, call).await? {
+                Reply::Page(page) => page,
+                other => return Err(unexpected("range", other)),
+            };
+            let more = page.truncated && !page.items.is_empty();
+            out.extend(page.items);
+            if !more {
+                return Ok(out);
+            }
+        }
+    }
+
     /// Waits for a revision of `key` above `after`; `None` if nothing changed within `wait`.
     pub async fn watch(
         &self,
--- a/crates/store/src/quota.rs
+++ b/crates/store/src/quota.rs
@@ -60,6 +60,7 @@
     },
     Row { purpose: Purpose::Record, reads: Quota::Fixed(5), writes: Quota::Fixed(2) },
     Row { purpose: Purpose::Report, reads: Quota::Fixed(2), writes: Quota::Fixed(2) },
+    Row { purpose: Purpose::Roster, reads: Quota::Fixed(5), writes: Quota::Fixed(2) },
 ];
 
 /// Calls a second that one instance may make for all purposes together.
--- a/crates/store/tests/call_budget.rs
+++ b/crates/store/tests/call_budget.rs
@@ -97,7 +97,7 @@
 #[case(1_900)]
 fn shares_follow_fleet(#[case] instances: usize) {
     let mut b = Budgets::open(quota::writes(instances), ms(0));
-    let mut admitted = [0u32; 5];
+    let mut admitted = [0u32; Purpose::ALL.len()];
     for second in 0..200 {
         for (i, p) in Purpose::ALL.into_iter().enumerate() {
             admitted[i] += u32::from(b.take(p, Duration::from_secs(second)).is_ok());
--- /dev/null
+++ b/crates/view/src/follow.rs
@@ -0,0 +1,285 @@
+//! Keeps beliefs up to date from the store.
+//!
+//! Each belief is read by a loop of its own, so a slow answer to one does not age the others. A
+//! waiting watch is not used: its silence proves nothing, while every answered read is a proof.
+
+use {
+    crate::{
+        belief::Belief,
+        clock,
+        peers::{self, Peer},
+        roster::{Entry, Input, Roster},
+        table::{Parts, Table},
+    },
+    agate_store::{Call, Error, Freshness, Item, Purpose, Record, Reply, Result, Store},
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        task::JoinSet,
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+/// Where the shared state lies, and how its records are read.
+#[derive(Clone, Copy, Debug)]
+pub struct Source {
+    /// Key of the configuration.
+    pub config: &'static str,
+    /// Prefix of the endpoints' entries.
+    pub entries: &'static str,
+    /// Reads a configuration.
+    pub read_config: fn(&[u8]) -> std::result::Result<Parts, String>,
+    /// Reads the entry of an endpoint; `None` if it names nothing that can be used.
+    pub read_entry: fn(&str, &[u8]) -> Option<Entry>,
+}
+
+/// How often beliefs are renewed.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Time between two reads of the configuration.
+    pub config: Duration,
+    /// Time between two reads of the endpoints.
+    pub entries: Duration,
+    /// Time between two reads of the instances.
+    pub peers: Duration,
+    /// Time to live of this instance's own record without renewal.
+    pub record: Duration,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            config: Duration::from_millis(500),
+            entries: Duration::from_millis(600),
+            peers: Duration::from_secs(2),
+            record: Duration::from_secs(6),
+        }
+    }
+}
+
+/// Pause after a failed read; short, since every belief ages meanwhile.
+const RETRY: Duration = Duration::from_millis(150);
+/// Renewals of the own record within its time to live.
+const RENEWALS: u32 = 3;
+
+/// Running followers; dropping them ends the loops.
+#[derive(Debug)]
+pub struct Followers {
+    _tasks: JoinSet<()>,
+}
+
+/// Starts to follow the shared state, and announces this instance as `own`.
+pub fn spawn(
+    store: Store,
+    source: Source,
+    pace: Pace,
+    own: Peer,
+    belief: Arc<Belief>,
+) -> Followers {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(config(store.clone(), source, pace.config, belief.clone()));
+    tasks.spawn(entries(store.clone(), source, pace.entries, belief.clone()));
+    tasks.spawn(instances(store.clone(), pace.peers, belief));
+    tasks.spawn(announce(store, own, pace.record));
+    Followers { _tasks: tasks }
+}
+
+async fn config(store: Store, source: Source, pace: Duration, belief: Arc<Belief>) {
+    let mut known = 0;
+    let mut reach = Reach::new("configuration");
+    loop {
+        let (sent, due) = (clock::now(), Instant::now() + pace);
+        match store.get(Purpose::Config, source.config).await {
+            Ok(Some(record)) => {
+                reach.answered();
+                if record.revision <= known || install(&record, source, &belief) {
+                    known = known.max(record.revision);
+                    belief.config.note(sent);
+                }
+                sleep_until(due).await;
+            }
+            Ok(None) => {
+                reach.answered();
+                sleep(RETRY).await;
+            }
+            Err(e) => {
+                reach.failed(&e);
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Puts a configuration in force; returns whether it could be read.
+fn install(record: &Record, source: Source, belief: &Belief) -> bool {
+    match (source.read_config)(&record.value) {
+        Ok(parts) => {
+            let table = Table::new(parts);
+            log::info!(
+                event = "config_in_force", version = table.version, revision = record.revision,
+                routes = table.routes.len(), organisations = table.orgs.len();
+                "a new configuration is in force"
+            );
+            belief.table.store(Some(Arc::new(table)));
+            belief.announce();
+            true
+        }
+        Err(e) => {
+            log::error!(
+                event = "config_refused", revision = record.revision, cause = e.as_str();
+                "the configuration cannot be read; the one in force stays and ages"
+            );
+            false
+        }
+    }
+}
+
+async fn entries(store: Store, source: Source, pace: Duration, belief: Arc<Belief>) {
+    let mut roster = Roster::default();
+    let mut reach = Reach::new("endpoints");
+    loop {
+        let (sent, due) = (clock::now(), Instant::now() + pace);
+        let read = store.range(Purpose::Roster, source.entries, Freshness::Linearizable).await;
+        let input = match read {
+            Ok(items) => {
+                reach.answered();
+                Input::Read { entries: decode(&items, source), sent }
+            }
+            Err(e) => {
+                reach.failed(&e);
+                sleep(RETRY).await;
+                continue;
+            }
+        };
+        if roster.step(input, clock::now()) {
+            let list: Vec<Entry> = roster.entries().cloned().collect();
+            log::info!(
+                event = "endpoints_changed", known = list.len(),
+                leaving = list.iter().filter(|e| e.leaving).count(), missing = roster.missing();
+                "the set of endpoints changed"
+            );
+            belief.entries.store(Arc::new(list));
+            belief.announce();
+        }
+        belief.roster.note(sent);
+        sleep_until(due).await;
+    }
+}
+
+fn decode(items: &[Item], source: Source) -> Vec<Entry> {
+    let name = |item: &Item| item.key.strip_prefix(source.entries).unwrap_or_default().to_owned();
+    let mut out = Vec::with_capacity(items.len());
+    for item in items {
+        match (source.read_entry)(&name(item), &item.record.value) {
+            Some(entry) => out.push(entry),
+            None => log::debug!(
+                event = "entry_ignored", key = item.key.as_str();
+                "the entry names no endpoint that can be used"
+            ),
+        }
+    }
+    out
+}
+
+async fn instances(store: Store, pace: Duration, belief: Arc<Belief>) {
+    let mut reach = Reach::new("instances");
+    loop {
+        match store.range(Purpose::Roster, peers::PREFIX, Freshness::Stale).await {
+            Ok(items) => {
+                reach.answered();
+                let list = peers::decode(&items);
+                if **belief.peers.load() != list {
+                    log::info!(event = "instances_changed", known = list.len(); "the set of instances changed");
+                    belief.peers.store(Arc::new(list));
+                    belief.announce();
+                }
+            }
+            Err(e) => reach.failed(&e),
+        }
+        sleep(pace).await;
+    }
+}
+
+async fn announce(store: Store, own: Peer, ttl: Duration) {
+    let mut reach = Reach::new("own record");
+    loop {
+        let lease = match store.call(Purpose::Lease, Call::Grant { ttl }).await {
+            Ok(Reply::Granted(lease)) => lease,
+            Ok(other) => unreachable_reply(&mut reach, &format!("{other:?}")).await,
+            Err(e) => {
+                reach.failed(&e);
+                sleep(RETRY).await;
+                continue;
+            }
+        };
+        match write(&store, &own, lease).await {
+            Ok(true) => reach.answered(),
+            Ok(false) => continue,
+            Err(e) => {
+                reach.failed(&e);
+                sleep(RETRY).await;
+                continue;
+            }
+        }
+        renew(&store, lease, ttl, &mut reach).await;
+    }
+}
+
+/// Logs an answer that the port does not allow, and waits before the next try.
+async fn unreachable_reply(reach: &mut Reach, reply: &str) -> u64 {
+    reach.failed(&Error::Malformed {
+        step: "grant",
+        peer: "store".into(),
+        cause: reply.to_owned(),
+    });
+    sleep(RETRY).await;
+    0
+}
+
+/// Writes the own record under `lease`, over what an earlier start may have left.
+async fn write(store: &Store, own: &Peer, lease: u64) -> Result<bool> {
+    let found = store.get(Purpose::Lease, own.key()).await?;
+    let expect = found.map_or(0, |r| r.revision);
+    let call = Call::Swap { key: own.key(), expect, value: Some(own.encode()), lease: Some(lease) };
+    Ok(matches!(store.call(Purpose::Lease, call).await?, Reply::Swapped(_)))
+}
+
+/// Renews `lease` until it has ended.
+async fn renew(store: &Store, lease: u64, ttl: Duration, reach: &mut Reach) {
+    loop {
+        sleep(ttl / RENEWALS).await;
+        match store.call(Purpose::Lease, Call::Renew { lease }).await {
+            Ok(Reply::Done) => reach.answered(),
+            Ok(_) => return,
+            Err(e) => reach.failed(&e),
+        }
+    }
+}
+
+/// Logs when a read of the store begins to fail, and when it works again.
+struct Reach {
+    what: &'static str,
+    lost: Option<Instant>,
+}
+
+impl Reach {
+    fn new(what: &'static str) -> Self {
+        Self { what, lost: None }
+    }
+
+    fn answered(&mut self) {
+        if let Some(at) = self.lost.take() {
+            log::info!(
+                event = "store_regained", what = self.what,
+                away_ms = at.elapsed().as_millis() as u64;
+                "the store answers again"
+            );
+        }
+    }
+
+    fn failed(&mut self, e: &Error) {
+        if self.lost.is_none() {
+            self.lost = Some(Instant::now());
+            log::warn!(event = "store_lost", what = self.what, cause:% = e; "the store does not answer");
+        }
+    }
+}
--- /dev/null
+++ b/crates/view/src/peers.rs
@@ -0,0 +1,65 @@
+//! The other instances, by the records that each keeps in the store under a lease of its own.
+
+use {
+    crate::table::Name,
+    agate_store::Item,
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// Prefix of the records.
+pub const PREFIX: &str = "agate/instances/";
+/// Version of the record's format; its first byte.
+const VERSION: u8 = 1;
+
+/// Record of one instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Name of the instance.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Address for messages between instances.
+    pub address: SocketAddr,
+}
+
+impl Peer {
+    /// Key of the record.
+    pub fn key(&self) -> String {
+        format!("{PREFIX}{}", self.name)
+    }
+
+    /// Bytes of the record.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![VERSION]).expect("plain data has a postcard form")
+    }
+
+    /// Reads a record; `None` if another build wrote it or it is damaged.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let (version, body) = bytes.split_first()?;
+        if *version != VERSION {
+            return None;
+        }
+        postcard::from_bytes(body).ok()
+    }
+}
+
+/// Instances among the records of a range; records that cannot be read are logged and left out.
+pub fn decode(items: &[Item]) -> Vec<Peer> {
+    let mut out = Vec::with_capacity(items.len());
+    for item in items {
+        match Peer::decode(&item.record.value) {
+            Some(peer) => out.push(peer),
+            None => log::warn!(key = item.key.as_str(); "instance record not understood; left out"),
+        }
+    }
+    out
+}
+
+/// Names of the availability zones in which instances run, each once.
+pub fn zones(peers: &[Peer]) -> Vec<Name> {
+    let mut out: Vec<Name> = peers.iter().map(|p| Name::from(p.zone.as_str())).collect();
+    out.sort();
+    out.dedup();
+    out
+}
