Order reclaimable endpoints only

Cause: a zone kept one lasting endpoint beside three reclaimable ones.

Change: every zone gets reclaimable endpoints only, lasting ones serve until those do and where none are to be had. Test: duty endpoint_orders.

--- a/crates/duty/src/order.rs
+++ b/crates/duty/src/order.rs
@@ -1,8 +1,8 @@
 //! Which endpoints there should be, as a pure function.
 //!
-//! Reclaimable endpoints cost a small part of a lasting one and may vanish, a zone at a time. So each
-//! zone keeps the fewest lasting endpoints that are allowed and fills up with reclaimable ones. Where
-//! none is to be had, lasting ones take their place for a while.
+//! Reclaimable endpoints cost a small part of a lasting one and may vanish, a zone at a time. A
+//! request that runs there ends within the notice, and the other zones go on, so every zone has
+//! reclaimable endpoints only. Where none is to be had, lasting ones take their place for a while.
 
 use {
     agate_core::Mono,
@@ -130,24 +130,25 @@
     let here = |e: &&Entry| e.service == subject.service && e.zone == subject.zone && !e.leaving;
     let count = |spot| entries.iter().filter(here).filter(|e| e.spot == spot).count() as u32;
     let (lasting, spot) = (count(false), count(true));
-    let least = scaling.min.max(1);
-    let scarce = scaling.spot.is_none() || state.was_scarce(&subject);
-    let want_lasting = if scarce { LASTING_ALONE.clamp(least, scaling.max) } else { least };
-    let want_spot = match scaling.spot {
-        Some(_) => scaling.max.saturating_sub(want_lasting),
-        None => 0,
+    let alone = LASTING_ALONE.clamp(scaling.min.min(scaling.max), scaling.max);
+    let goal = match scaling.spot {
+        None => lasting.max(alone),
+        Some(_) if state.was_scarce(&subject) => alone,
+        Some(_) => 0,
     };
-    // Lasting endpoints are given back only once the reclaimable ones that replace them serve.
-    let keep = if spot < want_spot { lasting.max(want_lasting) } else { want_lasting };
-    let room = scaling.max.saturating_sub(keep);
+    let most_spot = if scaling.spot.is_some() { scaling.max } else { 0 };
+    let want_spot = most_spot.saturating_sub(lasting.max(goal));
+    // Lasting endpoints are given back only once reclaimable ones fill the room beside them.
+    let keep = if lasting > goal && spot < want_spot { lasting } else { goal };
     let orders = [
-        Order { subject: subject.clone(), spot: true, count: want_spot.min(room) },
+        Order { subject: subject.clone(), spot: true, count: want_spot },
         Order { subject: subject.clone(), spot: false, count: keep },
     ];
     for order in orders {
         let there = if order.spot { spot } else { lasting };
         let waits = order.spot && state.is_scarce(&subject, now);
-        if there != order.count && !waits && !state.pending(&order, scaling.boot, now) {
+        let exists = !order.spot || scaling.spot.is_some();
+        if exists && there != order.count && !waits && !state.pending(&order, scaling.boot, now) {
             out.push(order);
         }
     }
