--- a/crates/duty/src/count.rs
+++ b/crates/duty/src/count.rs
@@ -9,6 +9,9 @@
     std::time::Duration,
 };
 
+/// Requests by organisation, for each window.
+pub type Rows = Vec<(Window, Vec<(String, u64)>)>;
+
 /// Prefix of the records.
 pub const PREFIX: &str = "agate/usage/";
 /// Windows that a record holds; older ones were reported or are too late.
@@ -86,7 +89,7 @@
     }
 
     /// Rows of the newest `most` windows.
-    pub fn newest_rows(&self, most: u64) -> Vec<(Window, Vec<(String, u64)>)> {
+    pub fn newest_rows(&self, most: u64) -> Rows {
         let newest = self.newest().unwrap_or_default();
         let recent = self.windows.iter().filter(|(w, _)| **w + most > newest);
         recent.map(|(w, c)| (*w, c.iter().map(|(o, n)| (o.clone(), *n)).collect())).collect()
--- a/crates/duty/src/runner.rs
+++ b/crates/duty/src/runner.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Window,
-        count::{self, SteadyWall, Tally, end_of, window_of},
+        count::{self, Rows, SteadyWall, Tally, end_of, window_of},
         order::{self, Answer, Order},
         stage::{self, Asked, StageOrder},
         window::{self, Sealed},
@@ -44,6 +44,7 @@
 
 type ReportFn = dyn Fn(FenceToken, Window, Sealed) -> BoxFuture<'static, Reported> + Send + Sync;
 type StageFn = dyn Fn(FenceToken, StageOrder) -> BoxFuture<'static, String> + Send + Sync;
+type AskedFn = dyn Fn(&Name) -> Asked + Send + Sync;
 type OrderFn = dyn Fn(FenceToken, Order) -> BoxFuture<'static, Answer> + Send + Sync;
 
 /// Calls that the holder makes.
@@ -101,7 +102,7 @@
     }
 
     /// Version of the counts, with the rows of the newest windows.
-    pub fn newest(&self) -> (u64, Vec<(Window, Vec<(String, u64)>)>) {
+    pub fn newest(&self) -> (u64, Rows) {
         let state = self.lock();
         (state.version, state.tally.newest_rows(PUSHED))
     }
@@ -159,7 +160,7 @@
     /// Calls that the holder makes.
     pub calls: Calls,
     /// Engine time that callers of all instances ask of a service.
-    pub asked: Box<dyn Fn(&Name) -> Asked + Send + Sync>,
+    pub asked: Box<AskedFn>,
     /// Counts of this instance.
     pub counter: Arc<Counter>,
     /// Times of usage windows.
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -11,6 +11,8 @@
 
 /// Endpoints that hold a subject's shared parts.
 pub const HOMES: usize = 2;
+/// Extra time counted for a subject's second home, so that its first one keeps it while idle.
+const SECOND_PENALTY: Duration = Duration::from_millis(8);
 /// Extra time counted for an endpoint in another availability zone.
 pub const ZONE_PENALTY: Duration = Duration::from_millis(4);
 /// Time after which endpoints that all refuse may have room.
@@ -102,11 +104,13 @@
     let weight = AGAIN_IDLE + AGAIN_FULL * fullness(want, candidates);
     let mut best: Option<Way> = None;
     for (index, c) in candidates.iter().enumerate().filter(|(_, c)| usable(c) && c.takes(want)) {
-        let cached = if homes.contains(&Some(index)) { want.shared } else { 0 };
+        let home = homes.iter().position(|h| *h == Some(index));
+        let cached = if home.is_some() { want.shared } else { 0 };
         let tokens = want.tokens - cached.min(want.tokens);
         let expected = expect(want, c, tokens);
         let again = tokens - (want.tokens - want.shared.min(want.tokens));
-        let score = expected + c.reading.time(again).mul_f64(weight);
+        let second = if home == Some(1) { SECOND_PENALTY } else { Duration::ZERO };
+        let score = expected + second + c.reading.time(again).mul_f64(weight);
         if best.as_ref().is_none_or(|b| score < b.score) {
             best = Some(Way { score, expected, index, tokens });
         }
--- /dev/null
+++ b/crates/relay/tests/engine_choice.rs
@@ -0,0 +1,167 @@
+//! Where model work goes under load.
+
+use {
+    agate_relay::{
+        load::{BASE, Reading},
+        place::{Candidate, Choice, Want, choose},
+    },
+    agate_route::ranking::mix,
+    std::time::Duration,
+};
+
+const SPEED: f64 = 400.0;
+
+fn engine(i: u64) -> Candidate {
+    Candidate {
+        hash: mix(i, 77),
+        near: true,
+        healthy: true,
+        refusing: false,
+        open: 0,
+        others: 0,
+        most: 100,
+        slots: 6,
+        reading: Reading::with_speed(SPEED),
+    }
+}
+
+fn engines(n: u64) -> Vec<Candidate> {
+    (0..n).map(engine).collect()
+}
+
+/// A dossier: 9,190 tokens, 6,300 of them shared.
+fn dossier(subject: u64) -> Want {
+    Want {
+        subject: Some(subject),
+        tokens: 9_190,
+        shared: 6_300,
+        within: Duration::from_millis(100),
+        slot: false,
+    }
+}
+
+fn index(choice: Choice) -> usize {
+    match choice {
+        Choice::At { index, .. } => index,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Pattern: many subjects, each asked for again and again. A subject stays at its homes, and all
+/// engines get a part.
+#[test]
+fn subjects_stay() {
+    let all = engines(12);
+    let mut used = [0; 12];
+    for subject in 0..730 {
+        let at = index(choose(&dossier(subject), &all));
+        assert_eq!(at, index(choose(&dossier(subject), &all)));
+        used[at] += 1;
+    }
+    assert!(used.iter().all(|n| *n > 15), "{used:?}");
+}
+
+/// Pattern: an engine joins or leaves. Only subjects of that engine move.
+#[test]
+fn few_move() {
+    let (before, after) = (engines(12), engines(11));
+    for subject in 0..730 {
+        let (old, new) =
+            (index(choose(&dossier(subject), &before)), index(choose(&dossier(subject), &after)));
+        assert!(old == new || old == 11, "{subject}: {old} to {new}");
+    }
+}
+
+/// Pattern: a burst of dossiers on one subject while engines are otherwise idle. The second home
+/// shares the load; shared parts are not read on every engine.
+#[test]
+fn hot_subject() {
+    let mut all = engines(12);
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..8 {
+        let Choice::At { index, tokens } = choose(&dossier(5), &all) else { break };
+        all[index].reading.sent(tokens);
+        all[index].open += 1;
+        used.insert(index);
+    }
+    assert!((2..=3).contains(&used.len()), "{used:?}");
+}
+
+/// Pattern: more prompts than the engines can read. Those that cannot be in time are refused, and
+/// the others are expected in time.
+#[test]
+fn overload_refuses() {
+    let mut all = engines(4);
+    let mut refused = 0;
+    for subject in 0..200 {
+        match choose(&dossier(subject), &all) {
+            Choice::At { index, tokens } => {
+                all[index].reading.sent(tokens);
+                all[index].open += 1;
+            }
+            Choice::Full(wait) => {
+                assert!(wait > Duration::ZERO);
+                refused += 1;
+            }
+            Choice::None => panic!("there are engines"),
+        }
+    }
+    assert!((100..200).contains(&refused), "{refused}");
+    for c in &all {
+        let last = BASE + c.reading.time(c.reading.own as u32);
+        assert!(last <= Duration::from_millis(100), "{last:?}");
+    }
+}
+
+/// Pattern: other instances fill an engine. Their load counts like the own one.
+#[test]
+fn others_count() {
+    let mut all = engines(12);
+    let home = index(choose(&dossier(9), &all));
+    all[home].reading.others = 40_000;
+    assert_ne!(index(choose(&dossier(9), &all)), home);
+}
+
+/// An engine that refused a moment ago, or whose failure detector tripped, gets nothing while
+/// others can take the work.
+#[test]
+fn left_out() {
+    let mut all = engines(3);
+    (all[0].refusing, all[1].healthy) = (true, false);
+    for subject in 0..50 {
+        assert_eq!(index(choose(&dossier(subject), &all)), 2);
+    }
+    all[2].refusing = true;
+    assert!(matches!(choose(&dossier(1), &all), Choice::Full(_)));
+    assert_eq!(choose(&dossier(1), &[]), Choice::None);
+}
+
+/// Pattern: long answers hold all slots. Work whose prompt was read does not queue behind them; a
+/// short question may.
+#[test]
+fn held_slots() {
+    let mut all = engines(2);
+    for c in &mut all {
+        c.others = 6;
+    }
+    let read =
+        Want { subject: None, tokens: 0, shared: 0, within: Duration::from_millis(80), slot: true };
+    assert!(matches!(choose(&read, &all), Choice::Full(_)));
+    let question = Want { tokens: 220, within: Duration::from_secs(10), slot: false, ..read };
+    assert!(matches!(choose(&question, &all), Choice::At { .. }));
+    all[1].others = 5;
+    assert_eq!(index(choose(&read, &all)), 1);
+}
+
+/// The speed that is learned is the engine's, also when the load of others is known late: once too
+/// much, once too little.
+#[test]
+fn steady_speed() {
+    let mut reading = Reading::with_speed(200.0);
+    for i in 0..400_u64 {
+        let ahead = 10_000 + (i % 7) * 3_000;
+        let seen = if i % 2 == 0 { ahead + 8_000 } else { ahead - 8_000 };
+        reading.learn(seen, BASE + Duration::from_secs_f64(ahead as f64 / 500.0 / 1e3));
+    }
+    assert!((400.0..600.0).contains(&reading.speed()), "{}", reading.speed());
+}
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -43,17 +43,23 @@
 /// Rows of usage in one message, below what a datagram holds.
 const USAGE_ROWS: usize = 40;
 
-/// Counts of usage whose parts are sent: version, then rows by window.
-pub type Counted = (u64, Vec<(u64, Vec<(String, u64)>)>);
+/// Requests by organisation, for each window.
+pub type Rows = Vec<(u64, Vec<(String, u64)>)>;
+/// Usage that is sent, with its version.
+pub type Counted = (u64, Rows);
+/// Tells what callers ask for.
+type DemandsFn = dyn Fn() -> Vec<Demand> + Send + Sync;
+/// Takes load and demand of all others in.
+type OthersFn = dyn Fn(&[Load], &[Demand]) + Send + Sync;
 
 /// What the runner needs of the rest of the instance.
 pub struct Ports {
     /// Own load of the endpoints.
     pub loads: Box<dyn Fn() -> Vec<Load> + Send + Sync>,
     /// What the own callers ask for.
-    pub demands: Box<dyn Fn() -> Vec<Demand> + Send + Sync>,
+    pub demands: Box<DemandsFn>,
     /// Takes the load of all others in, and what their callers ask for.
-    pub others: Box<dyn Fn(&[Load], &[Demand]) + Send + Sync>,
+    pub others: Box<OthersFn>,
     /// Own usage of the newest windows.
     pub usage: Box<dyn Fn() -> Counted + Send + Sync>,
     /// Notes the version of the own usage that every coordinator has.
--- /dev/null
+++ b/crates/sync/tests/told_load.rs
@@ -0,0 +1,57 @@
+//! What a coordinator tells of all others.
+
+use {
+    agate_sync::{
+        coordinator::{Coordinator, LOAD_AGE},
+        message::{Demand, Load, Question, Usage},
+    },
+    std::time::Duration,
+};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn question(from: &str, round: u64, tokens: u32) -> Question {
+    let loads = vec![Load { endpoint: 1, open: 2, tokens }];
+    let demands = vec![Demand { service: 5, reading: 100, slots: 7 }];
+    Question { from: from.into(), round, loads, demands }
+}
+
+fn tokens(coordinator: &Coordinator, except: &str, at: Duration) -> u32 {
+    let own = [Load { endpoint: 1, open: 1, tokens: 1_000 }];
+    coordinator.totals(except, &own, at).iter().map(|l| l.tokens).sum()
+}
+
+/// Everyone is told the load of all but itself, the coordinator's own included.
+#[test]
+fn all_others() {
+    let mut c = Coordinator::default();
+    c.on_question(&question("a", 1, 10), NOW);
+    c.on_question(&question("b", 1, 20), NOW);
+    assert_eq!(tokens(&c, "a", NOW), 1_020);
+    assert_eq!(tokens(&c, "b", NOW), 1_010);
+    assert_eq!(c.demands("a", &[], NOW), [Demand { service: 5, reading: 100, slots: 7 }]);
+}
+
+/// A question that was overtaken changes nothing, and silence ends what was told.
+#[test]
+fn overtaken_and_silent() {
+    let mut c = Coordinator::default();
+    c.on_question(&question("a", 2, 10), NOW);
+    c.on_question(&question("a", 1, 99), NOW);
+    assert_eq!(tokens(&c, "b", NOW), 1_010);
+    assert_eq!(tokens(&c, "b", NOW + LOAD_AGE), 1_000);
+}
+
+/// A round of usage is acknowledged only when all its parts came.
+#[test]
+fn lost_part() {
+    let mut c = Coordinator::default();
+    let usage = |round| Usage { from: "a".into(), round, window: 3, rows: vec![("x".into(), 1)] };
+    c.on_usage(&usage(1));
+    assert!(!c.usage_complete("a", 1, 2));
+    c.on_usage(&usage(1));
+    assert!(c.usage_complete("a", 1, 2));
+    assert!(!c.usage_complete("a", 2, 1));
+    c.on_usage(&usage(2));
+    assert!(c.usage_complete("a", 2, 1));
+}
