--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -39,6 +39,7 @@
     indexmap::IndexMap,
     settings::Settings,
     std::{
+        net::SocketAddr,
         path::Path,
         process::ExitCode,
         sync::{Arc, Mutex},
@@ -84,7 +85,7 @@
     stop: Duration,
     _sync: Talking,
     _standing: JoinHandle<()>,
-    _monitor: Monitor,
+    monitor: Monitor,
     _followers: Followers,
 }
 
@@ -152,11 +153,21 @@
             stop,
             _sync: sync,
             _standing: standing,
-            _monitor: monitor,
+            monitor,
             _followers: followers,
         })
     }
 
+    /// Address that callers connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.front.address()
+    }
+
+    /// Address of the readiness check and of the metrics.
+    pub fn monitor(&self) -> SocketAddr {
+        self.monitor.address()
+    }
+
     /// Stops gracefully within the grace period.
     ///
     /// The lease is not released but left to lapse: a successor that acted at once could be
