--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -106,9 +106,12 @@
         after_help = "Example:\n  agatetrack explain palmse --operator 127.0.0.1:9080 --operator 127.0.0.1:9081"
     )]
     Explain {
-        /// Identifier of a request, as in `x-request-id`, or name of an organisation.
-        #[arg(value_name = "REQUEST-ID|ORGANISATION")]
-        of: String,
+        /// Identifier of a request, or name of an organisation; with `--logs` absent for all causes.
+        #[arg(value_name = "REQUEST-ID|ORGANISATION", required_unless_present = "logs")]
+        of: Option<String>,
+        /// File with log lines of instances to read instead of asking them, `-` for standard input.
+        #[arg(long, value_name = "FILE")]
+        logs: Vec<PathBuf>,
         /// Operator address of an instance; repeat it to ask several.
         #[arg(long, default_value = "127.0.0.1:9090")]
         operator: Vec<SocketAddr>,
@@ -276,5 +279,8 @@
     Check {
         /// Settings file to check.
         file: PathBuf,
+        /// The file is for `edge`, on the operators' platform.
+        #[arg(long)]
+        edge: bool,
     },
 }
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -1,5 +1,7 @@
 //! `agatetrack explain`: what instances decided on a request, or on those of an organisation.
 
+pub mod lines;
+
 use {
     crate::args::Output,
     agate_core::Outcome,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -49,10 +49,17 @@
         }
         Command::Standin { kind } => standins::run(kind).await,
         Command::Config { action } => configs::run(action).await,
-        Command::Settings { action: Settings::Check { file } } => Ok(check_settings(&file)),
+        Command::Settings { action: Settings::Check { file, edge } } => {
+            Ok(check_settings(&file, edge))
+        }
         Command::Status { operator, output } => status(operator, output).await,
         Command::Load(load) => loads::carry_out(load).await,
-        Command::Explain { of, operator, output } => explain::run(&of, &operator, output).await,
+        Command::Explain { of, logs, .. } if !logs.is_empty() => {
+            explain::lines::run(of.as_deref(), &logs)
+        }
+        Command::Explain { of, operator, output, .. } => {
+            explain::run(&of.unwrap_or_default(), &operator, output).await
+        }
         Command::Completions { shell } => {
             let mut command = Args::command();
             clap_complete::generate(shell, &mut command, "agatetrack", &mut std::io::stdout());
@@ -93,10 +100,14 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn check_settings(file: &Path) -> ExitCode {
-    match settings::open(file) {
-        Ok(settings) => {
-            println!("{} is valid for instance {}", file.display(), settings.name);
+fn check_settings(file: &Path, edge: bool) -> ExitCode {
+    let name = match edge {
+        true => edge::settings::open(file).map(|s| s.name),
+        false => settings::open(file).map(|s| s.name),
+    };
+    match name {
+        Ok(name) => {
+            println!("{} is valid for instance {name}", file.display());
             ExitCode::SUCCESS
         }
         Err(e) => {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -210,11 +210,8 @@
     let stage = engine.then_some(Stage::Decode);
     let apart = class(job) == Some(Class::Long);
     let want = match source {
-        // Only what other requests generate there delays one whose prompt was read.
-        Some(_) => {
-            let within = within(job);
-            Want { subject: None, tokens: 0, shared: 0, within, slot: true }
-        }
+        // Its prompt was read already, so it rather waits for a slot than be refused.
+        Some(_) => Want { subject: None, tokens: 0, shared: 0, within: job.left(), slot: false },
         // An engine that generates for others must not be filled with prompts.
         None if engine && apart => {
             let want = want(job);
