Let engines' stages follow the held peaks of both demands

Cause: bursts of long answers and long prompts alternate within 2.8 s, a change of stage takes longer.

Change: a demand that has fallen is forgotten with a time constant of 8 s; slots are planned at 0.6 of their use. Test: duty engine_stages::alternating_bursts, which failed before.

--- a/crates/duty/src/runner.rs
+++ b/crates/duty/src/runner.rs
@@ -427,7 +427,9 @@
     async fn change_stages(&mut self) {
         let Some(table) = self.parts.belief.table.load_full() else { return };
         let entries = self.parts.belief.entries.load_full();
-        for order in stage::plan(&self.stages, &table, &entries, &self.parts.asked, clock::now()) {
+        for order in
+            stage::plan(&mut self.stages, &table, &entries, &self.parts.asked, clock::now())
+        {
             let Some(token) = self.parts.seat.may_act() else { return };
             self.stages.sent(&order, clock::now());
             let outcome = (self.parts.calls.stage)(token, order.clone()).await;
--- a/crates/duty/src/stage.rs
+++ b/crates/duty/src/stage.rs
@@ -18,10 +18,14 @@
 const LEAST_DECODE: usize = 2;
 /// Time after which an order whose effect is not seen is given again, beyond the engine's switch.
 const UNSEEN: Duration = Duration::from_secs(6);
-/// Part of the slots that generate beyond which requests begin to wait.
-const SLOT_USE: f64 = 0.75;
+/// Part of the slots that generate beyond which requests begin to wait. Long answers hold theirs for
+/// seconds and stop everything behind them, so there is more room here than for reading.
+const SLOT_USE: f64 = 0.6;
 /// Part of the time that engines read beyond which prompts begin to wait.
 const READ_USE: f64 = 0.65;
+/// Time constant with which a demand that has fallen is forgotten. Traffic swings within seconds, and
+/// a change of stage takes about as long, so the stages follow the peaks of both kinds.
+const HOLD: Duration = Duration::from_secs(8);
 /// Engines by which the division may be off.
 const SLACK: usize = 1;
 /// Part of a service's engines that may change at once while requests run.
@@ -42,9 +46,22 @@
 #[derive(Clone, Debug, Default)]
 pub struct State {
     given: IndexMap<Name, Mono>,
+    held: IndexMap<Name, (Asked, Mono)>,
 }
 
 impl State {
+    /// Takes in what callers ask of `service` now; returns the demand that the stages shall follow.
+    pub fn hold(&mut self, service: &Name, asked: Asked, now: Mono) -> Asked {
+        let (held, at) = self.held.entry(service.clone()).or_insert((asked, now));
+        let kept = (-now.saturating_sub(*at).as_secs_f64() / HOLD.as_secs_f64()).exp();
+        *held = Asked {
+            reading: asked.reading.max(held.reading * kept),
+            slots: asked.slots.max(held.slots * kept),
+        };
+        *at = now;
+        *held
+    }
+
     /// Notes an order that was sent, whether it was answered or not.
     pub fn sent(&mut self, order: &StageOrder, now: Mono) {
         self.given.insert(order.endpoint.clone(), now);
@@ -72,7 +89,7 @@
 
 /// Orders to give now.
 pub fn plan(
-    state: &State,
+    state: &mut State,
     table: &Table,
     entries: &[Entry],
     asked: impl Fn(&Name) -> Asked,
@@ -86,7 +103,8 @@
         if engines.len() <= LEAST_DECODE {
             continue;
         }
-        let want = generating(engines.len(), engine.slots, asked(service));
+        let held = state.hold(service, asked(service), now);
+        let want = generating(engines.len(), engine.slots, held);
         plan_service(state, engine.switch, &engines, want, now, &mut out);
     }
     out
--- a/crates/duty/tests/engine_stages.rs
+++ b/crates/duty/tests/engine_stages.rs
@@ -36,7 +36,7 @@
 }
 
 fn orders(entries: &[Entry], asked: Asked) -> Vec<StageOrder> {
-    plan(&State::default(), &table(6), entries, |_| asked, NOW)
+    plan(&mut State::default(), &table(6), entries, |_| asked, NOW)
 }
 
 const PROMPTS: Asked = Asked { reading: 8.0, slots: 10.0 };
@@ -51,6 +51,26 @@
     assert!(!to_generate.is_empty() && to_generate.iter().all(|o| o.stage == Stage::Decode));
 }
 
+/// Pattern: bursts of long answers and of long prompts alternate within three seconds. The engines
+/// that generate stay enough for the bursts of answers.
+#[test]
+fn alternating_bursts() {
+    let (table, mut state, mut entries) = (table(6), State::default(), engines(8, 8));
+    let mut fewest = usize::MAX;
+    for step in 0..120_u64 {
+        let now = NOW + Duration::from_millis(500 * step);
+        let asked = if (step / 6) % 2 == 0 { PROMPTS } else { ANSWERS };
+        for order in plan(&mut state, &table, &entries, |_| asked, now) {
+            state.sent(&order, now);
+            let entry = entries.iter_mut().find(|e| e.name == order.endpoint).expect("an engine");
+            entry.stage = Some(order.stage);
+        }
+        let generate = entries.iter().filter(|e| e.stage == Some(Stage::Decode)).count();
+        fewest = if step < 20 { usize::MAX } else { fewest.min(generate) };
+    }
+    assert!(fewest as f64 * 6.0 >= ANSWERS.slots, "{fewest} engines generate at the least");
+}
+
 /// Never more than a third of the engines change at once, and some always generate.
 #[rstest]
 #[case(PROMPTS)]
@@ -60,7 +80,7 @@
     let (table, mut state, mut entries) = (table(6), State::default(), engines(8, 8));
     for step in 0..40 {
         let now = NOW + Duration::from_millis(500 * step);
-        let given = plan(&state, &table, &entries, |_| asked, now);
+        let given = plan(&mut state, &table, &entries, |_| asked, now);
         assert!(given.len() <= 5, "{given:?}");
         for order in given {
             state.sent(&order, now);
@@ -78,13 +98,13 @@
 #[test]
 fn not_repeated() {
     let (table, mut state, entries) = (table(6), State::default(), engines(4, 12));
-    for order in plan(&state, &table, &entries, |_| PROMPTS, NOW) {
+    for order in plan(&mut state, &table, &entries, |_| PROMPTS, NOW) {
         state.sent(&order, NOW);
     }
     let soon = NOW + Duration::from_secs(2);
-    assert_eq!(plan(&state, &table, &entries, |_| PROMPTS, soon), []);
+    assert_eq!(plan(&mut state, &table, &entries, |_| PROMPTS, soon), []);
     let late = NOW + Duration::from_secs(10);
-    assert!(!plan(&state, &table, &entries, |_| PROMPTS, late).is_empty());
+    assert!(!plan(&mut state, &table, &entries, |_| PROMPTS, late).is_empty());
 }
 
 /// A division that fits is left alone.
