Announce a change of stage before it is ordered

Cause: an engine refuses what arrives while it changes its stage.

Change: the holder of the duties announces a change 0.4 s before its order, and all instances leave the engine out until its entry shows the new stage. Tests: duty engine_stages::announced_first, sync told_load.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -1,50 +1,34 @@
 //! Puts one instance on the operators' platform together and runs it.
 
+mod calls;
 pub mod lines;
 pub mod settings;
+mod talk;
 
 use {
-    agate_adapter::{PATHS, SOURCE, headers, orders, store},
+    agate_adapter::{PATHS, SOURCE, headers, store},
     agate_duty::{
-        order::{Answer, Order},
-        runner::{self, Calls, Counter, Duties, Parts, Reported, Seat},
-        stage::{self, StageOrder},
+        runner::{self, Counter, Duties, Parts, Seat},
         window,
     },
     agate_lease::Lease,
-    agate_link::call::Caller,
     agate_relay::{
-        demand,
         gate::{self, Gate},
         ready::Monitor,
         server::Front,
         spare::Rates,
     },
-    agate_route::ranking::name_hash,
     agate_store::{Client, Store, breaker, client},
-    agate_sync::{
-        message::{Demand, Load},
-        runner::{COORDINATORS, Ports, Talking, bind},
-    },
+    agate_sync::runner::{COORDINATORS, Talking, bind},
     agate_view::{
         Belief,
         follow::{self, Followers, Pace},
         peers::{self, Peer},
-        table::Name,
     },
     eyre::{Result, WrapErr},
     flexi_logger::LoggerHandle,
-    futures_util::FutureExt,
-    http::StatusCode,
-    indexmap::IndexMap,
     settings::Settings,
-    std::{
-        net::SocketAddr,
-        path::Path,
-        process::ExitCode,
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::{net::SocketAddr, path::Path, process::ExitCode, sync::Arc, time::Duration},
     tokio::{
         signal::unix::{SignalKind, signal},
         task::JoinHandle,
@@ -110,8 +94,8 @@
             address: settings.peers,
             weight: settings.weight(),
         };
-        let asked = Arc::<OthersAsk>::default();
-        let ports = sync_ports(&gate, &counter, &asked);
+        let asked = Arc::<talk::OthersAsk>::default();
+        let ports = talk::ports(&gate, &counter, &asked);
         let sync =
             bind(own.clone(), incarnation.clone(), store.clone(), belief.clone(), ports).await;
         let sync = sync.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
@@ -133,14 +117,15 @@
             gather: GATHER,
             late: settings.usage.late,
         };
-        let calls = calls(settings, &seat);
-        let asking = gate.clone();
+        let calls = calls::calls(settings, &seat);
+        let (asking, announcing) = (gate.clone(), gate.clone());
         let duties = runner::spawn(Parts {
             store,
             belief,
             seat,
-            asked: Box::new(move |service| all_ask(&asking, &asked, service)),
+            asked: Box::new(move |service| talk::all_ask(&asking, &asked, service)),
             calls,
+            announce: Box::new(move |names| announcing.fleet.set_changing(names)),
             counter,
             windows,
             incarnation,
@@ -268,51 +253,6 @@
     }
 }
 
-/// What the callers of all other instances ask for, by the hash of the service's name.
-type OthersAsk = Mutex<IndexMap<u32, Demand>>;
-
-/// Engine time that callers of all instances ask of `service`.
-fn all_ask(gate: &Gate, others: &OthersAsk, service: &Name) -> stage::Asked {
-    let others = others.lock().expect("no panic under the lock of the demands");
-    let others = others.get(&(name_hash(service) as u32)).copied().unwrap_or_default();
-    let own = gate.demand(service, demand::Demand::asked);
-    stage::Asked {
-        reading: own.reading + f64::from(others.reading) / 1e3,
-        slots: own.slots + f64::from(others.slots) / 1e3,
-    }
-}
-
-/// Connects the talk with other instances to the request path and the counts.
-fn sync_ports(gate: &Arc<Gate>, counter: &Arc<Counter>, asked: &Arc<OthersAsk>) -> Ports {
-    let (own, others, demands, asked) = (gate.clone(), gate.clone(), gate.clone(), asked.clone());
-    let (usage, noted, collect) = (counter.clone(), counter.clone(), counter.clone());
-    Ports {
-        loads: Box::new(move || {
-            let loads = own.fleet.loads().into_iter();
-            loads.map(|(endpoint, open, tokens)| Load { endpoint, open, tokens }).collect()
-        }),
-        demands: Box::new(move || {
-            let milli = |x: f64| (x * 1e3).round() as u32;
-            let asked = demands.asked().into_iter();
-            let demand = |(name, a): (Name, demand::Asked)| Demand {
-                service: name_hash(&name) as u32,
-                reading: milli(a.reading),
-                slots: milli(a.slots),
-            };
-            asked.map(demand).collect()
-        }),
-        others: Box::new(move |loads, demands| {
-            let demands = demands.iter().map(|d| (d.service, *d)).collect();
-            *asked.lock().expect("no panic under the lock of the demands") = demands;
-            let loads = loads.iter().map(|l| (l.endpoint, (l.open, l.tokens)));
-            others.fleet.set_others(&loads.collect());
-        }),
-        usage: Box::new(move || usage.newest()),
-        usage_noted: Box::new(move |version| noted.note_kept(version)),
-        collect: Box::new(move |u| collect.collect(&u.from, u.window, &u.rows)),
-    }
-}
-
 fn gate_settings(settings: &Settings) -> gate::Settings {
     gate::Settings {
         zone: settings.zone.as_str().into(),
@@ -333,55 +273,3 @@
     out.poll = LEASE_POLL;
     out
 }
-
-fn calls(settings: &Settings, seat: &Arc<Seat>) -> Calls {
-    let caller = Arc::new(Caller::new(settings.orders));
-    let holder: Arc<str> = settings.name.as_str().into();
-    let (report_caller, report_holder) = (caller.clone(), holder.clone());
-    let (stage_holder, seat) = (holder.clone(), seat.clone());
-    let report = move |token, window, sealed: window::Sealed| {
-        let (caller, holder) = (report_caller.clone(), report_holder.clone());
-        async move {
-            let authority = orders::Authority { holder: &holder, token };
-            let sent = orders::report_usage(&caller, authority, window, sealed.counts()).await;
-            match sent {
-                Ok(status) if status.is_success() => Reported::Done,
-                Ok(StatusCode::TOO_MANY_REQUESTS) => Reported::Again,
-                Ok(status) if status.is_client_error() => Reported::Refused,
-                Ok(_) | Err(_) => Reported::Again,
-            }
-        }
-        .boxed()
-    };
-    let order = move |token, order: Order| {
-        let (caller, holder) = (caller.clone(), holder.clone());
-        async move {
-            let authority = orders::Authority { holder: &holder, token };
-            let Order { subject, spot, count } = order;
-            let (service, zone) = (&*subject.service, &*subject.zone);
-            let sent =
-                orders::order_endpoints(&caller, authority, service, zone, count, spot).await;
-            match sent {
-                Ok(status) if status.is_success() => Answer::Accepted,
-                Ok(StatusCode::CONFLICT) => Answer::Scarce,
-                Ok(_) | Err(_) => Answer::Unknown,
-            }
-        }
-        .boxed()
-    };
-    let stage = move |token, order: StageOrder| {
-        let (holder, seat) = (stage_holder.clone(), seat.clone());
-        async move {
-            let authority = orders::Authority { holder: &holder, token };
-            // A connection of its own for each order: none can be delivered late out of an old one.
-            let caller = Caller::new(order.address);
-            let may_act = || seat.may_act() == Some(token);
-            let sent =
-                orders::order_stage(&caller, authority, &order.endpoint, order.stage, may_act)
-                    .await;
-            sent.map_or_else(|f| f.cause, |outcome| format!("{outcome:?}"))
-        }
-        .boxed()
-    };
-    Calls { report: Box::new(report), order: Box::new(order), stage: Box::new(stage) }
-}
--- /dev/null
+++ b/crates/cli/src/edge/talk.rs
@@ -0,0 +1,63 @@
+//! Connects the talk with other instances to the request path, the counts and the duties.
+
+use {
+    agate_duty::{runner::Counter, stage},
+    agate_relay::{demand, gate::Gate},
+    agate_route::ranking::name_hash,
+    agate_sync::{
+        message::{Demand, Figures, Load},
+        runner::Ports,
+    },
+    agate_view::table::Name,
+    indexmap::IndexMap,
+    std::sync::{Arc, Mutex},
+};
+
+/// What the callers of all other instances ask for, by the hash of the service's name.
+pub type OthersAsk = Mutex<IndexMap<u32, Demand>>;
+
+/// Engine time that callers of all instances ask of `service`.
+pub fn all_ask(gate: &Gate, others: &OthersAsk, service: &Name) -> stage::Asked {
+    let others = others.lock().expect("no panic under the lock of the demands");
+    let others = others.get(&(name_hash(service) as u32)).copied().unwrap_or_default();
+    let own = gate.demand(service, demand::Demand::asked);
+    stage::Asked {
+        reading: own.reading + f64::from(others.reading) / 1e3,
+        slots: own.slots + f64::from(others.slots) / 1e3,
+    }
+}
+
+/// What this instance tells of itself.
+fn own_figures(gate: &Gate) -> Figures {
+    let milli = |x: f64| (x * 1e3).round() as u32;
+    let demand = |(name, a): (Name, demand::Asked)| Demand {
+        service: name_hash(&name) as u32,
+        reading: milli(a.reading),
+        slots: milli(a.slots),
+    };
+    let loads = gate.fleet.loads().into_iter();
+    Figures {
+        loads: loads.map(|(endpoint, open, tokens)| Load { endpoint, open, tokens }).collect(),
+        demands: gate.asked().into_iter().map(demand).collect(),
+        changing: gate.fleet.own_changing(),
+    }
+}
+
+/// The ports of the talk.
+pub fn ports(gate: &Arc<Gate>, counter: &Arc<Counter>, asked: &Arc<OthersAsk>) -> Ports {
+    let (own, others, asked) = (gate.clone(), gate.clone(), asked.clone());
+    let (usage, noted, collect) = (counter.clone(), counter.clone(), counter.clone());
+    Ports {
+        own: Box::new(move || own_figures(&own)),
+        others: Box::new(move |figures| {
+            let demands = figures.demands.iter().map(|d| (d.service, *d)).collect();
+            *asked.lock().expect("no panic under the lock of the demands") = demands;
+            let loads = figures.loads.iter().map(|l| (l.endpoint, (l.open, l.tokens)));
+            others.fleet.set_others(&loads.collect());
+            others.fleet.set_others_changing(&figures.changing);
+        }),
+        usage: Box::new(move || usage.newest()),
+        usage_noted: Box::new(move |version| noted.note_kept(version)),
+        collect: Box::new(move |u| collect.collect(&u.from, u.window, &u.rows)),
+    }
+}
--- a/crates/duty/src/runner.rs
+++ b/crates/duty/src/runner.rs
@@ -161,6 +161,8 @@
     pub calls: Calls,
     /// Engine time that callers of all instances ask of a service.
     pub asked: Box<AskedFn>,
+    /// Tells the own request path and all others which engines are about to change.
+    pub announce: Box<dyn Fn(&[Name]) + Send + Sync>,
     /// Counts of this instance.
     pub counter: Arc<Counter>,
     /// Times of usage windows.
@@ -295,7 +297,10 @@
     };
     loop {
         sleep(ROUND).await;
-        let Some(token) = holder.parts.seat.may_act() else { continue };
+        let Some(token) = holder.parts.seat.may_act() else {
+            (holder.parts.announce)(&[]);
+            continue;
+        };
         if token != holder.token {
             holder.token = token;
             holder.done.clear();
@@ -427,9 +432,11 @@
     async fn change_stages(&mut self) {
         let Some(table) = self.parts.belief.table.load_full() else { return };
         let entries = self.parts.belief.entries.load_full();
-        for order in
-            stage::plan(&mut self.stages, &table, &entries, &self.parts.asked, clock::now())
-        {
+        let now = clock::now();
+        let planned = stage::plan(&mut self.stages, &table, &entries, &self.parts.asked, now);
+        let due = self.stages.announce(planned, now);
+        (self.parts.announce)(&self.stages.changing(&entries, now));
+        for order in due {
             let Some(token) = self.parts.seat.may_act() else { return };
             self.stages.sent(&order, clock::now());
             let outcome = (self.parts.calls.stage)(token, order.clone()).await;
--- a/crates/duty/src/stage.rs
+++ b/crates/duty/src/stage.rs
@@ -23,6 +23,9 @@
 const SLOT_USE: f64 = 0.6;
 /// Part of the time that engines read beyond which prompts begin to wait.
 const READ_USE: f64 = 0.65;
+/// Time between the announcement of a change and its order, in which all instances hear of it: an
+/// engine refuses what arrives while it changes.
+const NOTICE: Duration = Duration::from_millis(400);
 /// Time constant with which a demand that has fallen is forgotten. Traffic swings within seconds, and
 /// a change of stage takes about as long, so the stages follow the peaks of both kinds.
 const HOLD: Duration = Duration::from_secs(8);
@@ -47,6 +50,7 @@
 pub struct State {
     given: IndexMap<Name, Mono>,
     held: IndexMap<Name, (Asked, Mono)>,
+    announced: IndexMap<Name, (StageOrder, Mono)>,
 }
 
 impl State {
@@ -62,6 +66,33 @@
         *held
     }
 
+    /// Announces the orders of a plan; returns those that were announced for long enough.
+    pub fn announce(&mut self, planned: Vec<StageOrder>, now: Mono) -> Vec<StageOrder> {
+        for order in planned {
+            self.announced.entry(order.endpoint.clone()).or_insert((order, now));
+        }
+        let due = self.announced.values().filter(|(order, at)| {
+            now.saturating_sub(*at) >= NOTICE && !self.given.contains_key(&order.endpoint)
+        });
+        due.map(|(order, _)| order.clone()).collect()
+    }
+
+    /// Forgets changes that the entries show, and those that never happened; returns the endpoints
+    /// that are still about to change.
+    pub fn changing(&mut self, entries: &[Entry], now: Mono) -> Vec<Name> {
+        let (announced, given) = (&mut self.announced, &mut self.given);
+        announced.retain(|name, (order, at)| {
+            let entry = entries.iter().find(|e| e.name == *name);
+            let open = entry.is_some_and(|e| e.stage != Some(order.stage));
+            let kept = open && now.saturating_sub(*at) < NOTICE + UNSEEN;
+            if !kept {
+                given.shift_remove(name);
+            }
+            kept
+        });
+        announced.keys().cloned().collect()
+    }
+
     /// Notes an order that was sent, whether it was answered or not.
     pub fn sent(&mut self, order: &StageOrder, now: Mono) {
         self.given.insert(order.endpoint.clone(), now);
@@ -120,7 +151,8 @@
 ) {
     let pending = |e: &Entry| {
         let given = state.given.get(&e.name);
-        given.is_some_and(|at| now.saturating_sub(*at) < switch + UNSEEN)
+        let announced = state.announced.contains_key(&e.name);
+        announced || given.is_some_and(|at| now.saturating_sub(*at) < switch + UNSEEN)
     };
     let changing = engines.iter().filter(|e| pending(e) && e.stage == Some(Stage::Decode)).count();
     let decode: Vec<&&Entry> = engines.iter().filter(|e| e.stage == Some(Stage::Decode)).collect();
--- a/crates/duty/tests/engine_stages.rs
+++ b/crates/duty/tests/engine_stages.rs
@@ -107,6 +107,26 @@
     assert!(!plan(&mut state, &table, &entries, |_| PROMPTS, late).is_empty());
 }
 
+/// Pattern: requests keep coming while engines change. A change is announced before its order, and
+/// ends with the entry that shows it or when it never happens.
+#[test]
+fn announced_first() {
+    let (table, mut state, mut entries) = (table(6), State::default(), engines(4, 12));
+    let planned = plan(&mut state, &table, &entries, |_| PROMPTS, NOW);
+    let names: Vec<_> = planned.iter().map(|o| o.endpoint.clone()).collect();
+    assert_eq!(state.announce(planned, NOW), [], "nothing is ordered at once");
+    assert_eq!(state.changing(&entries, NOW), names);
+    let later = NOW + Duration::from_millis(500);
+    let due = state.announce(Vec::new(), later);
+    assert_eq!(due.iter().map(|o| o.endpoint.clone()).collect::<Vec<_>>(), names);
+    due.iter().for_each(|o| state.sent(o, later));
+    assert_eq!(state.announce(Vec::new(), later), [], "ordered once");
+    let entry = entries.iter_mut().find(|e| e.name == names[0]).expect("an engine");
+    entry.stage = Some(Stage::Prefill);
+    assert_eq!(state.changing(&entries, later), names[1..]);
+    assert!(state.changing(&entries, later + Duration::from_secs(20)).is_empty());
+}
+
 /// A division that fits is left alone.
 #[test]
 fn left_alone() {
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -115,6 +115,8 @@
 /// All endpoints.
 pub struct Fleet {
     services: ArcSwap<Services>,
+    /// Hashes of endpoints that are about to change: those that this instance changes, and others.
+    changing: [ArcSwap<Vec<u32>>; 2],
     origin: Instant,
     zone: Name,
 }
@@ -148,13 +150,42 @@
 impl Fleet {
     /// Makes an empty fleet seen from `zone`.
     pub fn new(zone: Name) -> Self {
-        Self { services: ArcSwap::default(), origin: Instant::now(), zone }
+        let changing = [ArcSwap::default(), ArcSwap::default()];
+        Self { services: ArcSwap::default(), changing, origin: Instant::now(), zone }
     }
 
     fn now(&self) -> Mono {
         self.origin.elapsed()
     }
 
+    /// Notes which endpoints this instance is about to change.
+    pub fn set_changing(&self, names: &[Name]) {
+        let hashes = names.iter().map(|n| name_hash(n) as u32).collect();
+        self.changing[0].store(Arc::new(hashes));
+    }
+
+    /// Notes which endpoints others are about to change.
+    pub fn set_others_changing(&self, hashes: &[u32]) {
+        if self.changing[1].load().as_slice() != hashes {
+            self.changing[1].store(Arc::new(hashes.to_vec()));
+        }
+    }
+
+    /// Hashes of the endpoints that this instance is about to change.
+    pub fn own_changing(&self) -> Vec<u32> {
+        self.changing[0].load().to_vec()
+    }
+
+    fn is_changing(&self, endpoint: &Endpoint) -> bool {
+        self.changing.iter().any(|c| c.load().contains(&(endpoint.hash as u32)))
+    }
+
+    fn candidate(&self, endpoint: &Endpoint, zone: &Name, now: Mono) -> Candidate {
+        let candidate = endpoint.candidate(zone, now);
+        let refusing = candidate.refusing || self.is_changing(endpoint);
+        Candidate { refusing, ..candidate }
+    }
+
     /// Endpoints by service.
     pub fn services(&self) -> arc_swap::Guard<Arc<Services>> {
         self.services.load()
@@ -190,7 +221,7 @@
         let pool: Vec<&Health> = fits.iter().map(|e| &e.live.health).collect();
         health::return_early(&pool, now);
         let candidates: Vec<Candidate> =
-            fits.iter().map(|e| e.candidate(need.zone.unwrap_or(&self.zone), now)).collect();
+            fits.iter().map(|e| self.candidate(e, need.zone.unwrap_or(&self.zone), now)).collect();
         match place::choose(&need.want, &candidates) {
             Choice::At { index, tokens } => Ok(Stay::new(fits[index].clone(), tokens)),
             other => Err(other),
@@ -202,7 +233,7 @@
         let (services, now) = (self.services.load(), self.now());
         let mut all = services.get(service).into_iter().flatten();
         let free = |e: &Arc<Endpoint>| {
-            let c = e.candidate(&self.zone, now);
+            let c = self.candidate(e, &self.zone, now);
             c.healthy && !c.refusing && c.use_of_slots() < 1.0
         };
         all.any(|e| e.entry.stage == Some(stage) && !e.live.gone.load(Relaxed) && free(e))
--- a/crates/sync/src/coordinator.rs
+++ b/crates/sync/src/coordinator.rs
@@ -3,10 +3,10 @@
 use {
     crate::{
         EndpointHash, Round,
-        message::{Demand, Load, Question, Usage},
+        message::{Demand, Figures, Load, Question, Usage},
     },
     agate_core::Mono,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     std::time::Duration,
 };
 
@@ -18,8 +18,7 @@
 struct Told {
     round: Round,
     at: Mono,
-    loads: Vec<Load>,
-    demands: Vec<Demand>,
+    figures: Figures,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,42 +40,37 @@
         self.told.retain(|_, t| now.saturating_sub(t.at) < LOAD_AGE);
         let told = self.told.entry(question.from.clone()).or_default();
         if question.round > told.round || told.round == 0 {
-            *told = Told {
-                round: question.round,
-                at: now,
-                loads: question.loads.clone(),
-                demands: question.demands.clone(),
-            };
+            *told = Told { round: question.round, at: now, figures: question.figures.clone() };
         }
     }
 
-    /// Load of the endpoints by all instances but `except`, with `own` of this one.
-    pub fn totals(&self, except: &str, own: &[Load], now: Mono) -> Vec<Load> {
-        let mut sums: IndexMap<EndpointHash, Load> = IndexMap::new();
+    /// Figures of all instances but `except`, with `own` of this one.
+    pub fn totals(&self, except: &str, own: &Figures, now: Mono) -> Figures {
+        let mut loads: IndexMap<EndpointHash, Load> = IndexMap::new();
+        let mut demands: IndexMap<u32, Demand> = IndexMap::new();
+        let mut changing: IndexSet<EndpointHash> = IndexSet::new();
         let fresh = |t: &Told| now.saturating_sub(t.at) < LOAD_AGE;
         let others = self.told.iter().filter(|(from, t)| *from != except && fresh(t));
-        let loads = others.flat_map(|(_, t)| &t.loads).chain(own);
-        for load in loads {
-            let sum = sums.entry(load.endpoint).or_default();
-            sum.endpoint = load.endpoint;
-            sum.open = sum.open.saturating_add(load.open);
-            sum.tokens = sum.tokens.saturating_add(load.tokens);
+        for figures in others.map(|(_, t)| &t.figures).chain([own]) {
+            for load in &figures.loads {
+                let sum = loads.entry(load.endpoint).or_default();
+                sum.endpoint = load.endpoint;
+                sum.open = sum.open.saturating_add(load.open);
+                sum.tokens = sum.tokens.saturating_add(load.tokens);
+            }
+            for demand in &figures.demands {
+                let sum = demands.entry(demand.service).or_default();
+                sum.service = demand.service;
+                sum.reading = sum.reading.saturating_add(demand.reading);
+                sum.slots = sum.slots.saturating_add(demand.slots);
+            }
+            changing.extend(&figures.changing);
         }
-        sums.into_values().collect()
-    }
-
-    /// What the callers of all instances but `except` ask for, with `own` of this one.
-    pub fn demands(&self, except: &str, own: &[Demand], now: Mono) -> Vec<Demand> {
-        let mut sums: IndexMap<u32, Demand> = IndexMap::new();
-        let fresh = |t: &Told| now.saturating_sub(t.at) < LOAD_AGE;
-        let others = self.told.iter().filter(|(from, t)| *from != except && fresh(t));
-        for demand in others.flat_map(|(_, t)| &t.demands).chain(own) {
-            let sum = sums.entry(demand.service).or_default();
-            sum.service = demand.service;
-            sum.reading = sum.reading.saturating_add(demand.reading);
-            sum.slots = sum.slots.saturating_add(demand.slots);
+        Figures {
+            loads: loads.into_values().collect(),
+            demands: demands.into_values().collect(),
+            changing: changing.into_iter().collect(),
         }
-        sums.into_values().collect()
     }
 
     /// Counts a part of a round of usage.
--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -27,6 +27,17 @@
     pub slots: u32,
 }
 
+/// What instances tell of themselves, and a coordinator of all others.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Load of the endpoints; those without load are left out.
+    pub loads: Vec<Load>,
+    /// What callers ask for.
+    pub demands: Vec<Demand>,
+    /// Endpoints that are about to change and refuse new work meanwhile.
+    pub changing: Vec<EndpointHash>,
+}
+
 /// What an instance asks and tells.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
@@ -34,10 +45,8 @@
     pub from: String,
     /// Number of the question.
     pub round: Round,
-    /// Its load of the endpoints; those without load are left out.
-    pub loads: Vec<Load>,
-    /// What its callers ask for.
-    pub demands: Vec<Demand>,
+    /// Its own figures.
+    pub figures: Figures,
 }
 
 /// A belief of the coordinator.
@@ -58,10 +67,8 @@
     pub config: Option<Known>,
     /// The endpoints that it knows.
     pub roster: Option<Known>,
-    /// Load of the endpoints by all other instances.
-    pub loads: Vec<Load>,
-    /// What the callers of all other instances ask for.
-    pub demands: Vec<Demand>,
+    /// Figures of all other instances.
+    pub figures: Figures,
 }
 
 /// Usage of one window, whole values.
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -4,7 +4,7 @@
     crate::{
         asker::Asker,
         coordinator::Coordinator,
-        message::{Demand, Known, Load, Message, Question, State, Usage},
+        message::{Figures, Known, Message, Question, State, Usage},
     },
     agate_store::{Purpose, Store},
     agate_view::{
@@ -47,18 +47,14 @@
 pub type Rows = Vec<(u64, Vec<(String, u64)>)>;
 /// Usage that is sent, with its version.
 pub type Counted = (u64, Rows);
-/// Tells what callers ask for.
-type DemandsFn = dyn Fn() -> Vec<Demand> + Send + Sync;
-/// Takes load and demand of all others in.
-type OthersFn = dyn Fn(&[Load], &[Demand]) + Send + Sync;
+/// Takes the figures of all others in.
+type OthersFn = dyn Fn(&Figures) + Send + Sync;
 
 /// What the runner needs of the rest of the instance.
 pub struct Ports {
-    /// Own load of the endpoints.
-    pub loads: Box<dyn Fn() -> Vec<Load> + Send + Sync>,
-    /// What the own callers ask for.
-    pub demands: Box<DemandsFn>,
-    /// Takes the load of all others in, and what their callers ask for.
+    /// Own figures.
+    pub own: Box<dyn Fn() -> Figures + Send + Sync>,
+    /// Takes the figures of all others in.
     pub others: Box<OthersFn>,
     /// Own usage of the newest windows.
     pub usage: Box<dyn Fn() -> Counted + Send + Sync>,
@@ -195,9 +191,8 @@
         let names: Vec<&str> = asked.iter().map(|p| p.name.as_str()).collect();
         let Some((target, round)) = self.asker.ask(&names, clock::now()) else {
             if own.is_some() {
-                let now = clock::now();
-                let loads = self.coordinator.totals("", &[], now);
-                (self.ports.others)(&loads, &self.coordinator.demands("", &[], now));
+                let none = Figures::default();
+                (self.ports.others)(&self.coordinator.totals("", &none, clock::now()));
             }
             return;
         };
@@ -205,8 +200,8 @@
             return;
         };
         let from = self.incarnation.clone();
-        let (loads, demands) = ((self.ports.loads)(), (self.ports.demands)());
-        let question = Question { from, round, loads, demands };
+        let figures = (self.ports.own)();
+        let question = Question { from, round, figures };
         self.send(&Message::Question(question), address).await;
     }
 
@@ -287,8 +282,7 @@
             round: question.round,
             config: known(belief.revision.load(Ordering::Acquire), belief.config.age()),
             roster: known(belief.digest.load(Ordering::Acquire), belief.roster.age()),
-            loads: self.coordinator.totals(&question.from, &(self.ports.loads)(), now),
-            demands: self.coordinator.demands(&question.from, &(self.ports.demands)(), now),
+            figures: self.coordinator.totals(&question.from, &(self.ports.own)(), now),
         };
         self.send(&Message::State(state), from).await;
     }
@@ -301,7 +295,7 @@
         if let Some(proof) = roster {
             self.belief.confirm_roster(proof.version, proof.at);
         }
-        (self.ports.others)(&state.loads, &state.demands);
+        (self.ports.others)(&state.figures);
     }
 
     async fn send(&self, message: &Message, to: SocketAddr) {
--- a/crates/sync/tests/taken_proofs.rs
+++ b/crates/sync/tests/taken_proofs.rs
@@ -3,7 +3,7 @@
 use {
     agate_sync::{
         asker::{Asker, Confirmed, LEFT_OUT, SILENCE},
-        message::{Known, State},
+        message::{Figures, Known, State},
     },
     rstest::rstest,
     std::time::Duration,
@@ -15,7 +15,7 @@
 
 fn state(round: u64, age_ms: u64) -> State {
     let config = Some(Known { version: 9, age: age_ms * 1_000 });
-    State { round, config, roster: None, loads: Vec::new(), demands: Vec::new() }
+    State { round, config, roster: None, figures: Figures::default() }
 }
 
 /// However long the answer is under way, the proof counts from before the question.
--- a/crates/sync/tests/told_load.rs
+++ b/crates/sync/tests/told_load.rs
@@ -3,7 +3,7 @@
 use {
     agate_sync::{
         coordinator::{Coordinator, LOAD_AGE},
-        message::{Demand, Load, Question, Usage},
+        message::{Demand, Figures, Load, Question, Usage},
     },
     std::time::Duration,
 };
@@ -13,12 +13,13 @@
 fn question(from: &str, round: u64, tokens: u32) -> Question {
     let loads = vec![Load { endpoint: 1, open: 2, tokens }];
     let demands = vec![Demand { service: 5, reading: 100, slots: 7 }];
-    Question { from: from.into(), round, loads, demands }
+    Question { from: from.into(), round, figures: Figures { loads, demands, changing: vec![9] } }
 }
 
 fn tokens(coordinator: &Coordinator, except: &str, at: Duration) -> u32 {
-    let own = [Load { endpoint: 1, open: 1, tokens: 1_000 }];
-    coordinator.totals(except, &own, at).iter().map(|l| l.tokens).sum()
+    let loads = vec![Load { endpoint: 1, open: 1, tokens: 1_000 }];
+    let own = Figures { loads, ..Figures::default() };
+    coordinator.totals(except, &own, at).loads.iter().map(|l| l.tokens).sum()
 }
 
 /// Everyone is told the load of all but itself, the coordinator's own included.
@@ -29,7 +30,9 @@
     c.on_question(&question("b", 1, 20), NOW);
     assert_eq!(tokens(&c, "a", NOW), 1_020);
     assert_eq!(tokens(&c, "b", NOW), 1_010);
-    assert_eq!(c.demands("a", &[], NOW), [Demand { service: 5, reading: 100, slots: 7 }]);
+    let others = c.totals("a", &Figures::default(), NOW);
+    assert_eq!(others.demands, [Demand { service: 5, reading: 100, slots: 7 }]);
+    assert_eq!(others.changing, [9]);
 }
 
 /// A question that was overtaken changes nothing, and silence ends what was told.
