Pass entries on through coordinators; count no attempt where no connection was taken

Change: a coordinator sends its entries to an instance that knows others; they count only if the newest answer vouched for this very set, so a delayed part can bring nothing old back (sync assembly). Questions come every 1 ms for each instance, 50 ms at least. An endpoint that takes no connection is left out for half a second and is no attempt.

--- a/crates/duty/src/stage.rs
+++ b/crates/duty/src/stage.rs
@@ -25,7 +25,7 @@
 const READ_USE: f64 = 0.65;
 /// Time between the announcement of a change and its order, in which all instances hear of it: an
 /// engine refuses what arrives while it changes.
-const NOTICE: Duration = Duration::from_millis(400);
+const NOTICE: Duration = Duration::from_millis(600);
 /// Time constant with which a demand that has fallen is forgotten. Traffic swings within seconds, and
 /// a change of stage takes about as long, so the stages follow the peaks of both kinds.
 const HOLD: Duration = Duration::from_secs(8);
--- a/crates/duty/tests/engine_stages.rs
+++ b/crates/duty/tests/engine_stages.rs
@@ -116,7 +116,7 @@
     let names: Vec<_> = planned.iter().map(|o| o.endpoint.clone()).collect();
     assert_eq!(state.announce(planned, NOW), [], "nothing is ordered at once");
     assert_eq!(state.changing(&entries, NOW), names);
-    let later = NOW + Duration::from_millis(500);
+    let later = NOW + Duration::from_millis(1_000);
     let due = state.announce(Vec::new(), later);
     assert_eq!(due.iter().map(|o| o.endpoint.clone()).collect::<Vec<_>>(), names);
     due.iter().for_each(|o| state.sent(o, later));
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -35,6 +35,8 @@
 const REFUSED_FIRST: Duration = Duration::from_millis(40);
 /// Longest such time.
 const REFUSED_MOST: Duration = Duration::from_millis(640);
+/// Time for which an endpoint that took no connection gets nothing; a restart takes longer.
+const UNCONNECTED: Duration = Duration::from_millis(500);
 /// Part of the connections that an endpoint accepts which all instances together use.
 const CONNECTION_PART: f64 = 0.85;
 
@@ -266,6 +268,12 @@
         }
     }
 
+    /// Leaves an endpoint out for a moment that took no connection.
+    pub fn leave_out(&self, endpoint: &Endpoint) {
+        let mut refusals = endpoint.live.refusals();
+        refusals.until = refusals.until.max(self.now() + UNCONNECTED);
+    }
+
     /// Records how an exchange with an endpoint went.
     pub fn judge(&self, endpoint: &Endpoint, kind: Kind) {
         let mut refusals = endpoint.live.refusals();
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -44,6 +44,8 @@
 const LONG_URGENCY: u8 = 6;
 /// Bounds of the time after which a caller may come back to a full service.
 const FULL_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// Most endpoints that a request is offered to, those that took no connection included.
+const MOST_TRIED: usize = 5;
 /// Largest plain answer that is held back until it is whole, in bytes.
 const HELD_ANSWER: usize = 1 << 20;
 /// Sends over connections that had been closed meanwhile, before a request counts as failed.
@@ -57,8 +59,10 @@
 pub struct Attempts {
     /// Permission to send it again.
     grant: Option<Grant>,
-    /// Endpoints that it was sent to.
+    /// Endpoints that it goes to no more.
     pub tried: Vec<Name>,
+    /// Endpoints that it was sent to; one that took no connection does not count.
+    pub sent: u32,
     /// Cause of the newest failure.
     cause: Cause,
 }
@@ -80,6 +84,7 @@
     let mut attempts = Attempts {
         grant: Some(Grant::First(Untouched::accept())),
         tried: Vec::new(),
+        sent: 0,
         cause: Cause::Full,
     };
     loop {
@@ -118,7 +123,9 @@
 
 /// Whether the route and the time left allow another attempt.
 fn may_go_on(job: &Job, attempts: &Attempts) -> bool {
-    (attempts.tried.len() as u32) < job.route.attempts && job.left() > LEAST_LEFT
+    attempts.sent < job.route.attempts
+        && attempts.tried.len() < MOST_TRIED
+        && job.left() > LEAST_LEFT
 }
 
 /// Prepares another attempt after one that may have run the request, or ends the request.
@@ -157,6 +164,8 @@
         let outgoing = outgoing(job, &stay, resume, part);
         let sent = send(gate, job, &stay, &outgoing, grant).await;
         attempts.tried.push(stay.endpoint.entry.name.clone());
+        let unsent = matches!(&sent, Err(f) if f.step == Step::Connect);
+        attempts.sent += u32::from(!unsent);
         match sent {
             Ok(answer) => {
                 if !job.route.kind.streams() {
@@ -332,6 +341,10 @@
         "an endpoint did not answer the request"
     );
     let kind = match cause {
+        _ if failure.step == Step::Connect => {
+            gate.fleet.leave_out(endpoint);
+            Result_::Failure
+        }
         Cause::Rejected => Result_::Busy,
         Cause::Late if job.left() > LEAST_LEFT => Result_::Failure,
         Cause::Late => Result_::Neutral,
@@ -340,7 +353,9 @@
     gate.fleet.judge(endpoint, kind);
     let Some(grant) = failure.grant.take() else { return again(gate, job, attempts, cause) };
     attempts.cause = cause;
-    if !may_go_on(job, attempts) || !gate.take_spare(&job.service) {
+    // Nothing arrived at an endpoint that took no connection, so the next one is no repeat.
+    let spare = failure.step == Step::Connect || gate.take_spare(&job.service);
+    if !may_go_on(job, attempts) || !spare {
         return Err(refuse(grant, cause, Some(FULL_AFTER.0)));
     }
     gate.meter.retries.with_label_values(&["unrun"]).inc();
--- a/crates/relay/src/split.rs
+++ b/crates/relay/src/split.rs
@@ -14,7 +14,7 @@
         serve::Job,
     },
     agate_link::{
-        exchange::Failure,
+        exchange::{Failure, Step},
         truth::{Grant, Repeatable},
     },
     agate_route::health::Kind,
@@ -62,8 +62,8 @@
         let zone = stay.endpoint.entry.zone.clone();
         match read(gate, job, stay).await {
             Ok(name) => return Some(Source { name, zone }),
-            Err(()) if gate.take_spare(&job.service) => {}
-            Err(()) => return None,
+            Err(arrived) if !arrived || gate.take_spare(&job.service) => {}
+            Err(_) => return None,
         }
     }
     None
@@ -77,8 +77,9 @@
     gate.fleet.choose(&Need { service: &job.service, want, stage, tried, zone: None })
 }
 
-/// Has one engine read the prompt; its failure was logged.
-async fn read(gate: &Gate, job: &Job, mut stay: Stay) -> Result<String, ()> {
+/// Has one engine read the prompt. After a failure, which was logged, tells whether the request
+/// arrived there.
+async fn read(gate: &Gate, job: &Job, mut stay: Stay) -> Result<String, bool> {
     let endpoint = stay.endpoint.clone();
     let told = outgoing(job, &stay, None, Part::Read);
     let grant = Repeatable::idempotent(true).map(Grant::Again).expect("reading may be repeated");
@@ -91,7 +92,7 @@
         Ok(whole) => whole,
         Err(failure) => {
             fail(gate, job, &stay, &failure);
-            return Err(());
+            return Err(failure.step != Step::Connect);
         }
     };
     let kept = if head.status.is_success() { (gate.dialect.kept)(&body) } else { None };
@@ -102,7 +103,7 @@
             endpoint = &*endpoint.entry.name, status = head.status.as_u16();
             "the engine did not keep the prompt"
         );
-        return Err(());
+        return Err(true);
     };
     log::debug!(
         event = "prompt_read", request = job.ask.id.as_str(), endpoint = &*endpoint.entry.name,
@@ -123,6 +124,9 @@
 fn fail(gate: &Gate, job: &Job, stay: &Stay, failure: &Failure) {
     let endpoint = &stay.endpoint;
     gate.meter.failures.with_label_values(&["read"]).inc();
+    if failure.step == Step::Connect {
+        gate.fleet.leave_out(endpoint);
+    }
     gate.fleet.judge(endpoint, if failure.declared { Kind::Busy } else { Kind::Failure });
     log::info!(
         event = "reading_failed", request = job.ask.id.as_str(),
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -10,6 +10,7 @@
 //! not confirmed in time is read from the store, and usage that is not acknowledged is written there.
 
 pub mod asker;
+pub mod assembly;
 pub mod coordinator;
 pub mod message;
 pub mod runner;
--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{EndpointHash, Round},
+    agate_view::Entry,
     serde::{Deserialize, Serialize},
 };
 
@@ -45,6 +46,8 @@
     pub from: String,
     /// Number of the question.
     pub round: Round,
+    /// Digest of the endpoints' entries that it knows.
+    pub roster: u64,
     /// Its own figures.
     pub figures: Figures,
 }
@@ -71,6 +74,19 @@
     pub figures: Figures,
 }
 
+/// A part of the endpoints' entries that a coordinator knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entries {
+    /// Digest of all of them.
+    pub digest: u64,
+    /// Number of this part, from zero.
+    pub part: u32,
+    /// Number of parts.
+    pub parts: u32,
+    /// The entries of this part.
+    pub entries: Vec<Entry>,
+}
+
 /// Usage of one window, whole values.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
@@ -85,12 +101,14 @@
 }
 
 /// One message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// A question to a coordinator.
     Question(Question),
     /// Its answer.
     State(State),
+    /// Entries of endpoints that the asking instance lacks.
+    Entries(Entries),
     /// Usage for a coordinator.
     Usage(Usage),
     /// Last part of a round of usage; it is acknowledged with [`Message::Noted`].
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
-        asker::Asker,
+        asker::{Asker, Confirmed},
+        assembly::Assembly,
         coordinator::Coordinator,
-        message::{Figures, Known, Message, Question, State, Usage},
+        message::{Entries, Figures, Known, Message, Question, State, Usage},
     },
     agate_store::{Purpose, Store},
     agate_view::{
@@ -37,9 +38,13 @@
 /// Shortest time between two questions of one instance.
 const ASK_PERIOD: Duration = Duration::from_millis(50);
 /// Time between two questions for each instance, which bounds a coordinator's work in large fleets.
-const ASK_PERIOD_EACH: Duration = Duration::from_millis(3);
+const ASK_PERIOD_EACH: Duration = Duration::from_millis(1);
 /// Time between two rounds of usage.
 const USAGE_PERIOD: Duration = Duration::from_millis(500);
+/// Entries of endpoints in one message, below what a datagram holds.
+const ENTRY_ROWS: usize = 8;
+/// Age of the own proof above which a coordinator does not pass its entries on.
+const PASSED_AGE: Duration = Duration::from_millis(1_500);
 /// Rows of usage in one message, below what a datagram holds.
 const USAGE_ROWS: usize = 40;
 
@@ -96,6 +101,8 @@
             belief,
             ports,
             asker: Asker::default(),
+            assembly: Assembly::default(),
+            vouched: None,
             coordinator: Coordinator::default(),
             pushes: IndexMap::new(),
             round: 0,
@@ -145,6 +152,9 @@
     belief: Arc<Belief>,
     ports: Ports,
     asker: Asker,
+    assembly: Assembly,
+    /// Newest proof of the endpoints by a coordinator.
+    vouched: Option<Confirmed>,
     coordinator: Coordinator,
     pushes: IndexMap<String, Push>,
     round: u64,
@@ -201,7 +211,8 @@
         };
         let from = self.incarnation.clone();
         let figures = (self.ports.own)();
-        let question = Question { from, round, figures };
+        let roster = self.belief.digest.load(Ordering::Acquire);
+        let question = Question { from, round, roster, figures };
         self.send(&Message::Question(question), address).await;
     }
 
@@ -253,6 +264,7 @@
         match message {
             Message::Question(question) => self.answer(&question, from).await,
             Message::State(state) => self.take_over(&state),
+            Message::Entries(entries) => self.take_entries(entries),
             Message::Usage(usage) => {
                 self.coordinator.on_usage(&usage);
                 (self.ports.collect)(&usage);
@@ -285,10 +297,35 @@
             figures: self.coordinator.totals(&question.from, &(self.ports.own)(), now),
         };
         self.send(&Message::State(state), from).await;
+        self.pass_entries(question.roster, from).await;
+    }
+
+    /// Sends the entries of the endpoints to an instance that knows others, by their digest.
+    async fn pass_entries(&self, known: u64, to: SocketAddr) {
+        let digest = self.belief.digest.load(Ordering::Acquire);
+        let fresh = self.belief.roster.age().is_some_and(|age| age < PASSED_AGE);
+        if digest == 0 || digest == known || !fresh {
+            return;
+        }
+        let entries = self.belief.entries.load_full();
+        let parts = entries.len().div_ceil(ENTRY_ROWS) as u32;
+        for (part, chunk) in entries.chunks(ENTRY_ROWS).enumerate() {
+            let entries = chunk.to_vec();
+            let message = Entries { digest, part: part as u32, parts, entries };
+            self.send(&Message::Entries(message), to).await;
+        }
+    }
+
+    /// Takes a part of the entries in; the belief gets them once all are there.
+    fn take_entries(&mut self, message: Entries) {
+        if let Some((entries, at)) = self.assembly.take(message, self.vouched) {
+            self.belief.offer(entries, at);
+        }
     }
 
     fn take_over(&mut self, state: &State) {
         let Some((config, roster)) = self.asker.on_state(state, clock::now()) else { return };
+        self.vouched = roster;
         if let Some(proof) = config {
             self.belief.confirm_config(proof.version, proof.at);
         }
--- a/crates/sync/tests/told_load.rs
+++ b/crates/sync/tests/told_load.rs
@@ -13,7 +13,12 @@
 fn question(from: &str, round: u64, tokens: u32) -> Question {
     let loads = vec![Load { endpoint: 1, open: 2, tokens }];
     let demands = vec![Demand { service: 5, reading: 100, slots: 7 }];
-    Question { from: from.into(), round, figures: Figures { loads, demands, changing: vec![9] } }
+    Question {
+        from: from.into(),
+        round,
+        roster: 0,
+        figures: Figures { loads, demands, changing: vec![9] },
+    }
 }
 
 fn tokens(coordinator: &Coordinator, except: &str, at: Duration) -> u32 {
--- a/crates/view/src/belief.rs
+++ b/crates/view/src/belief.rs
@@ -6,7 +6,7 @@
     arc_swap::{ArcSwap, ArcSwapOption},
     std::{
         sync::{
-            Arc,
+            Arc, Mutex, MutexGuard,
             atomic::{AtomicU64, Ordering},
         },
         time::Duration,
@@ -73,6 +73,8 @@
     pub digest: AtomicU64,
     /// Proof that no endpoint's change is missing.
     pub roster: Proof,
+    /// Entries that a coordinator sent, with the time of their proof; taken by the follower.
+    offered: Mutex<Option<(Vec<Entry>, Mono)>>,
     /// The instances, this one included once its own record is seen.
     pub peers: ArcSwap<Vec<Peer>>,
     /// Changes whenever the table, the endpoints or the instances changed.
@@ -88,6 +90,7 @@
             entries: ArcSwap::default(),
             digest: AtomicU64::new(0),
             roster: Proof::default(),
+            offered: Mutex::default(),
             peers: ArcSwap::default(),
             changes: watch::Sender::new(0),
         }
@@ -120,11 +123,24 @@
     pub fn confirm_roster(&self, digest: u64, at: Mono) {
         if digest != 0 && self.digest.load(Ordering::Acquire) == digest {
             self.roster.note(at);
-        } else {
-            self.roster.doubt();
         }
     }
 
+    /// Offers entries that a coordinator vouched for at `at`.
+    pub fn offer(&self, entries: Vec<Entry>, at: Mono) {
+        *self.lock_offered() = Some((entries, at));
+        self.roster.doubt();
+    }
+
+    /// Takes the entries that were offered.
+    pub fn take_offered(&self) -> Option<(Vec<Entry>, Mono)> {
+        self.lock_offered().take()
+    }
+
+    fn lock_offered(&self) -> MutexGuard<'_, Option<(Vec<Entry>, Mono)>> {
+        self.offered.lock().expect("no panic under the lock of the offer")
+    }
+
     /// Tells those that follow the beliefs.
     pub fn announce(&self) {
         self.changes.send_modify(|n| *n += 1);
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -11,6 +11,7 @@
         roster::{Entry, Input, Roster, Stage},
         table::{Parts, Table},
     },
+    agate_core::Mono,
     agate_store::{Call, Error, Freshness, Item, Purpose, Record, Reply, Result, Store},
     std::{
         sync::{Arc, atomic::Ordering},
@@ -72,8 +73,6 @@
     }
 }
 
-/// Pause before the endpoints are read again.
-const DOUBT_PAUSE: Duration = Duration::from_millis(60);
 /// Pause after a failed read; short, since every belief ages meanwhile.
 const RETRY: Duration = Duration::from_millis(150);
 /// Renewals of the own record within its time to live.
@@ -160,21 +159,14 @@
     let mut reach = Reach::new("endpoints");
     loop {
         belief.roster.expired(pace.limit(pace.entries, &belief, &own)).await;
-        // Others may know another state for a while, which must not turn into a read each time.
-        sleep(DOUBT_PAUSE).await;
-        let sent = clock::now();
-        let read = store.range(Purpose::Roster, source.entries, Freshness::Linearizable).await;
-        let input = match read {
-            Ok(items) => {
-                reach.answered();
-                Input::Read { entries: decode(&items, source), sent }
-            }
-            Err(e) => {
-                reach.failed(&e);
-                sleep(RETRY).await;
-                continue;
-            }
+        let (entries, sent) = match belief.take_offered() {
+            Some(offered) => offered,
+            None => match read(&store, source, &mut reach).await {
+                Some(read) => read,
+                None => continue,
+            },
         };
+        let input = Input::Read { entries, sent };
         if let Some(age) = belief.roster.age() {
             roster.confirm(clock::now().saturating_sub(age));
         }
@@ -196,6 +188,22 @@
     }
 }
 
+/// Reads the entries from the store, with the time before the read was sent.
+async fn read(store: &Store, source: Source, reach: &mut Reach) -> Option<(Vec<Entry>, Mono)> {
+    let sent = clock::now();
+    match store.range(Purpose::Roster, source.entries, Freshness::Linearizable).await {
+        Ok(items) => {
+            reach.answered();
+            Some((decode(&items, source), sent))
+        }
+        Err(e) => {
+            reach.failed(&e);
+            sleep(RETRY).await;
+            None
+        }
+    }
+}
+
 fn decode(items: &[Item], source: Source) -> Vec<Entry> {
     let name = |item: &Item| item.key.strip_prefix(source.entries).unwrap_or_default().to_owned();
     let mut out = Vec::with_capacity(items.len());
--- a/crates/view/src/roster.rs
+++ b/crates/view/src/roster.rs
@@ -8,6 +8,7 @@
     crate::table::Name,
     agate_core::Mono,
     indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -21,7 +22,7 @@
 pub const OUTAGE: Duration = Duration::from_millis(1_800);
 
 /// What an engine does with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stage {
     /// Reads prompts for other engines.
     Prefill,
@@ -30,7 +31,7 @@
 }
 
 /// One endpoint as its entry describes it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Identifier of this incarnation.
     pub name: EndpointName,
