Vouch only for entries that the store shows; count usage as kept once the holder has it

(3) Each of a quick succession of configurations was read by every instance.

Change: a coordinator neither vouches for entries nor passes them on while it keeps missing ones. Usage is kept once the holder of the duties acknowledged it. Configurations are read 0.55 s apart at least.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -95,11 +95,11 @@
             weight: settings.weight(),
         };
         let asked = Arc::<talk::OthersAsk>::default();
-        let ports = talk::ports(&gate, &counter, &asked);
+        let seat = Arc::<Seat>::default();
+        let ports = talk::ports(&gate, &counter, &asked, &seat, &settings.name);
         let sync =
             bind(own.clone(), incarnation.clone(), store.clone(), belief.clone(), ports).await;
         let sync = sync.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
-        let seat = Arc::<Seat>::default();
         let standing = tokio::spawn(stand(
             seat.clone(),
             belief.clone(),
--- a/crates/cli/src/edge/talk.rs
+++ b/crates/cli/src/edge/talk.rs
@@ -1,7 +1,10 @@
 //! Connects the talk with other instances to the request path, the counts and the duties.
 
 use {
-    agate_duty::{runner::Counter, stage},
+    agate_duty::{
+        runner::{Counter, Seat},
+        stage,
+    },
     agate_relay::{demand, gate::Gate},
     agate_route::ranking::name_hash,
     agate_sync::{
@@ -28,7 +31,7 @@
 }
 
 /// What this instance tells of itself.
-fn own_figures(gate: &Gate) -> Figures {
+fn own_figures(gate: &Gate, seat: &Seat, name: &str) -> Figures {
     let milli = |x: f64| (x * 1e3).round() as u32;
     let demand = |(name, a): (Name, demand::Asked)| Demand {
         service: name_hash(&name) as u32,
@@ -40,15 +43,23 @@
         loads: loads.map(|(endpoint, open, tokens)| Load { endpoint, open, tokens }).collect(),
         demands: gate.asked().into_iter().map(demand).collect(),
         changing: gate.fleet.own_changing(),
+        holder: seat.may_act().map(|_| name.to_owned()),
     }
 }
 
 /// The ports of the talk.
-pub fn ports(gate: &Arc<Gate>, counter: &Arc<Counter>, asked: &Arc<OthersAsk>) -> Ports {
+pub fn ports(
+    gate: &Arc<Gate>,
+    counter: &Arc<Counter>,
+    asked: &Arc<OthersAsk>,
+    seat: &Arc<Seat>,
+    name: &str,
+) -> Ports {
+    let (seat, name) = (seat.clone(), name.to_owned());
     let (own, others, asked) = (gate.clone(), gate.clone(), asked.clone());
     let (usage, noted, collect) = (counter.clone(), counter.clone(), counter.clone());
     Ports {
-        own: Box::new(move || own_figures(&own)),
+        own: Box::new(move || own_figures(&own, &seat, &name)),
         others: Box::new(move |figures| {
             let demands = figures.demands.iter().map(|d| (d.service, *d)).collect();
             *asked.lock().expect("no panic under the lock of the demands") = demands;
--- a/crates/duty/src/runner.rs
+++ b/crates/duty/src/runner.rs
@@ -44,6 +44,7 @@
 
 type ReportFn = dyn Fn(FenceToken, Window, Sealed) -> BoxFuture<'static, Reported> + Send + Sync;
 type StageFn = dyn Fn(FenceToken, StageOrder) -> BoxFuture<'static, String> + Send + Sync;
+type AnnounceFn = dyn Fn(&[Name]) + Send + Sync;
 type AskedFn = dyn Fn(&Name) -> Asked + Send + Sync;
 type OrderFn = dyn Fn(FenceToken, Order) -> BoxFuture<'static, Answer> + Send + Sync;
 
@@ -162,7 +163,7 @@
     /// Engine time that callers of all instances ask of a service.
     pub asked: Box<AskedFn>,
     /// Tells the own request path and all others which engines are about to change.
-    pub announce: Box<dyn Fn(&[Name]) + Send + Sync>,
+    pub announce: Box<AnnounceFn>,
     /// Counts of this instance.
     pub counter: Arc<Counter>,
     /// Times of usage windows.
--- a/crates/sync/src/coordinator.rs
+++ b/crates/sync/src/coordinator.rs
@@ -49,6 +49,7 @@
         let mut loads: IndexMap<EndpointHash, Load> = IndexMap::new();
         let mut demands: IndexMap<u32, Demand> = IndexMap::new();
         let mut changing: IndexSet<EndpointHash> = IndexSet::new();
+        let mut holder = None;
         let fresh = |t: &Told| now.saturating_sub(t.at) < LOAD_AGE;
         let others = self.told.iter().filter(|(from, t)| *from != except && fresh(t));
         for figures in others.map(|(_, t)| &t.figures).chain([own]) {
@@ -65,11 +66,13 @@
                 sum.slots = sum.slots.saturating_add(demand.slots);
             }
             changing.extend(&figures.changing);
+            holder = holder.or_else(|| figures.holder.clone());
         }
         Figures {
             loads: loads.into_values().collect(),
             demands: demands.into_values().collect(),
             changing: changing.into_iter().collect(),
+            holder,
         }
     }
 
--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -37,6 +37,8 @@
     pub demands: Vec<Demand>,
     /// Endpoints that are about to change and refuse new work meanwhile.
     pub changing: Vec<EndpointHash>,
+    /// Name of the instance that holds the duties, if that is known.
+    pub holder: Option<String>,
 }
 
 /// What an instance asks and tells.
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -102,6 +102,7 @@
             ports,
             asker: Asker::default(),
             assembly: Assembly::default(),
+            holder: None,
             vouched: None,
             coordinator: Coordinator::default(),
             pushes: IndexMap::new(),
@@ -153,6 +154,8 @@
     ports: Ports,
     asker: Asker,
     assembly: Assembly,
+    /// Instance that holds the duties, as last told.
+    holder: Option<String>,
     /// Newest proof of the endpoints by a coordinator.
     vouched: Option<Confirmed>,
     coordinator: Coordinator,
@@ -201,8 +204,10 @@
         let names: Vec<&str> = asked.iter().map(|p| p.name.as_str()).collect();
         let Some((target, round)) = self.asker.ask(&names, clock::now()) else {
             if own.is_some() {
-                let none = Figures::default();
-                (self.ports.others)(&self.coordinator.totals("", &none, clock::now()));
+                let own = Figures { holder: (self.ports.own)().holder, ..Figures::default() };
+                let totals = self.coordinator.totals("", &own, clock::now());
+                self.holder = totals.holder.clone();
+                (self.ports.others)(&totals);
             }
             return;
         };
@@ -243,15 +248,21 @@
         self.note_usage(version, &coordinators);
     }
 
-    /// Tells which version of the own usage every coordinator has.
+    /// Tells which version of the own usage is kept elsewhere: what the holder of the duties has, or
+    /// every coordinator while it is not known.
     fn note_usage(&self, version: u64, coordinators: &[Peer]) {
-        let others = coordinators.iter().filter(|p| p.name != self.own.name);
-        let noted = others.map(|p| self.pushes.get(&p.name).map_or(0, |push| push.noted)).min();
-        // Alone, or not yet known to the others, an instance has told nobody.
-        match noted {
-            Some(least) => (self.ports.usage_noted)(least),
-            None if coordinators.is_empty() => {}
-            None => (self.ports.usage_noted)(version),
+        let noted = |name: &str| match name == self.own.name {
+            true => version,
+            false => self.pushes.get(name).map_or(0, |push| push.noted),
+        };
+        if let Some(holder) =
+            self.holder.as_deref().filter(|h| coordinators.iter().any(|p| p.name == *h))
+        {
+            return (self.ports.usage_noted)(noted(holder));
+        }
+        // Not yet known to the others, an instance has told nobody.
+        if let Some(least) = coordinators.iter().map(|p| noted(&p.name)).min() {
+            (self.ports.usage_noted)(least);
         }
     }
 
@@ -285,15 +296,16 @@
     async fn answer(&mut self, question: &Question, from: SocketAddr) {
         let now = clock::now();
         self.coordinator.on_question(question, now);
-        let known = |version: u64, age: Option<Duration>| {
-            let age = age?.as_micros().try_into().ok()?;
+        let known = |(version, age): (u64, Duration)| {
+            let age = age.as_micros().try_into().ok()?;
             (version != 0).then_some(Known { version, age })
         };
         let belief = &self.belief;
+        let config = belief.config.age().map(|a| (belief.revision.load(Ordering::Acquire), a));
         let state = State {
             round: question.round,
-            config: known(belief.revision.load(Ordering::Acquire), belief.config.age()),
-            roster: known(belief.digest.load(Ordering::Acquire), belief.roster.age()),
+            config: config.and_then(known),
+            roster: belief.vouched_roster().and_then(known),
             figures: self.coordinator.totals(&question.from, &(self.ports.own)(), now),
         };
         self.send(&Message::State(state), from).await;
@@ -302,11 +314,8 @@
 
     /// Sends the entries of the endpoints to an instance that knows others, by their digest.
     async fn pass_entries(&self, known: u64, to: SocketAddr) {
-        let digest = self.belief.digest.load(Ordering::Acquire);
-        let fresh = self.belief.roster.age().is_some_and(|age| age < PASSED_AGE);
-        if digest == 0 || digest == known || !fresh {
-            return;
-        }
+        let vouched = self.belief.vouched_roster().filter(|(_, age)| *age < PASSED_AGE);
+        let Some((digest, _)) = vouched.filter(|(digest, _)| *digest != known) else { return };
         let entries = self.belief.entries.load_full();
         let parts = entries.len().div_ceil(ENTRY_ROWS) as u32;
         for (part, chunk) in entries.chunks(ENTRY_ROWS).enumerate() {
@@ -332,6 +341,7 @@
         if let Some(proof) = roster {
             self.belief.confirm_roster(proof.version, proof.at);
         }
+        self.holder = state.figures.holder.clone();
         (self.ports.others)(&state.figures);
     }
 
--- a/crates/sync/tests/told_load.rs
+++ b/crates/sync/tests/told_load.rs
@@ -13,12 +13,9 @@
 fn question(from: &str, round: u64, tokens: u32) -> Question {
     let loads = vec![Load { endpoint: 1, open: 2, tokens }];
     let demands = vec![Demand { service: 5, reading: 100, slots: 7 }];
-    Question {
-        from: from.into(),
-        round,
-        roster: 0,
-        figures: Figures { loads, demands, changing: vec![9] },
-    }
+    let holder = Some("h".into());
+    let figures = Figures { loads, demands, changing: vec![9], holder };
+    Question { from: from.into(), round, roster: 0, figures }
 }
 
 fn tokens(coordinator: &Coordinator, except: &str, at: Duration) -> u32 {
@@ -38,6 +35,7 @@
     let others = c.totals("a", &Figures::default(), NOW);
     assert_eq!(others.demands, [Demand { service: 5, reading: 100, slots: 7 }]);
     assert_eq!(others.changing, [9]);
+    assert_eq!(others.holder.as_deref(), Some("h"));
 }
 
 /// A question that was overtaken changes nothing, and silence ends what was told.
--- a/crates/view/src/belief.rs
+++ b/crates/view/src/belief.rs
@@ -7,7 +7,7 @@
     std::{
         sync::{
             Arc, Mutex, MutexGuard,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -71,6 +71,8 @@
     pub entries: ArcSwap<Vec<Entry>>,
     /// Digest of the endpoints' entries, equal on instances that know the same.
     pub digest: AtomicU64,
+    /// Whether endpoints are kept whose entries are missing after an outage that this instance saw.
+    graced: AtomicBool,
     /// Proof that no endpoint's change is missing.
     pub roster: Proof,
     /// Entries that a coordinator sent, with the time of their proof; taken by the follower.
@@ -89,6 +91,7 @@
             config: Proof::default(),
             entries: ArcSwap::default(),
             digest: AtomicU64::new(0),
+            graced: AtomicBool::new(false),
             roster: Proof::default(),
             offered: Mutex::default(),
             peers: ArcSwap::default(),
@@ -126,6 +129,27 @@
         }
     }
 
+    /// Puts entries in force.
+    pub fn install(&self, entries: Vec<Entry>, digest: u64) {
+        self.entries.store(Arc::new(entries));
+        self.digest.store(digest, Ordering::Release);
+        self.announce();
+    }
+
+    /// Notes whether endpoints are kept although their entries are missing.
+    pub fn set_graced(&self, graced: bool) {
+        self.graced.store(graced, Ordering::Release);
+    }
+
+    /// Digest of the entries and age of their proof, if this instance may vouch for them towards
+    /// others. It may not while it keeps endpoints that the store does not show: the outage may have
+    /// been its own, and the others know better.
+    pub fn vouched_roster(&self) -> Option<(u64, Duration)> {
+        let digest = self.digest.load(Ordering::Acquire);
+        let vouches = digest != 0 && !self.graced.load(Ordering::Acquire);
+        self.roster.age().filter(|_| vouches).map(|age| (digest, age))
+    }
+
     /// Offers entries that a coordinator vouched for at `at`.
     pub fn offer(&self, entries: Vec<Entry>, at: Mono) {
         *self.lock_offered() = Some((entries, at));
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -19,7 +19,7 @@
     },
     tokio::{
         task::JoinSet,
-        time::{Instant, sleep},
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -54,7 +54,7 @@
 impl Default for Pace {
     fn default() -> Self {
         Self {
-            config: Duration::from_millis(500),
+            config: Duration::from_millis(550),
             entries: Duration::from_millis(600),
             passing: Duration::from_millis(550),
             peers: Duration::from_secs(2),
@@ -103,9 +103,13 @@
 async fn config(store: Store, source: Source, pace: Pace, belief: Arc<Belief>, own: String) {
     let mut known = 0;
     let mut reach = Reach::new("configuration");
+    let mut read = Instant::now() - pace.config;
     loop {
         // A proof that came from another instance saves the read.
         belief.config.expired(pace.limit(pace.config, &belief, &own)).await;
+        // Quick successions of configurations are read together.
+        sleep_until(read + pace.config).await;
+        read = Instant::now();
         let sent = clock::now();
         match store.get(Purpose::Config, source.config).await {
             Ok(Some(record)) => {
@@ -170,7 +174,9 @@
         if let Some(age) = belief.roster.age() {
             roster.confirm(clock::now().saturating_sub(age));
         }
-        if roster.step(input, clock::now()) {
+        let changed = roster.step(input, clock::now());
+        belief.set_graced(roster.missing() > 0);
+        if changed {
             let list: Vec<Entry> = roster.entries().cloned().collect();
             log::info!(
                 event = "endpoints_changed", known = list.len(),
@@ -180,9 +186,7 @@
                 spot = list.iter().filter(|e| e.spot).count();
                 "the set of endpoints changed"
             );
-            belief.entries.store(Arc::new(list));
-            belief.digest.store(roster.digest(), Ordering::Release);
-            belief.announce();
+            belief.install(list, roster.digest());
         }
         belief.roster.note(sent);
     }
