Keep no endpoint that was seen since the return from an outage

Endpoints that left 1.1 s after their return were kept for the grace of that outage, although they had been read since, and got requests 2.0 to 2.1 s after they had left.

Change: the grace holds for entries that were missing in the first read after the outage, and no others. Test: view known_endpoints::seen_since_return, which failed before.

--- a/crates/view/src/roster.rs
+++ b/crates/view/src/roster.rs
@@ -104,7 +104,8 @@
         if self.proof.is_some_and(|p| sent < p) {
             return false;
         }
-        if self.proof.is_some_and(|p| sent.saturating_sub(p) > OUTAGE) {
+        let returns = self.proof.is_some_and(|p| sent.saturating_sub(p) > OUTAGE);
+        if returns {
             self.returned = Some(now);
         }
         self.proof = Some(sent);
@@ -115,7 +116,9 @@
         }
         for (name, known) in &self.known {
             let taken = |k: &Known| k.entry.address == known.entry.address;
-            let kept = graced && !known.entry.leaving && !next.values().any(taken);
+            // An entry that was seen since the return did not lapse in the outage.
+            let lapsed = graced && (returns || known.missing);
+            let kept = lapsed && !known.entry.leaving && !next.values().any(taken);
             if kept && !next.contains_key(name) {
                 next.insert(name.clone(), Known { entry: known.entry.clone(), missing: true });
             }
--- a/crates/view/tests/known_endpoints.rs
+++ b/crates/view/tests/known_endpoints.rs
@@ -61,6 +61,17 @@
     assert_eq!(names(&roster), ["y"], "after the grace the list is believed");
 }
 
+/// Pattern: an instance comes back from an outage, and an endpoint that it saw since then leaves
+/// within the grace. It is not kept.
+#[test]
+fn seen_since_return() {
+    let mut roster = Roster::default();
+    roster.step(read(&[entry("x", 1), entry("y", 2)], 0), ms(0));
+    roster.step(read(&[entry("x", 1), entry("y", 2)], 12_000), ms(12_000));
+    roster.step(read(&[entry("y", 2)], 13_000), ms(13_000));
+    assert_eq!(names(&roster), ["y"]);
+}
+
 /// Proofs of other instances stand for reads: an instance that read nothing for long because they
 /// confirmed its knowledge saw no outage.
 #[test]
