--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -8,7 +8,9 @@
 use {
     agate_adapter::{PATHS, SOURCE, headers, store},
     agate_duty::{
-        runner::{self, Counter, Duties, Parts, Seat},
+        counter::Counter,
+        runner::{self, Duties, Parts},
+        seat::Seat,
         window,
     },
     agate_lease::Lease,
--- a/crates/cli/src/edge/calls.rs
+++ b/crates/cli/src/edge/calls.rs
@@ -5,7 +5,8 @@
     agate_adapter::orders,
     agate_duty::{
         order::{Answer, Order},
-        runner::{Calls, Reported, Seat},
+        runner::{Calls, Reported},
+        seat::Seat,
         stage::StageOrder,
         window,
     },
--- a/crates/cli/src/edge/talk.rs
+++ b/crates/cli/src/edge/talk.rs
@@ -1,10 +1,7 @@
 //! Connects the talk with other instances to the request path, the counts and the duties.
 
 use {
-    agate_duty::{
-        runner::{Counter, Seat},
-        stage,
-    },
+    agate_duty::{counter::Counter, seat::Seat, stage},
     agate_relay::{demand, gate::Gate},
     agate_route::ranking::name_hash,
     agate_sync::{
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -7,8 +7,10 @@
 //! be ([`order`]) and lets engines read or generate ([`stage`]). [`runner`] carries both out.
 
 pub mod count;
+pub mod counter;
 pub mod order;
 pub mod runner;
+pub mod seat;
 pub mod stage;
 pub mod window;
 
--- a/crates/duty/src/runner.rs
+++ b/crates/duty/src/runner.rs
@@ -3,21 +3,19 @@
 use {
     crate::{
         Window,
-        count::{self, Rows, SteadyWall, Tally, end_of, window_of},
+        count::{self, Tally, end_of, window_of},
+        counter::Counter,
         order::{self, Answer, Order},
+        seat::Seat,
         stage::{self, Asked, StageOrder},
         window::{self, Sealed},
     },
     agate_core::FenceToken,
-    agate_lease::Lease,
     agate_store::{Call, Freshness, Purpose, Reply, Store},
     agate_view::{Belief, clock, table::Name},
     futures_util::future::BoxFuture,
     indexmap::{IndexMap, IndexSet},
-    std::{
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{task::JoinSet, time::sleep},
 };
 
@@ -28,8 +26,6 @@
 const PATIENCE: Duration = Duration::from_millis(1_200);
 /// Time between two looks at whether the own counts have to be written.
 const LOOK: Duration = Duration::from_millis(250);
-/// Newest windows that are told to coordinators.
-const PUSHED: u64 = 2;
 
 /// How a report was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,98 +54,6 @@
     pub stage: Box<StageFn>,
 }
 
-/// Counts of this instance, shared with the request path.
-pub struct Counter {
-    state: Mutex<Counting>,
-    length: Duration,
-}
-
-struct Counting {
-    tally: Tally,
-    wall: SteadyWall,
-    // Grows with each count.
-    version: u64,
-    // Version that the store or every coordinator has.
-    kept: u64,
-    changed: Duration,
-    others: IndexMap<String, Tally>,
-}
-
-impl Counter {
-    /// Opens empty counts for windows of `length`.
-    pub fn new(length: Duration) -> Arc<Self> {
-        let wall = SteadyWall::new(clock::wall(), clock::now());
-        let state = Counting {
-            tally: Tally::default(),
-            wall,
-            version: 0,
-            kept: 0,
-            changed: Duration::ZERO,
-            others: IndexMap::new(),
-        };
-        Arc::new(Self { state: Mutex::new(state), length })
-    }
-
-    /// Counts one request of `org` that began to run now.
-    pub fn count(&self, org: &Name) {
-        let mut state = self.lock();
-        let now = clock::now();
-        let wall = state.wall.read(clock::wall(), now);
-        state.tally.count(window_of(wall, self.length), org);
-        if state.kept == state.version {
-            state.changed = now;
-        }
-        state.version += 1;
-    }
-
-    /// Version of the counts, with the rows of the newest windows.
-    pub fn newest(&self) -> (u64, Rows) {
-        let state = self.lock();
-        (state.version, state.tally.newest_rows(PUSHED))
-    }
-
-    /// Notes that the counts of `version` are kept elsewhere too.
-    pub fn note_kept(&self, version: u64) {
-        let mut state = self.lock();
-        if version > state.kept {
-            state.kept = version;
-            state.changed = clock::now();
-        }
-    }
-
-    /// Takes whole values of another incarnation in.
-    pub fn collect(&self, from: &str, window: Window, rows: &[(String, u64)]) {
-        let mut state = self.lock();
-        state.others.entry(from.to_owned()).or_default().merge(window, rows);
-    }
-
-    /// Counts that were told by other incarnations; those of long ago are dropped.
-    fn collected(&self) -> IndexMap<String, Tally> {
-        let mut state = self.lock();
-        let wall = state.wall.read(clock::wall(), clock::now());
-        let oldest = window_of(wall, self.length).saturating_sub(2 * count::KEPT);
-        state.others.retain(|_, t| t.newest().is_some_and(|w| w >= oldest));
-        state.others.clone()
-    }
-
-    /// Steady time of day.
-    pub fn wall(&self) -> Duration {
-        self.lock().wall.read(clock::wall(), clock::now())
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Counting> {
-        self.state.lock().expect("no panic under the lock of the counts")
-    }
-
-    /// The counts with their version, if nobody else has kept them for `patience`.
-    fn unkept(&self, patience: Duration) -> Option<(u64, Tally)> {
-        let state = self.lock();
-        let waits =
-            state.version > state.kept && clock::now().saturating_sub(state.changed) >= patience;
-        waits.then(|| (state.version, state.tally.clone()))
-    }
-}
-
 /// What the duties need.
 pub struct Parts {
     /// The store.
@@ -243,41 +147,6 @@
     }
 }
 
-/// The lease of the duties, while this instance is one of those that stand for it.
-///
-/// An instance that no longer stands lets its term lapse instead of releasing it, so that no other
-/// holder acts before the platform may take it for a turn.
-#[derive(Default)]
-pub struct Seat {
-    lease: Mutex<Option<Lease>>,
-}
-
-impl Seat {
-    /// Stands with the lease that `open` makes, unless it stands already.
-    pub fn stand(&self, open: impl FnOnce() -> Lease) {
-        let mut lease = self.lock();
-        if lease.is_none() {
-            let opened = open();
-            opened.set_wanted(true);
-            *lease = Some(opened);
-        }
-    }
-
-    /// Stands no longer; a term that is held lapses.
-    pub fn leave(&self) {
-        *self.lock() = None;
-    }
-
-    /// Token with which this instance may act now.
-    pub fn may_act(&self) -> Option<FenceToken> {
-        self.lock().as_ref().and_then(Lease::may_act)
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Option<Lease>> {
-        self.lease.lock().expect("no panic under the lock of the seat")
-    }
-}
-
 struct Holder {
     parts: Parts,
     done: IndexSet<Window>,
@@ -359,7 +228,7 @@
             let from = key.strip_prefix(count::PREFIX).unwrap_or(key);
             out.entry(from.to_owned()).or_default().merge_all(tally);
         }
-        let own = self.parts.counter.lock().tally.clone();
+        let own = self.parts.counter.tally();
         out.entry(self.parts.incarnation.clone()).or_default().merge_all(&own);
         out
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod run;
 pub mod serve;
 pub mod server;
+pub mod shape;
 pub mod spare;
 pub mod split;
 pub mod stream;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -3,15 +3,15 @@
 use {
     crate::{
         Body,
-        demand::Class,
         dialect::{Outgoing, Part, Verdict},
-        fleet::{Need, Stay},
+        fleet::Stay,
         full,
         gate::Gate,
         meter::Meter,
-        place::{ADMIT_PART, Choice, Want},
+        place::Choice,
         refusal::{Cause, Refused},
         serve::Job,
+        shape::{class, need, outgoing},
         split::{self, Source},
         stream,
     },
@@ -21,13 +21,13 @@
         link::IDLE_LIMIT,
         truth::{Grant, Repeatable, Untouched},
     },
-    agate_route::health::Kind as Result_,
-    agate_view::{roster::Stage, table::Name},
+    agate_route::health::Kind as Judged,
+    agate_view::table::Name,
     http::{Request, Response, StatusCode, header::CONTENT_LENGTH},
     http_body_util::Full,
     std::{
         sync::{Arc, atomic::Ordering::Relaxed},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -35,13 +35,6 @@
 pub const LEAST_LEFT: Duration = Duration::from_millis(10);
 /// Time after which a caller may come back when no endpoint is known.
 const NO_ENDPOINT_AFTER: Duration = Duration::from_millis(300);
-/// Part of the usual time within which an engine that generates must be expected to read a long
-/// prompt itself.
-const WHOLE_PART: f64 = 0.6;
-/// Usual urgency at an engine.
-const USUAL_URGENCY: u8 = 3;
-/// Urgency of a long prompt that is read where it runs.
-const LONG_URGENCY: u8 = 6;
 /// Bounds of the time after which a caller may come back to a full service.
 const FULL_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 /// Most endpoints that a request is offered to, those that took no connection included.
@@ -99,7 +92,7 @@
         }
         let last = !may_go_on(&job, &attempts);
         if verdict == Verdict::Failed && job.route.kind.repeatable() && !last {
-            gate.fleet.judge(&leg.stay.endpoint, Result_::Neutral);
+            gate.fleet.judge(&leg.stay.endpoint, Judged::Neutral);
             if again(gate, &job, &mut attempts, Cause::Rejected).is_ok() {
                 continue;
             }
@@ -115,12 +108,6 @@
     }
 }
 
-/// Class of a model request, `None` for plain work.
-pub fn class(job: &Job) -> Option<Class> {
-    let prompt = job.ask.prompt.as_ref()?;
-    Some(if prompt.input >= split::LEAST_TOKENS { Class::Long } else { Class::Short })
-}
-
 /// Whether the route and the time left allow another attempt.
 fn may_go_on(job: &Job, attempts: &Attempts) -> bool {
     attempts.sent < job.route.attempts
@@ -214,73 +201,6 @@
     table.as_ref().is_some_and(|t| t.org(key).is_some())
 }
 
-fn need<'a>(job: &'a Job, tried: &'a [Name], source: Option<&'a Source>) -> Need<'a> {
-    let engine = job.table.services.get(&job.service).is_some_and(|s| s.engine.is_some());
-    let stage = engine.then_some(Stage::Decode);
-    let apart = class(job) == Some(Class::Long);
-    let want = match source {
-        // Its prompt was read already, so it rather waits for a slot than be refused.
-        Some(_) => Want { subject: None, tokens: 0, shared: 0, within: job.left(), slot: false },
-        // An engine that generates for others must not be filled with prompts.
-        None if engine && apart => {
-            let want = want(job);
-            Want { within: want.within.mul_f64(WHOLE_PART), slot: true, ..want }
-        }
-        None => want(job),
-    };
-    Need { service: &job.service, want, stage, tried, zone: source.map(|s| &s.zone) }
-}
-
-/// What is placed if the request's prompt still has to be read.
-pub fn want(job: &Job) -> Want {
-    let prompt = job.ask.prompt.as_ref();
-    Want {
-        subject: prompt.and_then(|p| p.subject()),
-        tokens: prompt.map_or(0, |p| p.input),
-        shared: prompt.map_or(0, |p| p.shared()),
-        within: within(job),
-        slot: false,
-    }
-}
-
-/// Longest time to a first token for which the request is worth starting.
-fn within(job: &Job) -> Duration {
-    let objective = job.route.objective.saturating_sub(job.arrived.elapsed());
-    match class(job) {
-        // It costs little to start, and an answer behind the objective is still worth something.
-        Some(Class::Short) => job.left().mul_f64(ADMIT_PART),
-        // A long prompt that cannot be in time takes the time of others that can.
-        Some(Class::Long) | None => objective.mul_f64(ADMIT_PART),
-    }
-}
-
-/// What an endpoint is told besides the caller's own headers.
-pub fn outgoing<'a>(
-    job: &'a Job,
-    stay: &'a Stay,
-    resume: Option<&'a str>,
-    part: Part<'a>,
-) -> Outgoing<'a> {
-    Outgoing {
-        endpoint: &stay.endpoint.entry.name,
-        left: job.left(),
-        org: job.org.as_ref().map(|o| &*o.name),
-        resume,
-        urgency: urgency(job, part),
-        part,
-    }
-}
-
-/// Rank for an engine's own queue, 0 first. A long prompt that is read where it runs yields to all
-/// else; everything else is equal, since an engine that is full stops the less urgent of two answers
-/// in the middle.
-fn urgency(job: &Job, part: Part<'_>) -> u8 {
-    match part {
-        Part::Whole if class(job) == Some(Class::Long) => LONG_URGENCY,
-        Part::Whole | Part::Read | Part::Generate(_) => USUAL_URGENCY,
-    }
-}
-
 /// Sends the request over a connection that still works.
 pub async fn send(
     gate: &Gate,
@@ -343,12 +263,12 @@
     let kind = match cause {
         _ if failure.step == Step::Connect => {
             gate.fleet.leave_out(endpoint);
-            Result_::Failure
+            Judged::Failure
         }
-        Cause::Rejected => Result_::Busy,
-        Cause::Late if job.left() > LEAST_LEFT => Result_::Failure,
-        Cause::Late => Result_::Neutral,
-        _ => Result_::Failure,
+        Cause::Rejected => Judged::Busy,
+        Cause::Late if job.left() > LEAST_LEFT => Judged::Failure,
+        Cause::Late => Judged::Neutral,
+        _ => Judged::Failure,
     };
     gate.fleet.judge(endpoint, kind);
     let Some(grant) = failure.grant.take() else { return again(gate, job, attempts, cause) };
@@ -383,7 +303,7 @@
 
 fn spoilt(gate: &Gate, job: &Job, leg: &Leg, why: &str) {
     let endpoint = &leg.stay.endpoint;
-    gate.fleet.judge(endpoint, Result_::Failure);
+    gate.fleet.judge(endpoint, Judged::Failure);
     gate.meter.failures.with_label_values(&["spoilt"]).inc();
     log::info!(
         event = "answer_spoilt", request = job.ask.id.as_str(),
@@ -399,7 +319,7 @@
     let (head, body) = match answer.collect(HELD_ANSWER, job.left()).await {
         Ok(whole) => whole,
         Err(failure) => {
-            gate.fleet.judge(&stay.endpoint, Result_::Failure);
+            gate.fleet.judge(&stay.endpoint, Judged::Failure);
             log::info!(
                 event = "answer_cut", request = job.ask.id.as_str(),
                 endpoint = &*stay.endpoint.entry.name, cause = failure.cause.as_str();
@@ -408,7 +328,7 @@
             return Err(if failure.silent { Cause::Late } else { Cause::Lost });
         }
     };
-    gate.fleet.judge(&stay.endpoint, Result_::Success);
+    gate.fleet.judge(&stay.endpoint, Judged::Success);
     let mut response = Response::new(full(body));
     *response.status_mut() = status;
     *response.headers_mut() = (gate.dialect.relay)(&head.headers);
@@ -444,8 +364,3 @@
         (gate.started)(&org.name);
     }
 }
-
-/// When the request's time is up.
-pub fn end_of(job: &Job) -> Instant {
-    job.end
-}
--- a/crates/relay/src/split.rs
+++ b/crates/relay/src/split.rs
@@ -10,8 +10,9 @@
         fleet::{Need, Stay},
         gate::Gate,
         place::{Choice, Want},
-        run::{LEAST_LEFT, class, outgoing, send, want},
+        run::{LEAST_LEFT, send},
         serve::Job,
+        shape::{class, outgoing, want},
     },
     agate_link::{
         exchange::{Failure, Step},
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,9 +8,10 @@
         refusal::Cause,
         run::{self, Attempts, Leg},
         serve::Job,
+        shape,
     },
     agate_link::flight::Guard,
-    agate_route::health::Kind as Result_,
+    agate_route::health::Kind as Judged,
     bytes::Bytes,
     futures_util::stream,
     http::{Response, StatusCode},
@@ -115,9 +116,9 @@
 
     fn finish(&mut self) -> Next {
         if let Some(Leg { answer, stay }) = self.leg.take() {
-            self.gate.fleet.judge(&stay.endpoint, Result_::Success);
+            self.gate.fleet.judge(&stay.endpoint, Judged::Success);
             run::note_answer(&self.gate, &self.job, &stay, self.status);
-            if let Some(class) = run::class(&self.job) {
+            if let Some(class) = shape::class(&self.job) {
                 let hold = stay.elapsed();
                 self.gate.demand(&self.job.service, |d, _| d.on_generated(class, hold));
             }
@@ -130,7 +131,7 @@
     async fn broken(&mut self, why: &str, silent: bool) -> Next {
         let Some(Leg { answer, stay }) = self.leg.take() else { return Next::End };
         drop(answer);
-        self.gate.fleet.judge(&stay.endpoint, Result_::Failure);
+        self.gate.fleet.judge(&stay.endpoint, Judged::Failure);
         log::info!(
             event = "stream_cut", request = self.job.ask.id.as_str(),
             endpoint = &*stay.endpoint.entry.name, cause = why, silent,
--- a/crates/view/src/peers.rs
+++ b/crates/view/src/peers.rs
@@ -1,7 +1,6 @@
 //! The other instances, by the records that each keeps in the store under a lease of its own.
 
 use {
-    crate::table::Name,
     agate_store::Item,
     serde::{Deserialize, Serialize},
     std::{cmp::Reverse, net::SocketAddr},
@@ -66,11 +65,3 @@
     out.sort_by_cached_key(|p| (Reverse(p.weight), hash(p)));
     out
 }
-
-/// Names of the availability zones in which instances run, each once.
-pub fn zones(peers: &[Peer]) -> Vec<Name> {
-    let mut out: Vec<Name> = peers.iter().map(|p| Name::from(p.zone.as_str())).collect();
-    out.sort();
-    out.dedup();
-    out
-}
