--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -3,10 +3,10 @@
 //! [`server::Front`] accepts connections, over [`tls`] if asked, and hands each request to
 //! [`serve::handle`]. A request
 //! matches a route, its caller is identified, its body read, and it goes the way of [`model`] or
-//! [`service`]. Both send it through [`exchange`] over a [`link`] to one endpoint after another
+//! [`service`]. Both send it through [`agate_link::exchange`] over a [`agate_link::link`] to one endpoint after another
 //! until there is an answer or nothing may be tried any more.
 //!
-//! Invariants: a reply says "not run" only with a [`truth::Untouched`] in hand; no endpoint sees
+//! Invariants: a reply says "not run" only with a [`agate_link::truth::Untouched`] in hand; no endpoint sees
 //! a caller's key ([`header::for_endpoint`] is the only way to build its headers); a model stream
 //! ends cleanly only if it is whole ([`token`]).
 
