Keep one copy of key escaping, step names and record framing

Cause: both transports of the store held the same key escaping and step names, which the store crate's kinds already give, and three records framed themselves alike.

Change: store port escape_key and meter Kind serve both transports; view framing serves the records of instances, usage and sealed windows. Behaviour and bytes stay as they were.

--- a/crates/duty/src/count.rs
+++ b/crates/duty/src/count.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Counts, Window},
     agate_core::{Mono, Wall},
-    agate_view::table::Name,
+    agate_view::{framing, table::Name},
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -16,8 +16,6 @@
 pub const PREFIX: &str = "agate/usage/";
 /// Windows that a record holds; older ones were reported or are too late.
 pub const KEPT: u64 = 4;
-/// Version of the record's format; its first byte.
-const VERSION: u8 = 1;
 /// Time for which a jump of the time of day must last before it is believed.
 pub const BELIEVE_JUMP: Duration = Duration::from_secs(30);
 /// Difference from the expected time of day that counts as a jump.
@@ -102,16 +100,12 @@
 
     /// Bytes of the record.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_extend(self, vec![VERSION]).expect("plain data has a postcard form")
+        framing::encode(self)
     }
 
     /// Reads a record; `None` if another build wrote it or it is damaged.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let (version, body) = bytes.split_first()?;
-        if *version != VERSION {
-            return None;
-        }
-        postcard::from_bytes(body).ok()
+        framing::decode(bytes)
     }
 }
 
--- a/crates/duty/src/window.rs
+++ b/crates/duty/src/window.rs
@@ -6,6 +6,7 @@
         count::{end_of, window_of},
     },
     agate_core::Wall,
+    agate_view::framing,
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -13,8 +14,6 @@
 
 /// Prefix of the sealed records.
 pub const PREFIX: &str = "agate/sealed/";
-/// Version of a sealed record's format; its first byte.
-const VERSION: u8 = 1;
 
 /// Times of usage windows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,16 +55,12 @@
 
     /// Bytes of the record.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_extend(self, vec![VERSION]).expect("plain data has a postcard form")
+        framing::encode(self)
     }
 
     /// Reads a record; `None` if another build wrote it or it is damaged.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let (version, body) = bytes.split_first()?;
-        if *version != VERSION {
-            return None;
-        }
-        postcard::from_bytes(body).ok()
+        framing::decode(bytes)
     }
 }
 
--- a/crates/native/src/store.rs
+++ b/crates/native/src/store.rs
@@ -6,7 +6,9 @@
 use {
     crate::http::{Answer, Http},
     ::http::StatusCode,
-    agate_store::{Call, Error, Purpose, Record, Reply, Result, Store},
+    agate_store::{
+        Call, Error, Purpose, Record, Reply, Result, Store, meter::Kind, port::escape_key,
+    },
     base64::{Engine as _, engine::general_purpose::STANDARD},
     futures_util::FutureExt,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -55,7 +57,7 @@
 }
 
 async fn carry_out(http: &Http, call: Call) -> Result<Reply> {
-    let step = step_name(&call);
+    let step = Kind::of(&call).label();
     let write = call.is_write();
     let peer = http.peer().to_string();
     let (status, body) = match send(http, &call).await {
@@ -80,14 +82,14 @@
 async fn send(http: &Http, call: &Call) -> std::result::Result<Answer, crate::http::Error> {
     match call {
         Call::Get { key } => {
-            http.get(&format!("/store/v1/key?key={}", escape(key)), ANSWER_LIMIT).await
+            http.get(&format!("/store/v1/key?key={}", escape_key(key)), ANSWER_LIMIT).await
         }
         Call::List { prefix } => {
-            http.get(&format!("/store/v1/list?prefix={}", escape(prefix)), ANSWER_LIMIT).await
+            http.get(&format!("/store/v1/list?prefix={}", escape_key(prefix)), ANSWER_LIMIT).await
         }
         Call::Range { .. } => Err(http.unsupported("/store/v1/range")),
         Call::Watch { key, after, wait } => {
-            let (key, wait_ms) = (escape(key), wait.as_millis());
+            let (key, wait_ms) = (escape_key(key), wait.as_millis());
             let path = format!("/store/v1/watch?key={key}&after={after}&wait_ms={wait_ms}");
             http.get(&path, *wait + ANSWER_LIMIT).await
         }
@@ -141,29 +143,3 @@
     let value = STANDARD.decode(value).map_err(|e| e.to_string())?;
     Ok(Some(Record { revision, value }))
 }
-
-fn step_name(call: &Call) -> &'static str {
-    match call {
-        Call::Get { .. } => "get",
-        Call::List { .. } => "list",
-        Call::Range { .. } => "range",
-        Call::Swap { .. } => "swap",
-        Call::Watch { .. } => "watch",
-        Call::Grant { .. } => "grant",
-        Call::Renew { .. } => "renew",
-        Call::Revoke { .. } => "revoke",
-    }
-}
-
-/// Escapes a key for use in a query; keys are letters, digits and `/-._` apart from rare others.
-fn escape(key: &str) -> String {
-    key.bytes().fold(String::with_capacity(key.len()), |mut out, b| {
-        match b {
-            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'/' | b'-' | b'.' | b'_' => {
-                out.push(b as char);
-            }
-            _ => out.push_str(&format!("%{b:02X}")),
-        }
-        out
-    })
-}
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -321,3 +321,16 @@
 fn unexpected(step: &'static str, reply: Reply) -> Error {
     Error::Malformed { step, peer: "store".into(), cause: format!("unexpected reply {reply:?}") }
 }
+
+/// Escapes a key for use in a query; keys are letters, digits and `/-._` apart from rare others.
+pub fn escape_key(key: &str) -> String {
+    key.bytes().fold(String::with_capacity(key.len()), |mut out, b| {
+        match b {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'/' | b'-' | b'.' | b'_' => {
+                out.push(b as char);
+            }
+            _ => out.push_str(&format!("%{b:02X}")),
+        }
+        out
+    })
+}
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod belief;
 pub mod clock;
 pub mod follow;
+pub mod framing;
 pub mod peers;
 pub mod roster;
 pub mod table;
--- a/crates/view/src/peers.rs
+++ b/crates/view/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other instances, by the records that each keeps in the store under a lease of its own.
 
 use {
+    crate::framing,
     agate_store::Item,
     serde::{Deserialize, Serialize},
     std::{cmp::Reverse, net::SocketAddr},
@@ -8,8 +9,6 @@
 
 /// Prefix of the records.
 pub const PREFIX: &str = "agate/instances/";
-/// Version of the record's format; its first byte.
-const VERSION: u8 = 1;
 
 /// Record of one instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,16 +31,12 @@
 
     /// Bytes of the record.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_extend(self, vec![VERSION]).expect("plain data has a postcard form")
+        framing::encode(self)
     }
 
     /// Reads a record; `None` if another build wrote it or it is damaged.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let (version, body) = bytes.split_first()?;
-        if *version != VERSION {
-            return None;
-        }
-        postcard::from_bytes(body).ok()
+        framing::decode(bytes)
     }
 }
 
