Count each request once for usage, whatever its attempts did

A request that was sent again counted at each endpoint that answered; one whose answer was lost, or whose caller left while a plain service ran it, did not count at all.

Change: one mark a request (`relay::begun`). A plain request counts once it was sent unless its endpoint said otherwise or stayed silent; a stream with its first bytes as before.

Conclusion: the platform counts requests, not runs.

--- /dev/null
+++ b/crates/relay/src/begun.rs
@@ -0,0 +1,63 @@
+//! Counts for usage which requests began to run, each once however many attempts it took.
+
+use {
+    crate::{gate::Gate, serve::Job},
+    agate_link::exchange::{Result, Step},
+    std::sync::atomic::{AtomicBool, Ordering::Relaxed},
+};
+
+/// Whether a request was counted.
+#[derive(Debug, Default)]
+pub struct Begun(AtomicBool);
+
+/// Counts the request unless it was counted before.
+pub fn note(gate: &Gate, job: &Job) {
+    if let Some(org) = &job.org
+        && !job.begun.0.swap(true, Relaxed)
+    {
+        (gate.started)(&org.name);
+    }
+}
+
+/// A plain request that an endpoint has and did not answer yet.
+///
+/// A plain service runs what it takes, so the request counts when this is dropped because the caller
+/// left. A model engine counts a request from its first token, so there is nothing to keep for a
+/// stream.
+pub struct Waiting<'a> {
+    gate: &'a Gate,
+    job: &'a Job,
+    counts: bool,
+}
+
+impl<'a> Waiting<'a> {
+    /// Begins to wait for the answer to `job`.
+    pub fn new(gate: &'a Gate, job: &'a Job) -> Self {
+        Self { gate, job, counts: !job.route.kind.streams() }
+    }
+
+    /// Ends the wait with what came of it.
+    pub fn end<T>(mut self, sent: &Result<T>) {
+        self.counts &= ran(sent);
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.counts {
+            note(self.gate, self.job);
+        }
+    }
+}
+
+/// Whether the endpoint took the request, as far as the exchange shows. Silence shows nothing: the
+/// endpoint may have been gone before.
+fn ran<T>(sent: &Result<T>) -> bool {
+    match sent {
+        Ok(_) => true,
+        Err(failure) => {
+            let arrived = matches!(failure.step, Step::Head | Step::Match);
+            arrived && !failure.declared && !failure.silent
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 //! never passes on a key.
 
 pub mod ask;
+pub mod begun;
 pub mod demand;
 pub mod dialect;
 pub mod events;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Body,
+        begun::{self, Waiting},
         dialect::{Outgoing, Part, Verdict},
         fleet::Stay,
         full,
@@ -149,7 +150,9 @@
         // Memory at another engine can be taken once only.
         let part = source.take().map_or(Part::Whole, |s| Part::Generate(&s.name));
         let outgoing = outgoing(job, &stay, resume, part);
+        let waiting = Waiting::new(gate, job);
         let sent = send(gate, job, &stay, &outgoing, grant).await;
+        waiting.end(&sent);
         attempts.tried.push(stay.endpoint.entry.name.clone());
         let unsent = matches!(&sent, Err(f) if f.step == Step::Connect);
         attempts.sent += u32::from(!unsent);
@@ -360,7 +363,5 @@
         "the endpoint began to answer"
     );
     Meter::observe(&gate.meter.first, job.route.kind.label(), job.arrived.elapsed());
-    if let Some(org) = &job.org {
-        (gate.started)(&org.name);
-    }
+    begun::note(gate, job);
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -4,6 +4,7 @@
     crate::{
         Body,
         ask::Ask,
+        begun::Begun,
         full,
         gate::Gate,
         refusal::{Cause, Promise, Refused},
@@ -57,6 +58,8 @@
     pub arrived: Instant,
     /// When its time is up.
     pub end: Instant,
+    /// Whether usage has it already.
+    pub begun: Begun,
 }
 
 impl Job {
@@ -139,7 +142,22 @@
     };
     let key = if org.is_some() { ask.key.clone() } else { None };
     let http::request::Parts { method, uri, headers, .. } = head;
-    Ok(Job { table, route, service, org, key, ask, method, uri, headers, body, arrived, end })
+    let begun = Begun::default();
+    Ok(Job {
+        table,
+        route,
+        service,
+        org,
+        key,
+        ask,
+        method,
+        uri,
+        headers,
+        body,
+        arrived,
+        end,
+        begun,
+    })
 }
 
 /// Finds the organisation of a keyed request; `None` on an open route.
