Let instances agree on the time of day for usage

Cause: an instance that starts while its machine's clock is off by seconds took that time for true, and kept it for 30 s after the clock came back.

Change: each instance measures by how much its own steady time differs from the coordinator's, by answers that came within 200 ms, and tells it; the coordinator answers with the weighted median once two thirds of the instances voted (`sync::clocks`, pure). What was agreed is used but never told on. Failed trials: telling times instead of differences (a coordinator that was suspended took queued messages for clocks that lag: off by 6.4 s), and telling on the agreed time (a wrong majority among the first votes stuck).

--- a/crates/cli/src/edge/talk.rs
+++ b/crates/cli/src/edge/talk.rs
@@ -55,6 +55,7 @@
     let (seat, name) = (seat.clone(), name.to_owned());
     let (own, others, asked) = (gate.clone(), gate.clone(), asked.clone());
     let (usage, noted, collect) = (counter.clone(), counter.clone(), counter.clone());
+    let (vote, agreed) = (counter.clone(), counter.clone());
     Ports {
         own: Box::new(move || own_figures(&own, &seat, &name)),
         others: Box::new(move |figures| {
@@ -64,6 +65,8 @@
             others.fleet.set_others(&loads.collect());
             others.fleet.set_others_changing(&figures.changing);
         }),
+        clock: Box::new(move || vote.vote()),
+        agreed: Box::new(move |wall| agreed.agree(wall)),
         usage: Box::new(move || usage.newest()),
         usage_noted: Box::new(move |version| noted.note_kept(version)),
         collect: Box::new(move |u| collect.collect(&u.from, u.window, &u.rows)),
--- a/crates/duty/src/count.rs
+++ b/crates/duty/src/count.rs
@@ -21,32 +21,74 @@
 /// Difference from the expected time of day that counts as a jump.
 const JUMP: Duration = Duration::from_millis(200);
 
-/// Time of day that does not follow jumps which are undone soon.
+/// Time of day that does not follow jumps which are undone soon, and yields to what the instances
+/// agree on.
+///
+/// The own time is kept apart from the agreed one and goes into the agreement alone, so that what
+/// one instance was told does not convince others.
 #[derive(Clone, Debug)]
 pub struct SteadyWall {
+    own: Base,
+    since: Mono,
+    jumped: Option<Mono>,
+    agreed: Option<Base>,
+}
+
+/// A time of day and the moment at which it held.
+#[derive(Clone, Copy, Debug)]
+struct Base {
     wall: Wall,
     at: Mono,
-    jumped: Option<Mono>,
+}
+
+impl Base {
+    fn read(&self, now: Mono) -> Wall {
+        self.wall + now.saturating_sub(self.at)
+    }
 }
 
 impl SteadyWall {
     /// Starts from what the time of day reads now.
     pub fn new(wall: Wall, now: Mono) -> Self {
-        Self { wall, at: now, jumped: None }
+        Self { own: Base { wall, at: now }, since: now, jumped: None, agreed: None }
     }
 
     /// Steady time of day, given what the time of day reads at `now`.
     pub fn read(&mut self, wall: Wall, now: Mono) -> Wall {
-        let expected = self.wall + now.saturating_sub(self.at);
+        let own = self.own(wall, now);
+        self.agreed.map_or(own, |agreed| agreed.read(now))
+    }
+
+    /// The instance's own steady time, and for how long it was kept.
+    pub fn vote(&mut self, wall: Wall, now: Mono) -> (Wall, Duration) {
+        (self.own(wall, now), now.saturating_sub(self.since))
+    }
+
+    /// Takes over `wall` at `now`, which the instances agree on; returns by how much the time in use
+    /// differed if that is more than clocks usually do.
+    pub fn agree(&mut self, wall: Wall, now: Mono) -> Option<Duration> {
+        let used = self.agreed.unwrap_or(self.own).read(now);
+        let by = used.abs_diff(wall);
+        if by < JUMP {
+            return None;
+        }
+        self.agreed = Some(Base { wall, at: now });
+        Some(by)
+    }
+
+    fn own(&mut self, wall: Wall, now: Mono) -> Wall {
+        let expected = self.own.read(now);
         if expected.abs_diff(wall) < JUMP {
             self.jumped = None;
             return expected;
         }
         let since = *self.jumped.get_or_insert(now);
-        if now.saturating_sub(since) < BELIEVE_JUMP {
+        let confirmed = self.agreed.is_some_and(|a| a.read(now).abs_diff(wall) < JUMP);
+        if !confirmed && now.saturating_sub(since) < BELIEVE_JUMP {
             return expected;
         }
-        *self = Self::new(wall, now);
+        self.own = Base { wall, at: now };
+        (self.since, self.jumped) = (now, None);
         wall
     }
 }
--- a/crates/duty/src/counter.rs
+++ b/crates/duty/src/counter.rs
@@ -5,6 +5,7 @@
         Window,
         count::{self, Rows, SteadyWall, Tally, window_of},
     },
+    agate_core::Wall,
     agate_view::{clock, table::Name},
     indexmap::IndexMap,
     std::{
@@ -95,6 +96,22 @@
         self.lock().tally.clone()
     }
 
+    /// The instance's own steady time of day, and for how long it has been kept.
+    pub fn vote(&self) -> (Wall, Duration) {
+        self.lock().wall.vote(clock::wall(), clock::now())
+    }
+
+    /// Takes over the time of day that the instances agree on.
+    pub fn agree(&self, wall: Wall) {
+        let by = self.lock().wall.agree(wall, clock::now());
+        if let Some(by) = by {
+            log::warn!(
+                event = "clock_corrected", by_ms = by.as_millis() as u64;
+                "the time of day differed from the one that the instances agree on"
+            );
+        }
+    }
+
     /// Steady time of day.
     pub fn wall(&self) -> Duration {
         self.lock().wall.read(clock::wall(), clock::now())
--- a/crates/duty/tests/usage_windows.rs
+++ b/crates/duty/tests/usage_windows.rs
@@ -44,6 +44,28 @@
     assert_eq!(wall.read(s(1e6 + 100.0) + later, later), s(1e6 + 100.0) + later);
 }
 
+/// An instance that starts while its machine's clock is off uses what the others agree on. What it
+/// says itself follows once its own clock shows the same, so it never repeats what it was told.
+#[test]
+fn agreed_time() {
+    let mut wall = SteadyWall::new(s(1e6 + 4.0), s(0.0));
+    assert_eq!(wall.agree(s(1e6 + 1.0), s(1.0)), Some(s(4.0)));
+    assert_eq!(wall.read(s(1e6 + 6.0), s(2.0)), s(1e6 + 2.0));
+    assert_eq!(wall.vote(s(1e6 + 6.0), s(2.0)), (s(1e6 + 6.0), s(2.0)));
+    assert_eq!(wall.read(s(1e6 + 3.0), s(3.0)), s(1e6 + 3.0));
+    assert_eq!(wall.vote(s(1e6 + 4.0), s(4.0)), (s(1e6 + 4.0), s(1.0)));
+    assert_eq!(wall.agree(s(1e6 + 4.02), s(4.0)), None, "a usual difference");
+}
+
+/// A time that all instances come to agree on is followed, whatever was agreed before.
+#[test]
+fn agreed_anew() {
+    let mut wall = SteadyWall::new(s(1e6), s(0.0));
+    assert_eq!(wall.agree(s(1e6 + 3.0), s(0.0)), Some(s(3.0)));
+    assert_eq!(wall.agree(s(1e6 + 1.0), s(1.0)), Some(s(3.0)));
+    assert_eq!(wall.read(s(1e6 + 2.0), s(2.0)), s(1e6 + 2.0));
+}
+
 /// Whole values may be repeated and overtaken; each incarnation counts once.
 #[test]
 fn merged_counts() {
--- a/crates/sync/src/asker.rs
+++ b/crates/sync/src/asker.rs
@@ -1,8 +1,12 @@
 //! Whom an instance asks, and what it takes over from the answers; without I/O or a clock.
 
 use {
-    crate::{Round, message::State},
-    agate_core::Mono,
+    crate::{
+        Round,
+        clocks::{self, Ahead},
+        message::State,
+    },
+    agate_core::{Mono, Wall},
     indexmap::IndexMap,
     std::time::Duration,
 };
@@ -23,6 +27,17 @@
     pub at: Mono,
 }
 
+/// What an answer tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Proof of the configuration.
+    pub config: Option<Confirmed>,
+    /// Proof of the endpoints.
+    pub roster: Option<Confirmed>,
+    /// Time of day that the instances agree on.
+    pub wall: Option<Wall>,
+}
+
 /// State of one instance that asks.
 #[derive(Clone, Debug, Default)]
 pub struct Asker {
@@ -31,6 +46,9 @@
     answered: Mono,
     target: Option<String>,
     left_out: IndexMap<String, Mono>,
+    /// First question to the present target.
+    first: Round,
+    ahead: Option<Ahead>,
 }
 
 impl Asker {
@@ -48,6 +66,8 @@
         if self.target.as_deref() != Some(target) {
             self.target = Some(target.to_owned());
             self.answered = now;
+            self.first = self.round + 1;
+            self.ahead = None;
         }
         self.round += 1;
         if self.sent.len() == OPEN_ROUNDS {
@@ -57,13 +77,14 @@
         Some((target, self.round))
     }
 
-    /// Takes an answer in; returns the proofs of configuration and endpoints that it holds. An
-    /// answer to a question that is no longer open is ignored.
-    pub fn on_state(
-        &mut self,
-        state: &State,
-        now: Mono,
-    ) -> Option<(Option<Confirmed>, Option<Confirmed>)> {
+    /// By how much the own time of day is ahead of that of the coordinator which is asked.
+    pub fn ahead(&self) -> Option<Ahead> {
+        self.ahead
+    }
+
+    /// Takes an answer in that came when the own time of day was `own`. One to a question that is no
+    /// longer open is ignored.
+    pub fn on_state(&mut self, state: &State, own: Wall, now: Mono) -> Option<Told> {
         let sent = self.sent.shift_remove(&state.round)?;
         self.answered = now;
         let proof = |known: Option<crate::message::Known>| {
@@ -71,6 +92,14 @@
             let at = sent.checked_sub(Duration::from_micros(known.age))?;
             Some(Confirmed { version: known.version, at })
         };
-        Some((proof(state.config), proof(state.roster)))
+        // An answer of the coordinator before says nothing of this one's clock.
+        let clock = state.clock.as_ref().filter(|_| state.round >= self.first);
+        let theirs = clock.and_then(|clock| clocks::answered(clock, sent, now));
+        if let Some(theirs) = theirs {
+            self.ahead = Some(clocks::ahead(own, theirs));
+        }
+        let agreed = clock.and_then(|clock| clock.agreed);
+        let wall = theirs.zip(agreed).map(|(theirs, ahead)| clocks::shifted(theirs, ahead));
+        Some(Told { config: proof(state.config), roster: proof(state.roster), wall })
     }
 }
--- a/crates/sync/src/coordinator.rs
+++ b/crates/sync/src/coordinator.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         EndpointHash, Round,
+        clocks::{self, Ahead, Vote},
         message::{Demand, Figures, Load, Question, Usage},
     },
     agate_core::Mono,
@@ -18,6 +19,7 @@
 struct Told {
     round: Round,
     at: Mono,
+    clock: Option<Vote>,
     figures: Figures,
 }
 
@@ -40,7 +42,8 @@
         self.told.retain(|_, t| now.saturating_sub(t.at) < LOAD_AGE);
         let told = self.told.entry(question.from.clone()).or_default();
         if question.round > told.round || told.round == 0 {
-            *told = Told { round: question.round, at: now, figures: question.figures.clone() };
+            let Question { round, clock, figures, .. } = question.clone();
+            *told = Told { round, at: now, clock, figures };
         }
     }
 
@@ -76,6 +79,14 @@
         }
     }
 
+    /// By how much the time of day that the `known` instances agree on is ahead of this one's own,
+    /// which has been `kept` for so long.
+    pub fn agreed(&self, kept: Duration, known: usize, now: Mono) -> Option<Ahead> {
+        let fresh = self.told.values().filter(|t| now.saturating_sub(t.at) < LOAD_AGE);
+        let votes = fresh.filter_map(|t| t.clock).chain([Vote::new(0, kept)]);
+        clocks::agreed(votes.collect(), known)
+    }
+
     /// Counts a part of a round of usage.
     pub fn on_usage(&mut self, usage: &Usage) {
         let parts = self.parts.entry(usage.from.clone()).or_default();
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The instances ranked first ([`agate_view::peers::ranked`]) are coordinators. Every instance sends
 //! its load of the endpoints to the first coordinator that answers; the answer holds the load of all
-//! others and how old the coordinator's own proofs are ([`coordinator`], [`asker`]). So the fleet
+//! others, how old the coordinator's own proofs are ([`coordinator`], [`asker`]), and the time of day
+//! that the instances agree on ([`clocks`]). So the fleet
 //! reads the store about as often as one instance alone would. Usage goes to every coordinator.
 //!
 //! A proof that is taken over is as old as the coordinator said, counted from *before* the question
@@ -11,6 +12,7 @@
 
 pub mod asker;
 pub mod assembly;
+pub mod clocks;
 pub mod coordinator;
 pub mod message;
 pub mod runner;
--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -1,7 +1,10 @@
 //! Messages between instances.
 
 use {
-    crate::{EndpointHash, Round},
+    crate::{
+        EndpointHash, Round,
+        clocks::{Clock, Vote},
+    },
     agate_view::Entry,
     serde::{Deserialize, Serialize},
 };
@@ -50,6 +53,8 @@
     pub round: Round,
     /// Digest of the endpoints' entries that it knows.
     pub roster: u64,
+    /// What it takes the time of day to be; `None` until it has measured the coordinator's.
+    pub clock: Option<Vote>,
     /// Its own figures.
     pub figures: Figures,
 }
@@ -70,6 +75,8 @@
     pub round: Round,
     /// The configuration that it knows.
     pub config: Option<Known>,
+    /// The time of day.
+    pub clock: Option<Clock>,
     /// The endpoints that it knows.
     pub roster: Option<Known>,
     /// Figures of all other instances.
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -4,9 +4,11 @@
     crate::{
         asker::{Asker, Confirmed},
         assembly::Assembly,
+        clocks::{self, Clock, Vote},
         coordinator::Coordinator,
         message::{Entries, Figures, Known, Message, Question, State, Usage},
     },
+    agate_core::Wall,
     agate_store::{Purpose, Store},
     agate_view::{
         Belief, clock,
@@ -61,6 +63,10 @@
     pub own: Box<dyn Fn() -> Figures + Send + Sync>,
     /// Takes the figures of all others in.
     pub others: Box<OthersFn>,
+    /// What this instance itself takes the time of day to be, and for how long it has kept it.
+    pub clock: Box<dyn Fn() -> (Wall, Duration) + Send + Sync>,
+    /// Takes over the time of day that the instances agree on.
+    pub agreed: Box<dyn Fn(Wall) + Send + Sync>,
     /// Own usage of the newest windows.
     pub usage: Box<dyn Fn() -> Counted + Send + Sync>,
     /// Notes the version of the own usage that every coordinator has.
@@ -208,6 +214,9 @@
                 let totals = self.coordinator.totals("", &own, clock::now());
                 self.holder = totals.holder.clone();
                 (self.ports.others)(&totals);
+                if let Some(ahead) = self.clock().and_then(|c| c.agreed) {
+                    (self.ports.agreed)(clocks::shifted((self.ports.clock)().0, ahead));
+                }
             }
             return;
         };
@@ -217,10 +226,19 @@
         let from = self.incarnation.clone();
         let figures = (self.ports.own)();
         let roster = self.belief.digest.load(Ordering::Acquire);
-        let question = Question { from, round, roster, figures };
+        let (_, kept) = (self.ports.clock)();
+        let clock = self.asker.ahead().map(|ahead| Vote::new(ahead, kept));
+        let question = Question { from, round, roster, clock, figures };
         self.send(&Message::Question(question), address).await;
     }
 
+    /// The time of day, as this instance tells it to others.
+    fn clock(&self) -> Option<Clock> {
+        let (wall, kept) = (self.ports.clock)();
+        let agreed = self.coordinator.agreed(kept, self.belief.instances(), clock::now());
+        Some(Clock { wall: wall.as_micros().try_into().ok()?, agreed })
+    }
+
     async fn push(&mut self) {
         let (version, windows) = (self.ports.usage)();
         let coordinators = self.coordinators();
@@ -306,6 +324,7 @@
             round: question.round,
             config: config.and_then(known),
             roster: belief.vouched_roster().and_then(known),
+            clock: self.clock(),
             figures: self.coordinator.totals(&question.from, &(self.ports.own)(), now),
         };
         self.send(&Message::State(state), from).await;
@@ -333,14 +352,19 @@
     }
 
     fn take_over(&mut self, state: &State) {
-        let Some((config, roster)) = self.asker.on_state(state, clock::now()) else { return };
-        self.vouched = roster;
-        if let Some(proof) = config {
+        let Some(told) = self.asker.on_state(state, (self.ports.clock)().0, clock::now()) else {
+            return;
+        };
+        self.vouched = told.roster;
+        if let Some(proof) = told.config {
             self.belief.confirm_config(proof.version, proof.at);
         }
-        if let Some(proof) = roster {
+        if let Some(proof) = told.roster {
             self.belief.confirm_roster(proof.version, proof.at);
         }
+        if let Some(wall) = told.wall {
+            (self.ports.agreed)(wall);
+        }
         self.holder = state.figures.holder.clone();
         (self.ports.others)(&state.figures);
     }
--- a/crates/sync/tests/taken_proofs.rs
+++ b/crates/sync/tests/taken_proofs.rs
@@ -15,7 +15,7 @@
 
 fn state(round: u64, age_ms: u64) -> State {
     let config = Some(Known { version: 9, age: age_ms * 1_000 });
-    State { round, config, roster: None, figures: Figures::default() }
+    State { round, config, clock: None, roster: None, figures: Figures::default() }
 }
 
 /// However long the answer is under way, the proof counts from before the question.
@@ -23,8 +23,9 @@
 fn delayed_answer(#[values(0, 30, 4_000)] delay: u64, #[values(0, 700)] age: u64) {
     let mut asker = Asker::default();
     let (_, round) = asker.ask(&["a"], ms(0)).expect("someone to ask");
-    let (config, _) = asker.on_state(&state(round, age), ms(delay)).expect("an open question");
-    assert_eq!(config, Some(Confirmed { version: 9, at: ms(0) - Duration::from_millis(age) }));
+    let told =
+        asker.on_state(&state(round, age), Duration::ZERO, ms(delay)).expect("an open question");
+    assert_eq!(told.config, Some(Confirmed { version: 9, at: ms(0) - Duration::from_millis(age) }));
 }
 
 /// An answer counts once, and only to an open question.
@@ -32,9 +33,9 @@
 fn repeated_answer() {
     let mut asker = Asker::default();
     let (_, round) = asker.ask(&["a"], ms(0)).expect("someone to ask");
-    assert!(asker.on_state(&state(round + 1, 0), ms(1)).is_none());
-    assert!(asker.on_state(&state(round, 0), ms(1)).is_some());
-    assert!(asker.on_state(&state(round, 0), ms(2)).is_none());
+    assert!(asker.on_state(&state(round + 1, 0), Duration::ZERO, ms(1)).is_none());
+    assert!(asker.on_state(&state(round, 0), Duration::ZERO, ms(1)).is_some());
+    assert!(asker.on_state(&state(round, 0), Duration::ZERO, ms(2)).is_none());
 }
 
 /// A silent coordinator is left out for a while, then tried again.
@@ -50,7 +51,7 @@
     }
     assert_eq!(ask(&mut asker, at).as_deref(), Some("b"));
     at += LEFT_OUT.as_millis() as u64;
-    asker.on_state(&state(1, 0), ms(at));
+    asker.on_state(&state(1, 0), Duration::ZERO, ms(at));
     assert_eq!(ask(&mut asker, at).as_deref(), Some("a"));
 }
 
