Let new configurations, cut coordinators and starts cost few calls

Change: a told configuration is read by a read that may be old and checked against what was told; the coordinator that leads reads at the quick pace; silent coordinators are tried beside the one that answers; the list of instances is read often while it changes; the secret and a configuration that does not exist yet are read cheaply; usage that a coordinator has is written only if the holder lacks it once its window is over; pauses between failing reads grow. Calls by purpose are a metric of this mode too (one collector for both).

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -6,6 +6,7 @@
 mod talk;
 
 use {
+    crate::figures,
     agate_adapter::{PATHS, SOURCE, headers, store},
     agate_duty::{
         counter::Counter,
@@ -81,7 +82,8 @@
     /// Errors: an address cannot be bound.
     pub async fn spawn(settings: &Settings) -> Result<Self> {
         let belief = Belief::new();
-        let store = open_store(settings);
+        let client = open_store(settings);
+        let store = client.store();
         let incarnation = format!("{}-{:x}", settings.name, rand::random::<u32>());
         let counter = Counter::new(settings.usage.window);
         let counting = counter.clone();
@@ -89,6 +91,7 @@
             Gate::new(headers::dialect(), belief.clone(), gate_settings(settings), move |org| {
                 counting.count(org);
             });
+        figures::calls::register(gate.meter.registry(), &client);
         tokio::spawn(gate.clone().follow());
         let own = Peer {
             name: settings.name.clone(),
@@ -217,7 +220,7 @@
     }
 }
 
-fn open_store(settings: &Settings) -> Store {
+fn open_store(settings: &Settings) -> Client {
     let mut shape = client::Settings::for_fleet(1);
     shape.deadline = Duration::from_millis(1_000);
     shape.attempts = 2;
@@ -226,7 +229,7 @@
         base: Duration::from_millis(100),
         max: Duration::from_millis(400),
     };
-    Client::open(store::open(settings.store), shape, rand::random()).store()
+    Client::open(store::open(settings.store), shape, rand::random())
 }
 
 /// Stands for the lease of the duties while this instance is ranked among the coordinators.
--- a/crates/cli/src/edge/talk.rs
+++ b/crates/cli/src/edge/talk.rs
@@ -55,7 +55,7 @@
     let (seat, name) = (seat.clone(), name.to_owned());
     let (own, others, asked) = (gate.clone(), gate.clone(), asked.clone());
     let (usage, noted, collect) = (counter.clone(), counter.clone(), counter.clone());
-    let (vote, agreed) = (counter.clone(), counter.clone());
+    let (vote, agreed, copied) = (counter.clone(), counter.clone(), counter.clone());
     Ports {
         own: Box::new(move || own_figures(&own, &seat, &name)),
         others: Box::new(move |figures| {
@@ -69,6 +69,7 @@
         agreed: Box::new(move |wall| agreed.agree(wall)),
         usage: Box::new(move || usage.newest()),
         usage_noted: Box::new(move |version| noted.note_kept(version)),
+        usage_copied: Box::new(move |version| copied.note_copied(version)),
         collect: Box::new(move |u| collect.collect(&u.from, u.window, &u.rows)),
     }
 }
--- a/crates/cli/src/figures.rs
+++ b/crates/cli/src/figures.rs
@@ -4,13 +4,15 @@
 //! Those parts know nothing of Prometheus. Their counts are taken over at each scrape; the work
 //! grows with the endpoints and members and is none of the request path's.
 
+pub mod calls;
+
 use {
     crate::mesh::Mesh,
     agate_core::Mono,
     agate_flow::gate::Gate,
     agate_member::{Counts, Handle, Totals},
     agate_route::health,
-    agate_store::{Purpose, client::Client, tally::Event},
+    agate_store::client::Client,
     agate_wire::{Reject, Status},
     indexmap::IndexMap,
     prometheus::{Gauge, IntCounterVec, IntGaugeVec, Opts, Registry},
@@ -34,14 +36,11 @@
     pub gate: Arc<Gate>,
     /// Its connection to the other instances.
     pub mesh: Arc<Mesh>,
-    /// Its client of the store.
-    pub client: Client,
 }
 
 /// Metrics that are filled at each scrape.
 pub struct Figures {
     sources: Sources,
-    calls: IntCounterVec,
     members: IntGaugeVec,
     events: IntCounterVec,
     messages: IntCounterVec,
@@ -56,8 +55,9 @@
 
 impl Figures {
     /// Registers the metrics with the instance's others.
-    pub fn open(sources: Sources) -> Self {
+    pub fn open(sources: Sources, client: &Client) -> Self {
         let registry = sources.gate.meter.registry.clone();
+        calls::register(&registry, client);
         let counter = |name: &str, help: &str, labels: &[&str]| {
             let vec = IntCounterVec::new(Opts::new(name, help), labels);
             register(&registry, vec.expect("metric names are valid"))
@@ -68,7 +68,6 @@
         };
         let age = Gauge::new("agatetrack_config_proof_age_seconds", "Age of the newest proof");
         Self {
-            calls: counter("agatetrack_store_calls_total", "Calls", &["purpose", "event"]),
             members: gauge("agatetrack_members", "Other instances known", &["status"]),
             events: counter("agatetrack_member_events_total", "Membership", &["event"]),
             messages: counter("agatetrack_member_messages_total", "Datagrams", &["what"]),
@@ -85,7 +84,6 @@
     /// Takes over what was counted since the last scrape.
     pub fn refresh(&self) {
         let _held = self.filling.lock().expect("no panic while filling metrics");
-        self.fill_store();
         self.fill_config();
         self.fill_endpoints();
         for (event, count) in self.sources.gate.once.tally().read() {
@@ -96,16 +94,6 @@
         }
     }
 
-    fn fill_store(&self) {
-        let tally = self.sources.client.tally();
-        for purpose in Purpose::ALL {
-            for event in Event::ALL {
-                let labels = [purpose.label(), event.label()];
-                raise(&self.calls, &labels, tally.get(purpose, event));
-            }
-        }
-    }
-
     fn fill_config(&self) {
         let Some(follower) = self.sources.mesh.follower() else { return };
         let (_, age) = follower.digest();
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -158,9 +158,10 @@
             tokio::spawn(follow_peers(gate.clone(), mesh.clone())),
         ];
         wait_installed(installed).await?;
-        let sources = Sources { gate: gate.clone(), mesh: mesh.clone(), client };
+        let sources = Sources { gate: gate.clone(), mesh: mesh.clone() };
         let work = (usage.clone(), fleet, control.clone());
-        let stop = Stop::open(settings, Figures::open(sources), &mesh, work, &gate);
+        let figures = Figures::open(sources, &client);
+        let stop = Stop::open(settings, figures, &mesh, work, &gate);
         let ended = stop.ended.clone().cancelled_owned();
         let operator = Operator::bind(settings.operator, stop.view.clone(), ended).await?;
         let tls = settings.tls.as_ref().map(|t| Tls::open(t.files())).transpose();
--- a/crates/duty/src/counter.rs
+++ b/crates/duty/src/counter.rs
@@ -5,7 +5,7 @@
         Window,
         count::{self, Rows, SteadyWall, Tally, window_of},
     },
-    agate_core::Wall,
+    agate_core::{Mono, Wall},
     agate_view::{clock, table::Name},
     indexmap::IndexMap,
     std::{
@@ -28,9 +28,10 @@
     wall: SteadyWall,
     // Grows with each count.
     version: u64,
-    // Version that the store or every coordinator has.
-    kept: u64,
-    changed: Duration,
+    // What is kept where a report is made of it: at the holder of the duties, or in the store.
+    kept: Mark,
+    // What some coordinator has.
+    copied: Mark,
     others: IndexMap<String, Tally>,
 }
 
@@ -42,8 +43,8 @@
             tally: Tally::default(),
             wall,
             version: 0,
-            kept: 0,
-            changed: Duration::ZERO,
+            kept: Mark::default(),
+            copied: Mark::default(),
             others: IndexMap::new(),
         };
         Arc::new(Self { state: Mutex::new(state), length })
@@ -55,9 +56,9 @@
         let now = clock::now();
         let wall = state.wall.read(clock::wall(), now);
         state.tally.count(window_of(wall, self.length), org);
-        if state.kept == state.version {
-            state.changed = now;
-        }
+        let version = state.version;
+        state.kept.before(version, now);
+        state.copied.before(version, now);
         state.version += 1;
     }
 
@@ -70,10 +71,13 @@
     /// Notes that the counts of `version` are kept elsewhere too.
     pub fn note_kept(&self, version: u64) {
         let mut state = self.lock();
-        if version > state.kept {
-            state.kept = version;
-            state.changed = clock::now();
-        }
+        state.kept.note(version, clock::now());
+        state.copied.note(version, clock::now());
+    }
+
+    /// Notes that some coordinator has the counts of `version`.
+    pub fn note_copied(&self, version: u64) {
+        self.lock().copied.note(version, clock::now());
     }
 
     /// Takes whole values of another incarnation in.
@@ -121,11 +125,55 @@
         self.state.lock().expect("no panic under the lock of the counts")
     }
 
-    /// The counts with their version, if nobody else has kept them for `patience`.
-    pub(crate) fn unkept(&self, patience: Duration) -> Option<(u64, Tally)> {
+    /// The counts with their version, if they have to be written: no coordinator has had them for
+    /// `patience`, or the holder has them not although their window ended `settle` ago.
+    pub fn unkept(&self, patience: Duration, settle: Duration) -> Option<(u64, Tally)> {
+        let mut state = self.lock();
+        let now = clock::now();
+        let since = state.kept.since(state.version)?;
+        let lost = state.copied.since(state.version).is_some_and(|at| is_over(at, patience, now));
+        let wall = state.wall.read(clock::wall(), now);
+        let window = window_of(wall.saturating_sub(now.saturating_sub(since)), self.length);
+        let ended = window < window_of(wall.saturating_sub(settle), self.length);
+        (lost || ended).then(|| (state.version, state.tally.clone()))
+    }
+
+    /// The counts with their version, if the holder has them not.
+    pub fn unheld(&self) -> Option<(u64, Tally)> {
         let state = self.lock();
-        let waits =
-            state.version > state.kept && clock::now().saturating_sub(state.changed) >= patience;
-        waits.then(|| (state.version, state.tally.clone()))
+        state.kept.since(state.version)?;
+        Some((state.version, state.tally.clone()))
     }
 }
+
+/// Newest version that is kept somewhere, and since when there are counts beyond it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mark {
+    version: u64,
+    since: Mono,
+}
+
+impl Mark {
+    /// Notes that `version` gets one more count at `now`.
+    fn before(&mut self, version: u64, now: Mono) {
+        if self.version == version {
+            self.since = now;
+        }
+    }
+
+    /// Notes that `version` is kept.
+    fn note(&mut self, version: u64, now: Mono) {
+        if version > self.version {
+            *self = Self { version, since: now };
+        }
+    }
+
+    /// Since when counts of `version` are not kept, if they are not.
+    fn since(&self, version: u64) -> Option<Mono> {
+        (version > self.version).then_some(self.since)
+    }
+}
+
+fn is_over(since: Mono, patience: Duration, now: Mono) -> bool {
+    now.saturating_sub(since) >= patience
+}
--- a/crates/duty/src/runner.rs
+++ b/crates/duty/src/runner.rs
@@ -24,6 +24,9 @@
 /// Time after which counts that no coordinator has acknowledged are written to the store; shorter
 /// than the time in which counts of a window are gathered.
 const PATIENCE: Duration = Duration::from_millis(1_200);
+/// Time from the end of a window until the holder must have told that it has the counts; one push and
+/// its answer take less.
+const SETTLE: Duration = Duration::from_millis(700);
 /// Time between two looks at whether the own counts have to be written.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -98,7 +101,7 @@
     /// Writes the counts that nobody else has; the last step before a stop.
     pub async fn hand_over(&self) {
         let mut revision = None;
-        if let Some((version, tally)) = self.counter.unkept(Duration::ZERO)
+        if let Some((version, tally)) = self.counter.unheld()
             && write(&self.store, &self.key, &tally, &mut revision).await
         {
             self.counter.note_kept(version);
@@ -111,7 +114,7 @@
     let mut revision = None;
     loop {
         sleep(LOOK).await;
-        let Some((version, tally)) = counter.unkept(PATIENCE) else { continue };
+        let Some((version, tally)) = counter.unkept(PATIENCE, SETTLE) else { continue };
         if write(&store, &key, &tally, &mut revision).await {
             counter.note_kept(version);
         }
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -264,6 +264,12 @@
         }
     }
 
+    /// Reads `key` as it was up to seconds ago, at a fraction of the price of [`Store::get`].
+    pub async fn peek(&self, purpose: Purpose, key: &str) -> Result<Option<Record>> {
+        let items = self.range(purpose, key, Freshness::Stale).await?;
+        Ok(items.into_iter().find(|i| i.key == key).map(|i| i.record))
+    }
+
     /// Writes `key` if its revision is `expect`; on conflict returns the present record as `Err`.
     pub async fn swap(
         &self,
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        Round,
         asker::{Asker, Confirmed},
         assembly::Assembly,
         clocks::{self, Clock, Vote},
@@ -35,8 +36,10 @@
 const SECRET: &str = "agate/secret";
 /// Bytes of that secret.
 const SECRET_BYTES: usize = 32;
-/// Pause after a failed read of the secret.
-const SECRET_RETRY: Duration = Duration::from_millis(300);
+/// Shortest pause between two reads of the secret.
+const SECRET_RETRY: Duration = Duration::from_millis(100);
+/// Random time on top of it; many times what a write takes.
+const SECRET_SPREAD: Duration = Duration::from_millis(500);
 /// Shortest time between two questions of one instance.
 const ASK_PERIOD: Duration = Duration::from_millis(50);
 /// Time between two questions for each instance, which bounds a coordinator's work in large fleets.
@@ -71,6 +74,8 @@
     pub usage: Box<dyn Fn() -> Counted + Send + Sync>,
     /// Notes the version of the own usage that every coordinator has.
     pub usage_noted: Box<dyn Fn(u64) + Send + Sync>,
+    /// Notes the newest version of the own usage that some other instance has.
+    pub usage_copied: Box<dyn Fn(u64) + Send + Sync>,
     /// Takes usage of another instance in.
     pub collect: Box<dyn Fn(&Usage) + Send + Sync>,
 }
@@ -119,27 +124,43 @@
     Ok(Talking { task })
 }
 
-/// Reads the secret; the first instance of all makes it.
+/// Reads the secret; the first instance of all makes it. It never changes, so a read that may be old
+/// is enough.
 async fn secret(store: &Store) -> Keys {
+    let mut waited = false;
     loop {
-        match store.get(Purpose::Config, SECRET).await {
-            Ok(Some(record)) => match Keys::new(&[&record.value]) {
-                Ok(keys) => return keys,
-                Err(e) => {
-                    log::error!(event = "secret_refused", cause:% = e; "the secret of the instances is unusable")
-                }
-            },
-            Ok(None) => {
-                let made: [u8; SECRET_BYTES] = rand::random();
-                // Whoever loses the race reads the other's in the next turn.
-                if let Err(e) = store.swap(Purpose::Lease, SECRET, 0, made.to_vec()).await {
-                    log::debug!("writing the secret: {e}");
-                }
-                continue;
+        let found = match store.peek(Purpose::Config, SECRET).await {
+            Ok(Some(record)) => Some(record.value),
+            Ok(None) if waited => make_secret(store).await,
+            Ok(None) => None,
+            Err(e) => {
+                log::debug!("reading the secret: {e}");
+                None
             }
-            Err(e) => log::debug!("reading the secret: {e}"),
+        };
+        match found.map(|value| Keys::new(&[&value])) {
+            Some(Ok(keys)) => return keys,
+            Some(Err(e)) => {
+                log::error!(event = "secret_refused", cause:% = e; "the secret of the instances is unusable")
+            }
+            None => {}
+        }
+        // Instances that start together wait for different times, so one writes and the rest read.
+        sleep(SECRET_RETRY + SECRET_SPREAD.mul_f64(rand::random())).await;
+        waited = true;
+    }
+}
+
+/// Writes a new secret unless there is one; returns the one that stands.
+async fn make_secret(store: &Store) -> Option<Vec<u8>> {
+    let made: [u8; SECRET_BYTES] = rand::random();
+    match store.swap(Purpose::Lease, SECRET, 0, made.to_vec()).await {
+        Ok(Ok(_)) => Some(made.to_vec()),
+        Ok(Err(found)) => found.map(|record| record.value),
+        Err(e) => {
+            log::debug!("writing the secret: {e}");
+            None
         }
-        sleep(SECRET_RETRY).await;
     }
 }
 
@@ -208,21 +229,30 @@
         // A coordinator asks only those before it; the first one reads the store itself.
         let asked = &coordinators[..own.unwrap_or(coordinators.len())];
         let names: Vec<&str> = asked.iter().map(|p| p.name.as_str()).collect();
-        let Some((target, round)) = self.asker.ask(&names, clock::now()) else {
-            if own.is_some() {
-                let own = Figures { holder: (self.ports.own)().holder, ..Figures::default() };
-                let totals = self.coordinator.totals("", &own, clock::now());
-                self.holder = totals.holder.clone();
-                (self.ports.others)(&totals);
-                if let Some(ahead) = self.clock().and_then(|c| c.agreed) {
-                    (self.ports.agreed)(clocks::shifted((self.ports.clock)().0, ahead));
-                }
+        let questions = self.asker.ask(&names, clock::now());
+        self.belief.set_leading(own.is_some() && !self.asker.has_target());
+        for (target, round) in questions {
+            if let Some(peer) = asked.iter().find(|p| p.name == target) {
+                self.question(peer.address, round).await;
             }
-            return;
-        };
-        let Some(address) = asked.iter().find(|p| p.name == target).map(|p| p.address) else {
-            return;
-        };
+        }
+        if own.is_some() && !self.asker.has_target() {
+            self.lead();
+        }
+    }
+
+    /// Takes in what this coordinator knows itself, since no better one answers.
+    fn lead(&mut self) {
+        let own = Figures { holder: (self.ports.own)().holder, ..Figures::default() };
+        let totals = self.coordinator.totals("", &own, clock::now());
+        self.holder = totals.holder.clone();
+        (self.ports.others)(&totals);
+        if let Some(ahead) = self.clock().and_then(|c| c.agreed) {
+            (self.ports.agreed)(clocks::shifted((self.ports.clock)().0, ahead));
+        }
+    }
+
+    async fn question(&self, address: SocketAddr, round: Round) {
         let from = self.incarnation.clone();
         let figures = (self.ports.own)();
         let roster = self.belief.digest.load(Ordering::Acquire);
@@ -269,6 +299,9 @@
     /// Tells which version of the own usage is kept elsewhere: what the holder of the duties has, or
     /// every coordinator while it is not known.
     fn note_usage(&self, version: u64, coordinators: &[Peer]) {
+        let others = coordinators.iter().filter(|p| p.name != self.own.name);
+        let copied = others.filter_map(|p| self.pushes.get(&p.name)).map(|push| push.noted).max();
+        (self.ports.usage_copied)(copied.unwrap_or_default());
         let noted = |name: &str| match name == self.own.name {
             true => version,
             false => self.pushes.get(name).map_or(0, |push| push.noted),
@@ -355,13 +388,17 @@
         let Some(told) = self.asker.on_state(state, (self.ports.clock)().0, clock::now()) else {
             return;
         };
-        self.vouched = told.roster;
         if let Some(proof) = told.config {
             self.belief.confirm_config(proof.version, proof.at);
         }
         if let Some(proof) = told.roster {
             self.belief.confirm_roster(proof.version, proof.at);
         }
+        // A coordinator that is tried again hears of few instances.
+        if !told.current {
+            return;
+        }
+        self.vouched = told.roster;
         if let Some(wall) = told.wall {
             (self.ports.agreed)(wall);
         }
--- a/crates/view/src/belief.rs
+++ b/crates/view/src/belief.rs
@@ -65,6 +65,8 @@
     pub table: ArcSwapOption<Table>,
     /// Revision of the configuration's record; zero before the first.
     pub revision: AtomicU64,
+    /// Newest revision of that record that a coordinator knew.
+    claimed: AtomicU64,
     /// Proof that no newer configuration was acknowledged.
     pub config: Proof,
     /// The endpoints.
@@ -73,6 +75,8 @@
     pub digest: AtomicU64,
     /// Whether endpoints are kept whose entries are missing after an outage that this instance saw.
     graced: AtomicBool,
+    /// Whether this instance reads the store for others.
+    leading: AtomicBool,
     /// Proof that no endpoint's change is missing.
     pub roster: Proof,
     /// Entries that a coordinator sent, with the time of their proof; taken by the follower.
@@ -88,10 +92,12 @@
         Self {
             table: ArcSwapOption::empty(),
             revision: AtomicU64::new(0),
+            claimed: AtomicU64::new(0),
             config: Proof::default(),
             entries: ArcSwap::default(),
             digest: AtomicU64::new(0),
             graced: AtomicBool::new(false),
+            leading: AtomicBool::new(false),
             roster: Proof::default(),
             offered: Mutex::default(),
             peers: ArcSwap::default(),
@@ -118,10 +124,17 @@
         if revision != 0 && known == revision {
             self.config.note(at);
         } else if revision > known {
+            self.claimed.fetch_max(revision, Ordering::AcqRel);
             self.config.doubt();
         }
     }
 
+    /// Revision of a configuration newer than `known` that another instance has.
+    pub fn newer_config(&self, known: u64) -> Option<u64> {
+        let claimed = self.claimed.load(Ordering::Acquire);
+        (claimed > known).then_some(claimed)
+    }
+
     /// The same for the endpoints, by their digest.
     pub fn confirm_roster(&self, digest: u64, at: Mono) {
         if digest != 0 && self.digest.load(Ordering::Acquire) == digest {
@@ -136,6 +149,16 @@
         self.announce();
     }
 
+    /// Notes whether this instance reads the store for others: no better coordinator answers it.
+    pub fn set_leading(&self, leading: bool) {
+        self.leading.store(leading, Ordering::Release);
+    }
+
+    /// Whether this instance reads the store for others.
+    pub fn leads(&self) -> bool {
+        self.leading.load(Ordering::Acquire)
+    }
+
     /// Notes whether endpoints are kept although their entries are missing.
     pub fn set_graced(&self, graced: bool) {
         self.graced.store(graced, Ordering::Release);
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -64,17 +64,23 @@
 }
 
 impl Pace {
-    /// Age of a proof at which this instance reads: the first coordinator reads for all, so the
+    /// Age of a proof at which this instance reads: the coordinator that leads reads for all, so the
     /// others wait until its proofs must have arrived.
-    fn limit(&self, period: Duration, belief: &Belief, own: &str) -> Duration {
-        let known = belief.peers.load();
-        let first = peers::ranked(&known).first().map(|p| p.name.clone());
-        if first.is_none_or(|name| name == own) { period } else { period + self.passing }
+    fn limit(&self, period: Duration, belief: &Belief) -> Duration {
+        if belief.leads() { period } else { period + self.passing }
     }
 }
 
-/// Pause after a failed read; short, since every belief ages meanwhile.
+/// Pause after a failed read.
 const RETRY: Duration = Duration::from_millis(150);
+/// Doublings of that pause while reads go on failing; the longest is about the usual period.
+const MOST_DOUBLINGS: u32 = 2;
+/// Writes of the own record under one lease: the first finds out what an earlier start left.
+const WRITES: u32 = 3;
+/// Time between two reads of the instances while the list changes.
+const FIRST_PEERS: Duration = Duration::from_millis(250);
+/// Unchanged reads after which the list is read at its usual pace.
+const QUIET_READS: u32 = 3;
 /// Renewals of the own record within its time to live.
 const RENEWALS: u32 = 3;
 
@@ -93,23 +99,37 @@
     belief: Arc<Belief>,
 ) -> Followers {
     let mut tasks = JoinSet::new();
-    tasks.spawn(config(store.clone(), source, pace, belief.clone(), own.name.clone()));
-    tasks.spawn(entries(store.clone(), source, pace, belief.clone(), own.name.clone()));
+    tasks.spawn(config(store.clone(), source, pace, belief.clone()));
+    tasks.spawn(entries(store.clone(), source, pace, belief.clone()));
     tasks.spawn(instances(store.clone(), pace.peers, belief));
     tasks.spawn(announce(store, own, pace.record));
     Followers { _tasks: tasks }
 }
 
-async fn config(store: Store, source: Source, pace: Pace, belief: Arc<Belief>, own: String) {
+async fn config(store: Store, source: Source, pace: Pace, belief: Arc<Belief>) {
     let mut known = 0;
     let mut reach = Reach::new("configuration");
     let mut read = Instant::now() - pace.config;
+    await_config(&store, source, &mut reach).await;
     loop {
         // A proof that came from another instance saves the read.
-        belief.config.expired(pace.limit(pace.config, &belief, &own)).await;
+        belief.config.expired(pace.limit(pace.config, &belief)).await;
         // Quick successions of configurations are read together.
         sleep_until(read + pace.config).await;
         read = Instant::now();
+        match told(&store, source, &belief, known).await {
+            // The proof comes with the next answer of the instance that told of it.
+            Ok(Some(record)) if install(&record, source, &belief) => {
+                known = record.revision;
+                continue;
+            }
+            Ok(_) => {}
+            Err(e) => {
+                reach.failed(&e);
+                sleep(reach.pause()).await;
+                continue;
+            }
+        }
         let sent = clock::now();
         match store.get(Purpose::Config, source.config).await {
             Ok(Some(record)) => {
@@ -127,12 +147,36 @@
             }
             Err(e) => {
                 reach.failed(&e);
-                sleep(RETRY).await;
+                sleep(reach.pause()).await;
             }
         }
     }
 }
 
+/// Waits by cheap reads until there is a configuration or the store does not answer.
+async fn await_config(store: &Store, source: Source, reach: &mut Reach) {
+    loop {
+        match store.peek(Purpose::Config, source.config).await {
+            Ok(Some(_)) => return,
+            Ok(None) => sleep(RETRY).await,
+            Err(e) => return reach.failed(&e),
+        }
+    }
+}
+
+/// Reads a configuration that another instance already has. Which one it is is known, so a read that
+/// may be old costs little and does no harm: an older one than told is not returned.
+async fn told(
+    store: &Store,
+    source: Source,
+    belief: &Belief,
+    known: u64,
+) -> Result<Option<Record>> {
+    let Some(newer) = belief.newer_config(known) else { return Ok(None) };
+    let found = store.peek(Purpose::Config, source.config).await?;
+    Ok(found.filter(|record| record.revision >= newer))
+}
+
 /// Puts a configuration in force; returns whether it could be read.
 fn install(record: &Record, source: Source, belief: &Belief) -> bool {
     match (source.read_config)(&record.value) {
@@ -158,11 +202,11 @@
     }
 }
 
-async fn entries(store: Store, source: Source, pace: Pace, belief: Arc<Belief>, own: String) {
+async fn entries(store: Store, source: Source, pace: Pace, belief: Arc<Belief>) {
     let mut roster = Roster::default();
     let mut reach = Reach::new("endpoints");
     loop {
-        belief.roster.expired(pace.limit(pace.entries, &belief, &own)).await;
+        belief.roster.expired(pace.limit(pace.entries, &belief)).await;
         let (entries, sent) = match belief.take_offered() {
             Some(offered) => offered,
             None => match read(&store, source, &mut reach).await {
@@ -202,7 +246,7 @@
         }
         Err(e) => {
             reach.failed(&e);
-            sleep(RETRY).await;
+            sleep(reach.pause()).await;
             None
         }
     }
@@ -225,7 +269,9 @@
 
 async fn instances(store: Store, pace: Duration, belief: Arc<Belief>) {
     let mut reach = Reach::new("instances");
+    let mut quiet = 0;
     loop {
+        quiet += 1;
         match store.range(Purpose::Roster, peers::PREFIX, Freshness::Stale).await {
             Ok(items) => {
                 reach.answered();
@@ -233,12 +279,14 @@
                 if **belief.peers.load() != list {
                     log::info!(event = "instances_changed", known = list.len(); "the set of instances changed");
                     belief.peers.store(Arc::new(list));
+                    quiet = 0;
                     belief.announce();
                 }
             }
             Err(e) => reach.failed(&e),
         }
-        sleep(pace).await;
+        // While instances come, the coordinators are found soon: until then each reads for itself.
+        sleep(if quiet < QUIET_READS { FIRST_PEERS } else { pace }).await;
     }
 }
 
@@ -250,7 +298,7 @@
             Ok(other) => unreachable_reply(&mut reach, &format!("{other:?}")).await,
             Err(e) => {
                 reach.failed(&e);
-                sleep(RETRY).await;
+                sleep(reach.pause()).await;
                 continue;
             }
         };
@@ -259,7 +307,7 @@
             Ok(false) => continue,
             Err(e) => {
                 reach.failed(&e);
-                sleep(RETRY).await;
+                sleep(reach.pause()).await;
                 continue;
             }
         }
@@ -278,12 +326,20 @@
     0
 }
 
-/// Writes the own record under `lease`, over what an earlier start may have left.
+/// Writes the own record under `lease`, over what an earlier start may have left; returns whether it
+/// stands.
 async fn write(store: &Store, own: &Peer, lease: u64) -> Result<bool> {
-    let found = store.get(Purpose::Lease, own.key()).await?;
-    let expect = found.map_or(0, |r| r.revision);
-    let call = Call::Swap { key: own.key(), expect, value: Some(own.encode()), lease: Some(lease) };
-    Ok(matches!(store.call(Purpose::Lease, call).await?, Reply::Swapped(_)))
+    let mut expect = 0;
+    for _ in 0..WRITES {
+        let (key, value) = (own.key(), Some(own.encode()));
+        let call = Call::Swap { key, expect, value, lease: Some(lease) };
+        match store.call(Purpose::Lease, call).await? {
+            Reply::Swapped(_) => return Ok(true),
+            Reply::Conflict(found) => expect = found.map_or(0, |r| r.revision),
+            _ => return Ok(false),
+        }
+    }
+    Ok(false)
 }
 
 /// Renews `lease` until it has ended.
@@ -302,14 +358,16 @@
 struct Reach {
     what: &'static str,
     lost: Option<Instant>,
+    failures: u32,
 }
 
 impl Reach {
     fn new(what: &'static str) -> Self {
-        Self { what, lost: None }
+        Self { what, lost: None, failures: 0 }
     }
 
     fn answered(&mut self) {
+        self.failures = 0;
         if let Some(at) = self.lost.take() {
             log::info!(
                 event = "store_regained", what = self.what,
@@ -319,7 +377,13 @@
         }
     }
 
+    /// Pause before the next try: refused calls are paid for too, and every belief ages meanwhile.
+    fn pause(&self) -> Duration {
+        RETRY * (1 << self.failures.saturating_sub(1).min(MOST_DOUBLINGS))
+    }
+
     fn failed(&mut self, e: &Error) {
+        self.failures += 1;
         if self.lost.is_none() {
             self.lost = Some(Instant::now());
             log::warn!(event = "store_lost", what = self.what, cause:% = e; "the store does not answer");
--- /dev/null
+++ b/crates/view/tests/told_configuration.rs
@@ -0,0 +1,143 @@
+//! What a configuration costs an instance that was told of it by another one.
+
+use {
+    agate_store::{Call, Freshness, Item, Page, Record, Reply, Store},
+    agate_view::{
+        Belief, clock,
+        follow::{self, Followers, Pace, Source},
+        peers::Peer,
+        table::Parts,
+    },
+    rstest::rstest,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering::SeqCst},
+        },
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+const KEY: &str = "config";
+
+/// A store whose cheap reads may be behind, and that counts reads.
+#[derive(Default)]
+struct Fake {
+    /// Newest revision of the configuration, zero for none.
+    newest: AtomicU64,
+    /// Revision that cheap reads show.
+    shown: AtomicU64,
+    fresh: AtomicU64,
+    cheap: AtomicU64,
+}
+
+impl Fake {
+    fn put(&self, newest: u64, shown: u64) {
+        self.newest.store(newest, SeqCst);
+        self.shown.store(shown, SeqCst);
+    }
+
+    fn answer(&self, call: &Call) -> Reply {
+        let record = |revision: u64| Record { value: revision.to_string().into(), revision };
+        match call {
+            Call::Get { key } if key == KEY => {
+                self.fresh.fetch_add(1, SeqCst);
+                Reply::Value(Some(record(self.newest.load(SeqCst))))
+            }
+            Call::Range { prefix, freshness: Freshness::Stale, .. } if prefix == KEY => {
+                self.cheap.fetch_add(1, SeqCst);
+                let shown = Some(self.shown.load(SeqCst)).filter(|r| *r > 0);
+                let item = |r| Item { key: KEY.into(), record: record(r) };
+                Reply::Page(Page { items: shown.map(item).into_iter().collect(), truncated: false })
+            }
+            Call::Grant { .. } => Reply::Granted(1),
+            Call::Swap { .. } => Reply::Swapped(1),
+            Call::Renew { .. } => Reply::Done,
+            _ => Reply::Page(Page { items: Vec::new(), truncated: false }),
+        }
+    }
+}
+
+fn read_config(bytes: &[u8]) -> Result<Parts, String> {
+    let version = String::from_utf8_lossy(bytes).parse().map_err(|e| format!("{e}"))?;
+    Ok(Parts { version, ..Parts::default() })
+}
+
+/// An instance that reads for itself only when told or doubting, never for the age of its proofs.
+fn follow(fake: &Arc<Fake>, belief: &Arc<Belief>) -> Followers {
+    let (fake, long) = (fake.clone(), Duration::from_secs(3_600));
+    let store = Store::new(move |_, call| {
+        let reply = fake.answer(&call);
+        Box::pin(async move { Ok(reply) })
+    });
+    let source = Source { config: KEY, entries: "entries/", read_config, read_entry: |_, _| None };
+    let config = Duration::from_millis(1);
+    let pace = Pace { config, entries: long, passing: long, peers: long, record: long };
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let own = Peer { name: "own".into(), zone: "a".into(), address, weight: 1 };
+    follow::spawn(store, source, pace, own, belief.clone())
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    for _ in 0..5_000 {
+        if condition() {
+            return;
+        }
+        sleep(Duration::from_millis(2)).await;
+    }
+    panic!("the condition did not come true");
+}
+
+/// The version in force; zero for none.
+fn version(belief: &Belief) -> u64 {
+    belief.table.load().as_ref().map_or(0, |t| t.version)
+}
+
+/// A told configuration costs one cheap read. It is proved by the one that told of it, and a fresh
+/// read is made only if the cheap one shows an older one.
+#[rstest]
+#[case(8, 1)]
+#[case(5, 2)]
+#[tokio::test]
+async fn told(#[case] shown: u64, #[case] fresh: u64) {
+    let (fake, belief) = (Arc::<Fake>::default(), Belief::new());
+    fake.put(5, 5);
+    let _followers = follow(&fake, &belief);
+    until(|| version(&belief) == 5 && belief.config.age().is_some()).await;
+    let cheap = fake.cheap.load(SeqCst);
+    fake.put(8, shown);
+    belief.confirm_config(8, clock::now());
+    until(|| version(&belief) == 8).await;
+    assert_eq!((fake.fresh.load(SeqCst), fake.cheap.load(SeqCst) - cheap), (fresh, 1));
+}
+
+/// The read that may be old proves nothing by itself.
+#[tokio::test]
+async fn unproved() {
+    let (fake, belief) = (Arc::<Fake>::default(), Belief::new());
+    fake.put(5, 5);
+    let _followers = follow(&fake, &belief);
+    until(|| version(&belief) == 5 && belief.config.age().is_some()).await;
+    sleep(Duration::from_millis(50)).await;
+    fake.put(8, 8);
+    let told = clock::now();
+    belief.confirm_config(8, told);
+    until(|| version(&belief) == 8).await;
+    let age = belief.config.age().expect("the proof of the first read");
+    assert!(age > clock::now().saturating_sub(told), "{age:?}");
+    belief.confirm_config(8, told);
+    assert!(belief.config.age().is_some_and(|a| a < age + Duration::from_millis(1)));
+}
+
+/// Before there is a configuration only cheap reads are made.
+#[tokio::test]
+async fn none_yet() {
+    let (fake, belief) = (Arc::<Fake>::default(), Belief::new());
+    let _followers = follow(&fake, &belief);
+    until(|| fake.cheap.load(SeqCst) >= 2).await;
+    assert_eq!(fake.fresh.load(SeqCst), 0);
+    fake.put(5, 5);
+    until(|| version(&belief) == 5).await;
+    assert_eq!(fake.fresh.load(SeqCst), 1);
+}
