Pause between failing writes of usage, and split the followers of the store

Cause: an instance that the store turned away tried to write its usage four times a second, two attempts each, and refused calls are paid for; the file of the followers had three jobs.

Change: a second's pause after a failed write (`kept_counts::failed_write`).

--- a/crates/duty/src/counter.rs
+++ b/crates/duty/src/counter.rs
@@ -32,6 +32,8 @@
     kept: Mark,
     // What some coordinator has.
     copied: Mark,
+    // Before this time the counts are not written again.
+    retry: Mono,
     others: IndexMap<String, Tally>,
 }
 
@@ -45,6 +47,7 @@
             version: 0,
             kept: Mark::default(),
             copied: Mark::default(),
+            retry: Mono::ZERO,
             others: IndexMap::new(),
         };
         Arc::new(Self { state: Mutex::new(state), length })
@@ -130,7 +133,7 @@
     pub fn unkept(&self, patience: Duration, settle: Duration) -> Option<(u64, Tally)> {
         let mut state = self.lock();
         let now = clock::now();
-        let since = state.kept.since(state.version)?;
+        let since = state.kept.since(state.version).filter(|_| now >= state.retry)?;
         let lost = state.copied.since(state.version).is_some_and(|at| is_over(at, patience, now));
         let wall = state.wall.read(clock::wall(), now);
         let window = window_of(wall.saturating_sub(now.saturating_sub(since)), self.length);
@@ -138,6 +141,11 @@
         (lost || ended).then(|| (state.version, state.tally.clone()))
     }
 
+    /// Notes that writing the counts failed; they are not written again for `pause`.
+    pub fn note_unwritten(&self, pause: Duration) {
+        self.lock().retry = clock::now() + pause;
+    }
+
     /// The counts with their version, if the holder has them not.
     pub fn unheld(&self) -> Option<(u64, Tally)> {
         let state = self.lock();
--- a/crates/duty/src/runner.rs
+++ b/crates/duty/src/runner.rs
@@ -27,6 +27,9 @@
 /// Time from the end of a window until the holder must have told that it has the counts; one push and
 /// its answer take less.
 const SETTLE: Duration = Duration::from_millis(700);
+/// Pause after a failed write of the own counts: calls that the store refuses are paid for too, and
+/// a report may come several seconds after its window.
+const UNWRITTEN_PAUSE: Duration = Duration::from_secs(1);
 /// Time between two looks at whether the own counts have to be written.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -115,8 +118,9 @@
     loop {
         sleep(LOOK).await;
         let Some((version, tally)) = counter.unkept(PATIENCE, SETTLE) else { continue };
-        if write(&store, &key, &tally, &mut revision).await {
-            counter.note_kept(version);
+        match write(&store, &key, &tally, &mut revision).await {
+            true => counter.note_kept(version),
+            false => counter.note_unwritten(UNWRITTEN_PAUSE),
         }
     }
 }
--- a/crates/duty/tests/kept_counts.rs
+++ b/crates/duty/tests/kept_counts.rs
@@ -35,6 +35,20 @@
     assert!(!written(&counter));
 }
 
+/// After a write that failed nothing is written for a while.
+#[test]
+fn failed_write() {
+    let counter = Counter::new(LENGTH);
+    counter.count(&"x".into());
+    sleep(PATIENCE);
+    assert!(written(&counter));
+    counter.note_unwritten(Duration::from_secs(3_600));
+    assert!(!written(&counter));
+    assert!(counter.unheld().is_some(), "a stop does not wait");
+    counter.note_unwritten(Duration::ZERO);
+    assert!(written(&counter));
+}
+
 /// Counts that some coordinator has, but not the holder, are written only once their window is over.
 #[test]
 fn copied_only() {
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -5,14 +5,16 @@
 
 use {
     crate::{
+        announce,
         belief::Belief,
         clock,
-        peers::{self, Peer},
+        peers::Peer,
+        reach::{RETRY, Reach},
         roster::{Entry, Input, Roster, Stage},
         table::{Parts, Table},
     },
     agate_core::Mono,
-    agate_store::{Call, Error, Freshness, Item, Purpose, Record, Reply, Result, Store},
+    agate_store::{Freshness, Item, Purpose, Record, Result, Store},
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -71,19 +73,6 @@
     }
 }
 
-/// Pause after a failed read.
-const RETRY: Duration = Duration::from_millis(150);
-/// Doublings of that pause while reads go on failing; the longest is about the usual period.
-const MOST_DOUBLINGS: u32 = 2;
-/// Writes of the own record under one lease: the first finds out what an earlier start left.
-const WRITES: u32 = 3;
-/// Time between two reads of the instances while the list changes.
-const FIRST_PEERS: Duration = Duration::from_millis(250);
-/// Unchanged reads after which the list is read at its usual pace.
-const QUIET_READS: u32 = 3;
-/// Renewals of the own record within its time to live.
-const RENEWALS: u32 = 3;
-
 /// Running followers; dropping them ends the loops.
 #[derive(Debug)]
 pub struct Followers {
@@ -101,8 +90,8 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(config(store.clone(), source, pace, belief.clone()));
     tasks.spawn(entries(store.clone(), source, pace, belief.clone()));
-    tasks.spawn(instances(store.clone(), pace.peers, belief));
-    tasks.spawn(announce(store, own, pace.record));
+    tasks.spawn(announce::instances(store.clone(), pace.peers, belief));
+    tasks.spawn(announce::own(store, own, pace.record));
     Followers { _tasks: tasks }
 }
 
@@ -266,127 +255,3 @@
     }
     out
 }
-
-async fn instances(store: Store, pace: Duration, belief: Arc<Belief>) {
-    let mut reach = Reach::new("instances");
-    let mut quiet = 0;
-    loop {
-        quiet += 1;
-        match store.range(Purpose::Roster, peers::PREFIX, Freshness::Stale).await {
-            Ok(items) => {
-                reach.answered();
-                let list = peers::decode(&items);
-                if **belief.peers.load() != list {
-                    log::info!(event = "instances_changed", known = list.len(); "the set of instances changed");
-                    belief.peers.store(Arc::new(list));
-                    quiet = 0;
-                    belief.announce();
-                }
-            }
-            Err(e) => reach.failed(&e),
-        }
-        // While instances come, the coordinators are found soon: until then each reads for itself.
-        sleep(if quiet < QUIET_READS { FIRST_PEERS } else { pace }).await;
-    }
-}
-
-async fn announce(store: Store, own: Peer, ttl: Duration) {
-    let mut reach = Reach::new("own record");
-    loop {
-        let lease = match store.call(Purpose::Lease, Call::Grant { ttl }).await {
-            Ok(Reply::Granted(lease)) => lease,
-            Ok(other) => unreachable_reply(&mut reach, &format!("{other:?}")).await,
-            Err(e) => {
-                reach.failed(&e);
-                sleep(reach.pause()).await;
-                continue;
-            }
-        };
-        match write(&store, &own, lease).await {
-            Ok(true) => reach.answered(),
-            Ok(false) => continue,
-            Err(e) => {
-                reach.failed(&e);
-                sleep(reach.pause()).await;
-                continue;
-            }
-        }
-        renew(&store, lease, ttl, &mut reach).await;
-    }
-}
-
-/// Logs an answer that the port does not allow, and waits before the next try.
-async fn unreachable_reply(reach: &mut Reach, reply: &str) -> u64 {
-    reach.failed(&Error::Malformed {
-        step: "grant",
-        peer: "store".into(),
-        cause: reply.to_owned(),
-    });
-    sleep(RETRY).await;
-    0
-}
-
-/// Writes the own record under `lease`, over what an earlier start may have left; returns whether it
-/// stands.
-async fn write(store: &Store, own: &Peer, lease: u64) -> Result<bool> {
-    let mut expect = 0;
-    for _ in 0..WRITES {
-        let (key, value) = (own.key(), Some(own.encode()));
-        let call = Call::Swap { key, expect, value, lease: Some(lease) };
-        match store.call(Purpose::Lease, call).await? {
-            Reply::Swapped(_) => return Ok(true),
-            Reply::Conflict(found) => expect = found.map_or(0, |r| r.revision),
-            _ => return Ok(false),
-        }
-    }
-    Ok(false)
-}
-
-/// Renews `lease` until it has ended.
-async fn renew(store: &Store, lease: u64, ttl: Duration, reach: &mut Reach) {
-    loop {
-        sleep(ttl / RENEWALS).await;
-        match store.call(Purpose::Lease, Call::Renew { lease }).await {
-            Ok(Reply::Done) => reach.answered(),
-            Ok(_) => return,
-            Err(e) => reach.failed(&e),
-        }
-    }
-}
-
-/// Logs when a read of the store begins to fail, and when it works again.
-struct Reach {
-    what: &'static str,
-    lost: Option<Instant>,
-    failures: u32,
-}
-
-impl Reach {
-    fn new(what: &'static str) -> Self {
-        Self { what, lost: None, failures: 0 }
-    }
-
-    fn answered(&mut self) {
-        self.failures = 0;
-        if let Some(at) = self.lost.take() {
-            log::info!(
-                event = "store_regained", what = self.what,
-                away_ms = at.elapsed().as_millis() as u64;
-                "the store answers again"
-            );
-        }
-    }
-
-    /// Pause before the next try: refused calls are paid for too, and every belief ages meanwhile.
-    fn pause(&self) -> Duration {
-        RETRY * (1 << self.failures.saturating_sub(1).min(MOST_DOUBLINGS))
-    }
-
-    fn failed(&mut self, e: &Error) {
-        self.failures += 1;
-        if self.lost.is_none() {
-            self.lost = Some(Instant::now());
-            log::warn!(event = "store_lost", what = self.what, cause:% = e; "the store does not answer");
-        }
-    }
-}
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -6,11 +6,13 @@
 //! acknowledged earlier can be missing. [`clock::now`] keeps running while the machine is suspended,
 //! so a woken process knows how old its beliefs are.
 
+mod announce;
 pub mod belief;
 pub mod clock;
 pub mod follow;
 pub mod framing;
 pub mod peers;
+mod reach;
 pub mod roster;
 pub mod table;
 
