Leave coordinators that do not reach the store, and ask a failing store less

Cause: a coordinator that the store turned away went on answering with old proofs, so every instance read for itself beside it; and while the store was away for all, each instance tried both beliefs every 0.6 s or sooner.

Change: `sync::asker` leaves a coordinator whose proof of the configuration is older than 0.95 s for the next one and tries it again beside that one; the next one leads meanwhile. Pauses between failing reads double up to 1.2 s where a coordinator is heard.

--- a/crates/sync/src/asker.rs
+++ b/crates/sync/src/asker.rs
@@ -13,8 +13,11 @@
 
 /// Time without an answer after which the next coordinator is asked.
 pub const SILENCE: Duration = Duration::from_millis(400);
-/// Time between two questions to a coordinator that did not answer.
+/// Time between two questions to a coordinator that did not answer, or not with fresh proofs.
 pub const LEFT_OUT: Duration = Duration::from_secs(2);
+/// Age of a coordinator's proof of the configuration above which another one is asked: it does not
+/// reach the store, since it reads about twice a second.
+pub const FRESH: Duration = Duration::from_millis(950);
 /// Questions whose answers are still taken in.
 const OPEN_ROUNDS: usize = 8;
 
@@ -47,33 +50,42 @@
     sent: IndexMap<Round, (String, Mono)>,
     answered: Mono,
     target: Option<String>,
+    /// Coordinators that did not answer, with the time of the newest question to them.
     left_out: IndexMap<String, Mono>,
+    /// The same of those that answer with old proofs.
+    stale: IndexMap<String, Mono>,
     ahead: Option<Ahead>,
 }
 
 impl Asker {
     /// Chooses whom to ask now among `coordinators`, best first, and numbers the questions: one to
-    /// the best that answers, and from time to time one to each better that did not.
+    /// the best that answers with fresh proofs, and from time to time one to each better. If none has
+    /// fresh proofs, the best that answers is asked.
     pub fn ask<'a>(&mut self, coordinators: &[&'a str], now: Mono) -> Vec<(&'a str, Round)> {
-        if let Some(target) = &self.target
-            && now.saturating_sub(self.answered) > SILENCE
-        {
-            self.left_out.insert(target.clone(), now);
-            self.target = None;
+        if let Some(target) = self.target.take_if(|_| now.saturating_sub(self.answered) > SILENCE) {
+            self.left_out.insert(target, now);
         }
-        self.left_out.retain(|name, _| coordinators.contains(&name.as_str()));
-        let mut out = Vec::new();
+        for doubted in [&mut self.left_out, &mut self.stale] {
+            doubted.retain(|name, _| coordinators.contains(&name.as_str()));
+        }
+        let (mut out, mut fresh, mut answers) = (Vec::new(), None, None);
         for name in coordinators.iter().copied() {
-            let Some(at) = self.left_out.get_mut(name) else {
-                out.push(name);
+            let silent = self.left_out.get_mut(name);
+            if silent.is_none() {
+                answers = answers.or(Some(name));
+            }
+            let Some(tried) = silent.or(self.stale.get_mut(name)) else {
+                fresh = Some(name);
                 break;
             };
-            if now.saturating_sub(*at) >= LEFT_OUT {
-                *at = now;
+            if now.saturating_sub(*tried) >= LEFT_OUT {
+                *tried = now;
                 out.push(name);
             }
         }
-        let target = out.last().copied().filter(|name| !self.left_out.contains_key(*name));
+        let target = fresh.or(answers);
+        out.retain(|name| Some(*name) != target);
+        out.extend(target);
         if self.target.as_deref() != target {
             self.target = target.map(str::to_owned);
             self.answered = now;
@@ -96,6 +108,11 @@
         self.target.is_some()
     }
 
+    /// Whether some coordinator is expected to answer with fresh proofs.
+    pub fn has_fresh(&self) -> bool {
+        self.target.as_ref().is_some_and(|name| !self.stale.contains_key(name))
+    }
+
     /// By how much the own time of day is ahead of that of the coordinator which is asked.
     pub fn ahead(&self) -> Option<Ahead> {
         self.ahead
@@ -106,6 +123,12 @@
     pub fn on_state(&mut self, state: &State, own: Wall, now: Mono) -> Option<Told> {
         let (name, sent) = self.sent.shift_remove(&state.round)?;
         self.left_out.shift_remove(&name);
+        let age = state.config.map(|known| Duration::from_micros(known.age));
+        if age.is_some_and(|age| age <= FRESH) {
+            self.stale.shift_remove(&name);
+        } else {
+            self.stale.entry(name.clone()).or_insert(now);
+        }
         let asked = self.target.as_deref() == Some(&name);
         if asked {
             self.answered = now;
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -230,13 +230,14 @@
         let asked = &coordinators[..own.unwrap_or(coordinators.len())];
         let names: Vec<&str> = asked.iter().map(|p| p.name.as_str()).collect();
         let questions = self.asker.ask(&names, clock::now());
-        self.belief.set_leading(own.is_some() && !self.asker.has_target());
+        let leads = own.is_some() && !self.asker.has_fresh();
+        self.belief.set_leading(leads, self.asker.has_target());
         for (target, round) in questions {
             if let Some(peer) = asked.iter().find(|p| p.name == target) {
                 self.question(peer.address, round).await;
             }
         }
-        if own.is_some() && !self.asker.has_target() {
+        if leads {
             self.lead();
         }
     }
@@ -394,8 +395,8 @@
         if let Some(proof) = told.roster {
             self.belief.confirm_roster(proof.version, proof.at);
         }
-        // A coordinator that is tried again hears of few instances.
-        if !told.current {
+        // A coordinator that is tried again, or asked by one that leads, hears of few instances.
+        if !told.current || self.belief.leads() {
             return;
         }
         self.vouched = told.roster;
--- a/crates/view/src/announce.rs
+++ b/crates/view/src/announce.rs
@@ -52,12 +52,12 @@
             Ok(Reply::Granted(lease)) => lease,
             Ok(other) => {
                 reach.failed(&unexpected(&other));
-                sleep(reach.pause()).await;
+                sleep(reach.pause(false)).await;
                 continue;
             }
             Err(e) => {
                 reach.failed(&e);
-                sleep(reach.pause()).await;
+                sleep(reach.pause(false)).await;
                 continue;
             }
         };
@@ -66,7 +66,7 @@
             Ok(false) => continue,
             Err(e) => {
                 reach.failed(&e);
-                sleep(reach.pause()).await;
+                sleep(reach.pause(false)).await;
                 continue;
             }
         }
--- a/crates/view/src/belief.rs
+++ b/crates/view/src/belief.rs
@@ -77,6 +77,8 @@
     graced: AtomicBool,
     /// Whether this instance reads the store for others.
     leading: AtomicBool,
+    /// Whether it hears another one that does.
+    led: AtomicBool,
     /// Proof that no endpoint's change is missing.
     pub roster: Proof,
     /// Entries that a coordinator sent, with the time of their proof; taken by the follower.
@@ -98,6 +100,7 @@
             digest: AtomicU64::new(0),
             graced: AtomicBool::new(false),
             leading: AtomicBool::new(false),
+            led: AtomicBool::new(false),
             roster: Proof::default(),
             offered: Mutex::default(),
             peers: ArcSwap::default(),
@@ -149,9 +152,16 @@
         self.announce();
     }
 
-    /// Notes whether this instance reads the store for others: no better coordinator answers it.
-    pub fn set_leading(&self, leading: bool) {
+    /// Notes whether this instance reads the store for others, since no better coordinator answers it
+    /// with fresh proofs, and if not, whether it hears another one.
+    pub fn set_leading(&self, leading: bool, hears: bool) {
         self.leading.store(leading, Ordering::Release);
+        self.led.store(!leading && hears, Ordering::Release);
+    }
+
+    /// Whether this instance hears another one that reads the store for it.
+    pub fn led(&self) -> bool {
+        self.led.load(Ordering::Acquire)
     }
 
     /// Whether this instance reads the store for others.
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -115,7 +115,7 @@
             Ok(_) => {}
             Err(e) => {
                 reach.failed(&e);
-                sleep(reach.pause()).await;
+                sleep(reach.pause(belief.led())).await;
                 continue;
             }
         }
@@ -136,7 +136,7 @@
             }
             Err(e) => {
                 reach.failed(&e);
-                sleep(reach.pause()).await;
+                sleep(reach.pause(belief.led())).await;
             }
         }
     }
@@ -198,7 +198,7 @@
         belief.roster.expired(pace.limit(pace.entries, &belief)).await;
         let (entries, sent) = match belief.take_offered() {
             Some(offered) => offered,
-            None => match read(&store, source, &mut reach).await {
+            None => match read(&store, source, &mut reach, &belief).await {
                 Some(read) => read,
                 None => continue,
             },
@@ -226,7 +226,12 @@
 }
 
 /// Reads the entries from the store, with the time before the read was sent.
-async fn read(store: &Store, source: Source, reach: &mut Reach) -> Option<(Vec<Entry>, Mono)> {
+async fn read(
+    store: &Store,
+    source: Source,
+    reach: &mut Reach,
+    belief: &Belief,
+) -> Option<(Vec<Entry>, Mono)> {
     let sent = clock::now();
     match store.range(Purpose::Roster, source.entries, Freshness::Linearizable).await {
         Ok(items) => {
@@ -235,7 +240,7 @@
         }
         Err(e) => {
             reach.failed(&e);
-            sleep(reach.pause()).await;
+            sleep(reach.pause(belief.led())).await;
             None
         }
     }
--- a/crates/view/src/reach.rs
+++ b/crates/view/src/reach.rs
@@ -6,6 +6,8 @@
 pub(crate) const RETRY: Duration = Duration::from_millis(150);
 /// Doublings of that pause while reads go on failing; the longest is about the usual period.
 const MOST_DOUBLINGS: u32 = 2;
+/// The same for an instance that hears a coordinator: that one tells it when the store answers again.
+const LED_DOUBLINGS: u32 = 3;
 
 /// Logs when a read of the store begins to fail, and when it works again.
 pub(crate) struct Reach {
@@ -33,8 +35,9 @@
     }
 
     /// Pause before the next try: refused calls are paid for too, and every belief ages meanwhile.
-    pub(crate) fn pause(&self) -> Duration {
-        RETRY * (1 << self.failures.saturating_sub(1).min(MOST_DOUBLINGS))
+    pub(crate) fn pause(&self, led: bool) -> Duration {
+        let most = if led { LED_DOUBLINGS } else { MOST_DOUBLINGS };
+        RETRY * (1 << self.failures.saturating_sub(1).min(most))
     }
 
     /// Notes a failure.
