--- a/crates/duty/src/counter.rs
+++ b/crates/duty/src/counter.rs
@@ -28,11 +28,11 @@
     wall: SteadyWall,
     // Grows with each count.
     version: u64,
-    // What is kept where a report is made of it: at the holder of the duties, or in the store.
+    // What a report would include: what the holder of the duties or the store has.
     kept: Mark,
     // What some coordinator has.
     copied: Mark,
-    // Before this time the counts are not written again.
+    // Time before which the counts are not written again.
     retry: Mono,
     others: IndexMap<String, Tally>,
 }
@@ -128,8 +128,8 @@
         self.state.lock().expect("no panic under the lock of the counts")
     }
 
-    /// The counts with their version, if they have to be written: no coordinator has had them for
-    /// `patience`, or the holder has them not although their window ended `settle` ago.
+    /// The counts with their version, if they have to be written: for `patience` there were some that
+    /// no coordinator has, or the holder lacks some of a window that ended `settle` ago.
     pub fn unkept(&self, patience: Duration, settle: Duration) -> Option<(u64, Tally)> {
         let mut state = self.lock();
         let now = clock::now();
@@ -146,7 +146,7 @@
         self.lock().retry = clock::now() + pause;
     }
 
-    /// The counts with their version, if the holder has them not.
+    /// The counts with their version, if the holder lacks some.
     pub fn unheld(&self) -> Option<(u64, Tally)> {
         let state = self.lock();
         state.kept.since(state.version)?;
--- a/crates/duty/tests/kept_counts.rs
+++ b/crates/duty/tests/kept_counts.rs
@@ -67,7 +67,7 @@
     assert!(!written(&counter));
 }
 
-/// The last step of a stop writes whatever the holder has not.
+/// The last step of a stop writes whatever the holder lacks.
 #[test]
 fn at_the_end() {
     let counter = Counter::new(LENGTH);
--- a/crates/relay/src/begun.rs
+++ b/crates/relay/src/begun.rs
@@ -21,9 +21,8 @@
 
 /// A plain request that an endpoint has and did not answer yet.
 ///
-/// A plain service runs what it takes, so the request counts when this is dropped because the caller
-/// left. A model engine counts a request from its first token, so there is nothing to keep for a
-/// stream.
+/// A plain service runs what it accepts, so the request also counts if this is dropped because the
+/// caller left. A model engine's request counts from its first token, so a stream is not counted here.
 pub struct Waiting<'a> {
     gate: &'a Gate,
     job: &'a Job,
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -153,8 +153,8 @@
     }
 }
 
-/// Reads a configuration that another instance already has. Which one it is is known, so a read that
-/// may be old costs little and does no harm: an older one than told is not returned.
+/// Reads a configuration that another instance already has, with a read that costs little and may be
+/// old; `None` if it shows an older one than was told.
 async fn told(
     store: &Store,
     source: Source,
--- a/crates/view/src/reach.rs
+++ b/crates/view/src/reach.rs
@@ -1,4 +1,4 @@
-//! Whether the store answers one of the followers, and how long to wait if it does not.
+//! Whether the store answers one of the loops that use it, and how long to wait if it does not.
 
 use {agate_store::Error, std::time::Duration, tokio::time::Instant};
 
