Write usage again soon after one lost write

Change: the pause begins at 250 ms and doubles up to a second with failures in a row. Test `kept_counts::failed_write`.

--- a/crates/duty/src/counter.rs
+++ b/crates/duty/src/counter.rs
@@ -34,6 +34,8 @@
     copied: Mark,
     // Time before which the counts are not written again.
     retry: Mono,
+    // Writes that failed in a row.
+    failures: u32,
     others: IndexMap<String, Tally>,
 }
 
@@ -48,6 +50,7 @@
             kept: Mark::default(),
             copied: Mark::default(),
             retry: Mono::ZERO,
+            failures: 0,
             others: IndexMap::new(),
         };
         Arc::new(Self { state: Mutex::new(state), length })
@@ -74,6 +77,7 @@
     /// Notes that the counts of `version` are kept elsewhere too.
     pub fn note_kept(&self, version: u64) {
         let mut state = self.lock();
+        state.failures = 0;
         state.kept.note(version, clock::now());
         state.copied.note(version, clock::now());
     }
@@ -141,9 +145,14 @@
         (lost || ended).then(|| (state.version, state.tally.clone()))
     }
 
-    /// Notes that writing the counts failed; they are not written again for `pause`.
-    pub fn note_unwritten(&self, pause: Duration) {
-        self.lock().retry = clock::now() + pause;
+    /// Notes that writing the counts failed. Returns the pause in which they are not written again:
+    /// `first`, doubled with each failure in a row up to `most`.
+    pub fn note_unwritten(&self, first: Duration, most: Duration) -> Duration {
+        let mut state = self.lock();
+        let pause = first.saturating_mul(1 << state.failures.min(16)).min(most);
+        state.failures += 1;
+        state.retry = clock::now() + pause;
+        pause
     }
 
     /// The counts with their version, if the holder lacks some.
--- a/crates/duty/src/runner.rs
+++ b/crates/duty/src/runner.rs
@@ -27,9 +27,11 @@
 /// Time from the end of a window until the holder must have told that it has the counts; one push and
 /// its answer take less.
 const SETTLE: Duration = Duration::from_millis(700);
-/// Pause after a failed write of the own counts: calls that the store refuses are paid for too, and
-/// a report may come several seconds after its window.
-const UNWRITTEN_PAUSE: Duration = Duration::from_secs(1);
+/// Pause after a failed write of the own counts; after one lost write there is time for another
+/// before the window is reported.
+const UNWRITTEN_FIRST: Duration = Duration::from_millis(250);
+/// Longest such pause: calls that the store refuses are paid for too.
+const UNWRITTEN_MOST: Duration = Duration::from_secs(1);
 /// Time between two looks at whether the own counts have to be written.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -120,7 +122,9 @@
         let Some((version, tally)) = counter.unkept(PATIENCE, SETTLE) else { continue };
         match write(&store, &key, &tally, &mut revision).await {
             true => counter.note_kept(version),
-            false => counter.note_unwritten(UNWRITTEN_PAUSE),
+            false => {
+                counter.note_unwritten(UNWRITTEN_FIRST, UNWRITTEN_MOST);
+            }
         }
     }
 }
--- a/crates/duty/tests/kept_counts.rs
+++ b/crates/duty/tests/kept_counts.rs
@@ -35,18 +35,22 @@
     assert!(!written(&counter));
 }
 
-/// After a write that failed nothing is written for a while.
+/// After a write that failed nothing is written for a while, longer with each in a row.
 #[test]
 fn failed_write() {
     let counter = Counter::new(LENGTH);
     counter.count(&"x".into());
     sleep(PATIENCE);
     assert!(written(&counter));
-    counter.note_unwritten(Duration::from_secs(3_600));
+    let (first, most) = (Duration::from_secs(1_000), Duration::from_secs(3_600));
+    let pauses = [(); 4].map(|()| counter.note_unwritten(first, most).as_secs());
+    assert_eq!(pauses, [1_000, 2_000, 3_600, 3_600]);
     assert!(!written(&counter));
     assert!(counter.unheld().is_some(), "a stop does not wait");
-    counter.note_unwritten(Duration::ZERO);
+    counter.note_unwritten(Duration::ZERO, most);
     assert!(written(&counter));
+    counter.note_kept(1);
+    assert_eq!(counter.note_unwritten(first, most), first);
 }
 
 /// Counts that some coordinator has, but not the holder, are written only once their window is over.
