--- a/crates/relay/src/begun.rs
+++ b/crates/relay/src/begun.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{gate::Gate, serve::Job},
-    agate_link::exchange::{Result, Step},
+    agate_link::exchange::{Failure, Result, Step},
     std::sync::atomic::{AtomicBool, Ordering::Relaxed},
 };
 
@@ -19,10 +19,12 @@
     }
 }
 
-/// A plain request that an endpoint has and did not answer yet.
+/// A request that an endpoint has and did not answer yet.
 ///
-/// A plain service runs what it accepts, so the request also counts if this is dropped because the
-/// caller left. A model engine's request counts from its first token, so a stream is not counted here.
+/// A plain service runs what it accepts, so a plain request also counts if this is dropped because the
+/// caller left. A model engine's request counts from its first token, so a stream whose caller leaves
+/// before that does not. An endpoint that took either and closes the connection without an answer has
+/// most often run it.
 pub struct Waiting<'a> {
     gate: &'a Gate,
     job: &'a Job,
@@ -37,7 +39,8 @@
 
     /// Ends the wait with what came of it.
     pub fn end<T>(mut self, sent: &Result<T>) {
-        self.counts &= ran(sent);
+        // A stream that is answered counts with its first bytes.
+        self.counts = sent.as_ref().map_or_else(|failure| was_lost(failure), |_| self.counts);
     }
 }
 
@@ -49,14 +52,9 @@
     }
 }
 
-/// Whether the endpoint took the request, as far as the exchange shows. Silence shows nothing: the
-/// endpoint may have been gone before.
-fn ran<T>(sent: &Result<T>) -> bool {
-    match sent {
-        Ok(_) => true,
-        Err(failure) => {
-            let arrived = matches!(failure.step, Step::Head | Step::Match);
-            arrived && !failure.declared && !failure.silent
-        }
-    }
+/// Whether the endpoint took the request and its answer was lost, as far as the exchange shows.
+/// Silence shows nothing: the endpoint may have been gone before.
+fn was_lost(failure: &Failure) -> bool {
+    let arrived = matches!(failure.step, Step::Head | Step::Match);
+    arrived && !failure.declared && !failure.silent
 }
