Count arrivals at endpoints apart from the repeats that were permitted

Logs could not tell the hypotheses of the incident apart. Each request now counts its arrivals as the budget does, each service the permitted and denied repeats, and a line twice a window says what an instance divides the slack by and how old that knowledge and the instance itself are. Decisions are unchanged.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -93,6 +93,7 @@
             });
         figures::calls::register(gate.meter.registry(), &client);
         tokio::spawn(gate.clone().follow());
+        tokio::spawn(gate.clone().report_repeats());
         let own = Peer {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
+        arrivals::{Arrival, Arrivals},
         demand::{Asked, Demand},
         dialect::Dialect,
         fleet::Fleet,
         meter::Meter,
-        spare::{Rates, Spare},
+        spare::{Counts, Rates, Spare},
     },
     agate_core::Mono,
     agate_link::flight::Flight,
@@ -22,8 +23,12 @@
         },
         time::{Duration, Instant},
     },
+    tokio::time::sleep,
 };
 
+/// Lines on repeated attempts in the time of one window.
+const REPORTS: u32 = 2;
+
 /// Bounds and times of the request path.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -132,7 +137,45 @@
     /// Takes one repeated attempt at `service`, if there is one left.
     pub fn take_spare(&self, service: &Name) -> bool {
         let (instances, now) = (self.belief.instances(), self.now());
-        self.spare(service, |s| s.take(instances, now))
+        let taken = self.spare(service, |s| s.take(instances, now));
+        let outcome = if taken { "permitted" } else { "denied" };
+        self.meter.repeats.with_label_values(&[&**service, outcome]).inc();
+        taken
+    }
+
+    /// Counts an arrival of a request at an endpoint of `service`.
+    pub fn count_arrival(&self, service: &Name, arrivals: &mut Arrivals, arrival: Arrival) {
+        let before = arrivals.counted();
+        let further = arrivals.note(arrival);
+        if further {
+            let now = self.now();
+            self.spare(service, |s| s.on_arrival(now));
+        }
+        if arrivals.counted() > before {
+            let rank = if further { "further" } else { "first" };
+            self.meter.arrivals.with_label_values(&[&**service, rank]).inc();
+        }
+    }
+
+    /// Writes a line for each service that had repeated attempts within the window, or wanted some.
+    pub async fn report_repeats(self: Arc<Self>) {
+        loop {
+            sleep(self.settings.rates.window / REPORTS).await;
+            let now = self.now();
+            let mut spares = self.spares.lock().expect("no panic under the lock of the spares");
+            for (service, spare) in spares.iter_mut() {
+                let Counts { requests, repeats, denied, arrivals } = spare.counts(now);
+                if repeats + denied + arrivals > 0 {
+                    log::info!(
+                        event = "repeats", service = &**service, requests, repeats, denied,
+                        arrivals, instances = self.belief.instances(),
+                        listed_ms = self.belief.listed.age().map(|a| a.as_millis() as u64),
+                        up_ms = now.as_millis() as u64;
+                        "repeated attempts within the window"
+                    );
+                }
+            }
+        }
     }
 
     /// Counts or learns something of the demand for `service`.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! passed on whole or ends as an error; headers towards endpoints come from the dialect only, which
 //! never passes on a key.
 
+pub mod arrivals;
 pub mod ask;
 pub mod begun;
 pub mod demand;
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -21,6 +21,10 @@
     pub refusals: IntCounterVec,
     /// Attempts beyond the first, by reason.
     pub retries: IntCounterVec,
+    /// Arrivals at endpoints that the budget of repeats counts, by service and rank.
+    pub arrivals: IntCounterVec,
+    /// Repeated attempts asked of that budget, by service and outcome.
+    pub repeats: IntCounterVec,
     /// Exchanges with endpoints that failed, by step.
     pub failures: IntCounterVec,
     /// Streams that went on at another endpoint.
@@ -55,6 +59,16 @@
             answers: counter("agate_answers_total", "answers passed on", &["kind", "class"]),
             refusals: counter("agate_refusals_total", "requests not served", &["cause", "promise"]),
             retries: counter("agate_retries_total", "further attempts", &["reason"]),
+            arrivals: counter(
+                "agate_arrivals_total",
+                "arrivals at endpoints that the budget of repeats counts",
+                &["service", "rank"],
+            ),
+            repeats: counter(
+                "agate_repeats_total",
+                "repeated attempts asked of the budget",
+                &["service", "outcome"],
+            ),
             failures: counter("agate_failures_total", "failed exchanges", &["step"]),
             resumed,
             first: histogram("agate_first_byte_seconds", "arrival to first byte of the answer"),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Body,
+        arrivals::{Arrival, Arrivals},
         begun::{self, Waiting},
         dialect::{Outgoing, Part, Verdict},
         fleet::Stay,
@@ -57,6 +58,8 @@
     pub tried: Vec<Name>,
     /// Endpoints that it was sent to; one that took no connection does not count.
     pub sent: u32,
+    /// Its arrivals at endpoints, as the budget counts them.
+    pub arrivals: Arrivals,
     /// Cause of the newest failure.
     cause: Cause,
 }
@@ -79,10 +82,11 @@
         grant: Some(Grant::First(Untouched::accept())),
         tried: Vec::new(),
         sent: 0,
+        arrivals: Arrivals::default(),
         cause: Cause::Full,
     };
     loop {
-        let source = split::read_apart(gate, &job).await;
+        let source = split::read_apart(gate, &job, &mut attempts.arrivals).await;
         let resume = job.ask.resume.as_deref();
         let leg = start(gate, &job, &mut attempts, resume, source.as_ref()).await?;
         let verdict = (gate.dialect.judge)(&leg.answer.head);
@@ -124,12 +128,13 @@
         return Err(Refused::unknown(cause));
     };
     if !gate.take_spare(&job.service) {
+        log_denied(job, attempts, cause);
         return Err(Refused::unknown(cause));
     }
     gate.meter.retries.with_label_values(&[cause.label()]).inc();
     log::info!(
         event = "retry", request = job.ask.id.as_str(), cause = cause.label(),
-        attempts = attempts.tried.len(), left_ms = job.left().as_millis() as u64;
+        attempts = attempts.tried.len(), arrivals = attempts.arrivals.counted(), left_ms = job.left().as_millis() as u64;
         "the request is sent to another endpoint"
     );
     attempts.grant = Some(Grant::Again(proof));
@@ -156,6 +161,9 @@
         attempts.tried.push(stay.endpoint.entry.name.clone());
         let unsent = matches!(&sent, Err(f) if f.step == Step::Connect);
         attempts.sent += u32::from(!unsent);
+        if !matches!(&sent, Err(f) if matches!(f.step, Step::Connect | Step::Write)) {
+            gate.count_arrival(&job.service, &mut attempts.arrivals, Arrival::Run);
+        }
         match sent {
             Ok(answer) => {
                 if !job.route.kind.streams() {
@@ -278,6 +286,9 @@
     attempts.cause = cause;
     // Nothing arrived at an endpoint that took no connection, so the next one is no repeat.
     let spare = failure.step == Step::Connect || gate.take_spare(&job.service);
+    if !spare {
+        log_denied(job, attempts, cause);
+    }
     if !may_go_on(job, attempts) || !spare {
         return Err(refuse(grant, cause, Some(FULL_AFTER.0)));
     }
@@ -286,6 +297,14 @@
     Ok(())
 }
 
+fn log_denied(job: &Job, attempts: &Attempts, cause: Cause) {
+    log::info!(
+        event = "retry_denied", request = job.ask.id.as_str(), cause = cause.label(),
+        arrivals = attempts.arrivals.counted();
+        "the budget of repeats has none left"
+    );
+}
+
 fn step_label(step: Step) -> &'static str {
     match step {
         Step::Connect => "connect",
--- a/crates/relay/src/spare.rs
+++ b/crates/relay/src/spare.rs
@@ -25,11 +25,34 @@
     pub window: Duration,
 }
 
+/// Counts of one service at one instance, over a window or a part of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Callers' requests.
+    pub requests: u32,
+    /// Repeated attempts that were permitted.
+    pub repeats: u32,
+    /// Repeated attempts that were not.
+    pub denied: u32,
+    /// Arrivals at endpoints beyond the first of each request.
+    pub arrivals: u32,
+}
+
+impl Counts {
+    fn add(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            repeats: self.repeats + other.repeats,
+            denied: self.denied + other.denied,
+            arrivals: self.arrivals + other.arrivals,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     number: u64,
-    requests: u32,
-    repeats: u32,
+    counts: Counts,
 }
 
 /// Counts of one service at one instance.
@@ -50,22 +73,34 @@
         self.bucket(now).requests += 1;
     }
 
+    /// Counts an arrival at an endpoint beyond the first of its request.
+    pub fn on_arrival(&mut self, now: Mono) {
+        self.bucket(now).arrivals += 1;
+    }
+
+    /// Counts within the window that ends at `now`.
+    pub fn counts(&mut self, now: Mono) -> Counts {
+        self.bucket(now);
+        self.buckets.iter().fold(Counts::default(), |sum, b| sum.add(b.counts))
+    }
+
     /// Takes one repeated attempt if the part of this instance, one of `instances`, allows it.
     pub fn take(&mut self, instances: usize, now: Mono) -> bool {
-        self.bucket(now);
-        let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
-        let repeats: u32 = self.buckets.iter().map(|b| b.repeats).sum();
+        let Counts { requests, repeats, .. } = self.counts(now);
         let own = self.rates.ratio * f64::from(requests);
         let slack = self.rates.slack / instances.max(1) as f64;
         let allowed = f64::from(repeats) + 1.0 <= SAFETY * (own + slack);
+        let bucket = self.bucket(now);
         if allowed {
-            self.bucket(now).repeats += 1;
+            bucket.repeats += 1;
+        } else {
+            bucket.denied += 1;
         }
         allowed
     }
 
     /// The bucket of `now`, after those that left the window were dropped.
-    fn bucket(&mut self, now: Mono) -> &mut Bucket {
+    fn bucket(&mut self, now: Mono) -> &mut Counts {
         let length = self.rates.window / BUCKETS;
         let number = (now.as_nanos() / length.as_nanos().max(1)) as u64;
         let oldest = number.saturating_sub(u64::from(BUCKETS));
@@ -73,8 +108,8 @@
             self.buckets.pop_front();
         }
         if self.buckets.back().is_none_or(|b| b.number < number) {
-            self.buckets.push_back(Bucket { number, requests: 0, repeats: 0 });
+            self.buckets.push_back(Bucket { number, counts: Counts::default() });
         }
-        self.buckets.back_mut().expect("a bucket was just pushed")
+        &mut self.buckets.back_mut().expect("a bucket was just pushed").counts
     }
 }
--- a/crates/relay/src/split.rs
+++ b/crates/relay/src/split.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        arrivals::{Arrival, Arrivals},
         demand::Class,
         dialect::{Kept, Part},
         fleet::{Need, Stay},
@@ -44,7 +45,7 @@
 }
 
 /// Has the prompt read if that pays; `None` if the request shall run whole.
-pub async fn read_apart(gate: &Arc<Gate>, job: &Job) -> Option<Source> {
+pub async fn read_apart(gate: &Arc<Gate>, job: &Job, arrivals: &mut Arrivals) -> Option<Source> {
     if class(job) != Some(Class::Long) || !gate.fleet.has_stage(&job.service, Stage::Prefill) {
         return None;
     }
@@ -61,7 +62,13 @@
         };
         tried.push(stay.endpoint.entry.name.clone());
         let zone = stay.endpoint.entry.zone.clone();
-        match read(gate, job, stay).await {
+        let read = read(gate, job, stay).await;
+        match read {
+            Ok(_) => gate.count_arrival(&job.service, arrivals, Arrival::Read),
+            Err(true) => gate.count_arrival(&job.service, arrivals, Arrival::ReadFailed),
+            Err(false) => {}
+        }
+        match read {
             Ok(name) => return Some(Source { name, zone }),
             Err(arrived) if !arrived || gate.take_spare(&job.service) => {}
             Err(_) => return None,
--- a/crates/view/src/announce.rs
+++ b/crates/view/src/announce.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         belief::Belief,
+        clock,
         peers::{self, Peer},
         reach::Reach,
     },
@@ -21,15 +22,19 @@
 const RENEWALS: u32 = 3;
 
 /// Follows the list of instances.
-pub(crate) async fn instances(store: Store, pace: Duration, belief: Arc<Belief>) {
+pub(crate) async fn instances(store: Store, name: String, pace: Duration, belief: Arc<Belief>) {
     let mut reach = Reach::new("instances");
     let mut quiet = 0;
     loop {
         quiet += 1;
+        let sent = clock::now();
         match store.range(Purpose::Roster, peers::PREFIX, Freshness::Stale).await {
             Ok(items) => {
                 reach.answered();
                 let list = peers::decode(&items);
+                if list.iter().any(|p| p.name == name) {
+                    belief.listed.note(sent);
+                }
                 if **belief.peers.load() != list {
                     log::info!(event = "instances_changed", known = list.len(); "the set of instances changed");
                     belief.peers.store(Arc::new(list));
--- a/crates/view/src/belief.rs
+++ b/crates/view/src/belief.rs
@@ -85,6 +85,8 @@
     offered: Mutex<Option<(Vec<Entry>, Mono)>>,
     /// The instances, this one included once its own record is seen.
     pub peers: ArcSwap<Vec<Peer>>,
+    /// Proof that this instance is on the list that the others read.
+    pub listed: Proof,
     /// Changes whenever the table, the endpoints or the instances changed.
     pub changes: watch::Sender<u64>,
 }
@@ -104,6 +106,7 @@
             roster: Proof::default(),
             offered: Mutex::default(),
             peers: ArcSwap::default(),
+            listed: Proof::default(),
             changes: watch::Sender::new(0),
         }
     }
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -90,7 +90,7 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(config(store.clone(), source, pace, belief.clone()));
     tasks.spawn(entries(store.clone(), source, pace, belief.clone()));
-    tasks.spawn(announce::instances(store.clone(), pace.peers, belief));
+    tasks.spawn(announce::instances(store.clone(), own.name.clone(), pace.peers, belief));
     tasks.spawn(announce::own(store, own, pace.record));
     Followers { _tasks: tasks }
 }
