--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -32,6 +32,7 @@
 mod settled;
 
 pub mod history;
+pub mod repeats;
 
 pub use history::History;
 
