Admit each call beyond a request's first with a permit of its own

Callers saw nothing; endpoints of the model service saw more repeats than the fleet's budget allows: 747 arrivals beyond the first in 10 s where 732 are allowed with nothing but endpoints that answer 500, up to 922 of 844 beside kills.

Cause: permissions were taken on each path that repeats, and the reading of prompts took too few. With no permission left a prompt whose reading was rejected was run whole all the same; a later attempt had the prompt read again for nothing.

A call now needs a pass to be sent, which one function makes and which costs a permit unless it is the request's first. A reading is admitted like any call and given back if it is the first one accepted, so no path can forget it.

--- a/crates/link/src/exchange.rs
+++ b/crates/link/src/exchange.rs
@@ -55,6 +55,13 @@
     pub head: Option<Box<Parts>>,
 }
 
+impl Failure {
+    /// Whether nothing of the request left for the endpoint.
+    pub fn unsent(&self) -> bool {
+        matches!(self.step, Step::Connect | Step::Write)
+    }
+}
+
 /// Result of an exchange.
 pub type Result<T> = std::result::Result<T, Box<Failure>>;
 
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -2,17 +2,17 @@
 
 use {
     crate::{
-        arrivals::{Arrival, Arrivals},
+        arrivals::{Arrivals, Pass},
         demand::{Asked, Demand},
         dialect::Dialect,
         fleet::Fleet,
         meter::Meter,
-        spare::{Counts, Rates, Spare},
+        spare::{Budget, Counts, Permit, Rates},
     },
     agate_core::Mono,
     agate_link::flight::Flight,
     agate_view::{
-        Belief,
+        Belief, clock,
         table::{Kind, Name},
     },
     indexmap::IndexMap,
@@ -62,7 +62,7 @@
     pub started: Box<StartedFn>,
     origin: Instant,
     stopping: AtomicBool,
-    spares: Mutex<IndexMap<Name, Spare>>,
+    budgets: Mutex<IndexMap<Name, Budget>>,
     demands: Mutex<IndexMap<Name, Demand>>,
 }
 
@@ -84,7 +84,7 @@
             started: Box::new(started),
             origin: Instant::now(),
             stopping: AtomicBool::new(false),
-            spares: Mutex::default(),
+            budgets: Mutex::default(),
             demands: Mutex::default(),
         })
     }
@@ -130,47 +130,66 @@
     /// Counts a caller's request to `service`.
     pub fn count_request(&self, service: &Name, kind: Kind) {
         self.meter.requests.with_label_values(&[kind.label()]).inc();
-        let now = self.now();
-        self.spare(service, |s| s.on_request(now));
+        self.budget(service).on_request(clock::now());
+    }
+
+    /// Holds as many permits for a request to `service` as it needs, if there are so many.
+    pub fn hold_permits(&self, service: &Name, arrivals: &mut Arrivals, needed: usize) -> bool {
+        arrivals.hold(needed, || self.take_permit(service))
+    }
+
+    /// Admits a call of a request to an endpoint of `service`.
+    pub fn admit(&self, service: &Name, arrivals: &mut Arrivals) -> Option<Pass> {
+        let pass = arrivals.admit(|| self.take_permit(service))?;
+        self.count_call(service, if pass.is_further() { "further" } else { "first" });
+        Some(pass)
+    }
+
+    /// Notes that nothing of a call that was admitted reached its endpoint.
+    pub fn unsent(&self, service: &Name, arrivals: &mut Arrivals, pass: Pass) {
+        arrivals.unsent(pass);
+        self.count_call(service, "uncounted");
+    }
+
+    /// Notes that an engine accepted a reading that was admitted.
+    pub fn accepted(&self, service: &Name, arrivals: &mut Arrivals, pass: Pass) {
+        if arrivals.accepted(pass) {
+            self.count_call(service, "uncounted");
+        }
+    }
+
+    fn count_call(&self, service: &Name, rank: &str) {
+        self.meter.calls.with_label_values(&[&**service, rank]).inc();
     }
 
-    /// Takes one repeated attempt at `service`, if there is one left.
-    pub fn take_spare(&self, service: &Name) -> bool {
-        let (instances, now) = (self.belief.instances(), self.now());
-        let taken = self.spare(service, |s| s.take(instances, now));
-        let outcome = if taken { "permitted" } else { "denied" };
+    fn take_permit(&self, service: &Name) -> Option<Permit> {
+        let now = clock::now();
+        let taken = self.budget(service).take(self.belief.instances(), now);
+        let outcome = if taken.is_some() { "permitted" } else { "denied" };
         self.meter.repeats.with_label_values(&[&**service, outcome]).inc();
         taken
     }
 
-    /// Counts an arrival of a request at an endpoint of `service`.
-    pub fn count_arrival(&self, service: &Name, arrivals: &mut Arrivals, arrival: Arrival) {
-        let before = arrivals.counted();
-        let further = arrivals.note(arrival);
-        if further {
-            let now = self.now();
-            self.spare(service, |s| s.on_arrival(now));
-        }
-        if arrivals.counted() > before {
-            let rank = if further { "further" } else { "first" };
-            self.meter.arrivals.with_label_values(&[&**service, rank]).inc();
-        }
+    fn budget(&self, service: &Name) -> Budget {
+        let mut budgets = self.budgets.lock().expect("no panic under the lock of the budgets");
+        let opened = || Budget::new(self.settings.rates);
+        budgets.entry(service.clone()).or_insert_with(opened).clone()
     }
 
     /// Writes a line for each service that had repeated attempts within the window, or wanted some.
     pub async fn report_repeats(self: Arc<Self>) {
         loop {
             sleep(self.settings.rates.window / REPORTS).await;
-            let now = self.now();
-            let mut spares = self.spares.lock().expect("no panic under the lock of the spares");
-            for (service, spare) in spares.iter_mut() {
-                let Counts { requests, repeats, denied, arrivals } = spare.counts(now);
-                if repeats + denied + arrivals > 0 {
+            let now = clock::now();
+            let budgets = self.budgets.lock().expect("no panic under the lock of the budgets");
+            for (service, budget) in budgets.iter() {
+                let Counts { requests, repeats, denied } = budget.counts(now);
+                if repeats + denied > 0 {
                     log::info!(
                         event = "repeats", service = &**service, requests, repeats, denied,
-                        arrivals, instances = self.belief.instances(),
+                        instances = self.belief.instances(),
                         listed_ms = self.belief.listed.age().map(|a| a.as_millis() as u64),
-                        up_ms = now.as_millis() as u64;
+                        up_ms = self.now().as_millis() as u64;
                         "repeated attempts within the window"
                     );
                 }
@@ -195,9 +214,4 @@
     fn now(&self) -> Mono {
         self.origin.elapsed()
     }
-
-    fn spare<T>(&self, service: &Name, act: impl FnOnce(&mut Spare) -> T) -> T {
-        let mut spares = self.spares.lock().expect("no panic under the lock of the spares");
-        act(spares.entry(service.clone()).or_insert_with(|| Spare::new(self.settings.rates)))
-    }
 }
--- a/crates/relay/src/meter.rs
+++ b/crates/relay/src/meter.rs
@@ -21,8 +21,9 @@
     pub refusals: IntCounterVec,
     /// Attempts beyond the first, by reason.
     pub retries: IntCounterVec,
-    /// Arrivals at endpoints that the budget of repeats counts, by service and rank.
-    pub arrivals: IntCounterVec,
+    /// Calls to endpoints, by service and rank in their request; those that turned out not to count
+    /// for the budget of repeats also under a rank of their own.
+    pub calls: IntCounterVec,
     /// Repeated attempts asked of that budget, by service and outcome.
     pub repeats: IntCounterVec,
     /// Exchanges with endpoints that failed, by step.
@@ -59,9 +60,9 @@
             answers: counter("agate_answers_total", "answers passed on", &["kind", "class"]),
             refusals: counter("agate_refusals_total", "requests not served", &["cause", "promise"]),
             retries: counter("agate_retries_total", "further attempts", &["reason"]),
-            arrivals: counter(
-                "agate_arrivals_total",
-                "arrivals at endpoints that the budget of repeats counts",
+            calls: counter(
+                "agate_calls_total",
+                "calls to endpoints by rank; uncounted ones also in a rank",
                 &["service", "rank"],
             ),
             repeats: counter(
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Body,
-        arrivals::{Arrival, Arrivals},
+        arrivals::{Arrivals, Pass},
         begun::{self, Waiting},
         dialect::{Outgoing, Part, Verdict},
         fleet::Stay,
@@ -58,7 +58,7 @@
     pub tried: Vec<Name>,
     /// Endpoints that it was sent to; one that took no connection does not count.
     pub sent: u32,
-    /// Its arrivals at endpoints, as the budget counts them.
+    /// Its calls to endpoints, as the budget of repeats counts them.
     pub arrivals: Arrivals,
     /// Cause of the newest failure.
     cause: Cause,
@@ -127,8 +127,7 @@
     let Some(proof) = repeatable.filter(|_| may_go_on(job, attempts)) else {
         return Err(Refused::unknown(cause));
     };
-    if !gate.take_spare(&job.service) {
-        log_denied(job, attempts, cause);
+    if !may_repeat(gate, job, attempts) {
         return Err(Refused::unknown(cause));
     }
     gate.meter.retries.with_label_values(&[cause.label()]).inc();
@@ -152,17 +151,23 @@
     loop {
         let grant = attempts.grant.take().expect("a new attempt has a grant");
         let (mut stay, grant) = place(gate, job, attempts, grant, source)?;
+        let Some(pass) = gate.admit(&job.service, &mut attempts.arrivals) else {
+            // Only a prompt that no engine read has taken the first call without a permit for this one.
+            attempts.cause = Cause::Rejected;
+            log_denied(job, attempts);
+            return Err(refuse(grant, Cause::Rejected, Some(FULL_AFTER.0)));
+        };
         // Memory at another engine can be taken once only.
         let part = source.take().map_or(Part::Whole, |s| Part::Generate(&s.name));
         let outgoing = outgoing(job, &stay, resume, part);
         let waiting = Waiting::new(gate, job);
-        let sent = send(gate, job, &stay, &outgoing, grant).await;
+        let sent = send(gate, job, &stay, &outgoing, grant, &pass).await;
         waiting.end(&sent);
         attempts.tried.push(stay.endpoint.entry.name.clone());
         let unsent = matches!(&sent, Err(f) if f.step == Step::Connect);
         attempts.sent += u32::from(!unsent);
-        if !matches!(&sent, Err(f) if matches!(f.step, Step::Connect | Step::Write)) {
-            gate.count_arrival(&job.service, &mut attempts.arrivals, Arrival::Run);
+        if matches!(&sent, Err(f) if f.unsent()) {
+            gate.unsent(&job.service, &mut attempts.arrivals, pass);
         }
         match sent {
             Ok(answer) => {
@@ -212,13 +217,15 @@
     table.as_ref().is_some_and(|t| t.org(key).is_some())
 }
 
-/// Sends the request over a connection that still works.
+/// Sends the request over a connection that still works; nothing else sends a caller's request to an
+/// endpoint.
 pub async fn send(
     gate: &Gate,
     job: &Job,
     stay: &Stay,
     outgoing: &Outgoing<'_>,
     mut grant: Grant,
+    _pass: &Pass,
 ) -> exchange::Result<Answer> {
     let pool = &stay.endpoint.pool;
     let mut stale = 0;
@@ -284,12 +291,7 @@
     gate.fleet.judge(endpoint, kind);
     let Some(grant) = failure.grant.take() else { return again(gate, job, attempts, cause) };
     attempts.cause = cause;
-    // Nothing arrived at an endpoint that took no connection, so the next one is no repeat.
-    let spare = failure.step == Step::Connect || gate.take_spare(&job.service);
-    if !spare {
-        log_denied(job, attempts, cause);
-    }
-    if !may_go_on(job, attempts) || !spare {
+    if !may_go_on(job, attempts) || !may_repeat(gate, job, attempts) {
         return Err(refuse(grant, cause, Some(FULL_AFTER.0)));
     }
     gate.meter.retries.with_label_values(&["unrun"]).inc();
@@ -297,9 +299,19 @@
     Ok(())
 }
 
-fn log_denied(job: &Job, attempts: &Attempts, cause: Cause) {
+/// Whether the budget allows the request to be run once more; a permit for that is then held.
+fn may_repeat(gate: &Gate, job: &Job, attempts: &mut Attempts) -> bool {
+    let needed = attempts.arrivals.needs_to_run();
+    let held = gate.hold_permits(&job.service, &mut attempts.arrivals, needed);
+    if !held {
+        log_denied(job, attempts);
+    }
+    held
+}
+
+fn log_denied(job: &Job, attempts: &Attempts) {
     log::info!(
-        event = "retry_denied", request = job.ask.id.as_str(), cause = cause.label(),
+        event = "retry_denied", request = job.ask.id.as_str(), cause = attempts.cause.label(),
         arrivals = attempts.arrivals.counted();
         "the budget of repeats has none left"
     );
--- a/crates/relay/src/spare.rs
+++ b/crates/relay/src/spare.rs
@@ -6,7 +6,11 @@
 
 use {
     agate_core::Mono,
-    std::{collections::VecDeque, time::Duration},
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
 };
 
 /// Part of the allowance that is used.
@@ -34,8 +38,6 @@
     pub repeats: u32,
     /// Repeated attempts that were not.
     pub denied: u32,
-    /// Arrivals at endpoints beyond the first of each request.
-    pub arrivals: u32,
 }
 
 impl Counts {
@@ -44,7 +46,6 @@
             requests: self.requests + other.requests,
             repeats: self.repeats + other.repeats,
             denied: self.denied + other.denied,
-            arrivals: self.arrivals + other.arrivals,
         }
     }
 }
@@ -56,47 +57,47 @@
 }
 
 /// Counts of one service at one instance.
-#[derive(Clone, Debug)]
-pub struct Spare {
+#[derive(Debug)]
+struct Spare {
     rates: Rates,
     buckets: VecDeque<Bucket>,
 }
 
 impl Spare {
-    /// Opens an empty count.
-    pub fn new(rates: Rates) -> Self {
+    fn new(rates: Rates) -> Self {
         Self { rates, buckets: VecDeque::with_capacity(BUCKETS as usize + 1) }
     }
 
-    /// Counts a caller's request.
-    pub fn on_request(&mut self, now: Mono) {
+    fn on_request(&mut self, now: Mono) {
         self.bucket(now).requests += 1;
     }
 
-    /// Counts an arrival at an endpoint beyond the first of its request.
-    pub fn on_arrival(&mut self, now: Mono) {
-        self.bucket(now).arrivals += 1;
-    }
-
-    /// Counts within the window that ends at `now`.
-    pub fn counts(&mut self, now: Mono) -> Counts {
+    fn counts(&mut self, now: Mono) -> Counts {
         self.bucket(now);
         self.buckets.iter().fold(Counts::default(), |sum, b| sum.add(b.counts))
     }
 
-    /// Takes one repeated attempt if the part of this instance, one of `instances`, allows it.
-    pub fn take(&mut self, instances: usize, now: Mono) -> bool {
+    /// Takes one repeated attempt if the part of this instance, one of `instances`, allows it. Returns
+    /// the bucket it counts in.
+    fn take(&mut self, instances: usize, now: Mono) -> Option<u64> {
         let Counts { requests, repeats, .. } = self.counts(now);
         let own = self.rates.ratio * f64::from(requests);
         let slack = self.rates.slack / instances.max(1) as f64;
         let allowed = f64::from(repeats) + 1.0 <= SAFETY * (own + slack);
         let bucket = self.bucket(now);
-        if allowed {
-            bucket.repeats += 1;
-        } else {
+        if !allowed {
             bucket.denied += 1;
+            return None;
+        }
+        bucket.repeats += 1;
+        self.buckets.back().map(|b| b.number)
+    }
+
+    /// Gives back an attempt that was counted in the bucket `number` and not made.
+    fn give_back(&mut self, number: u64) {
+        if let Some(bucket) = self.buckets.iter_mut().find(|b| b.number == number) {
+            bucket.counts.repeats -= 1;
         }
-        allowed
     }
 
     /// The bucket of `now`, after those that left the window were dropped.
@@ -113,3 +114,63 @@
         &mut self.buckets.back_mut().expect("a bucket was just pushed").counts
     }
 }
+
+/// The budget of one service at one instance, shared by its requests.
+#[derive(Clone, Debug)]
+pub struct Budget(Arc<Mutex<Spare>>);
+
+impl Budget {
+    /// Opens an empty budget.
+    pub fn new(rates: Rates) -> Self {
+        Self(Arc::new(Mutex::new(Spare::new(rates))))
+    }
+
+    /// Counts a caller's request.
+    pub fn on_request(&self, now: Mono) {
+        self.lock().on_request(now);
+    }
+
+    /// Counts within the window that ends at `now`.
+    pub fn counts(&self, now: Mono) -> Counts {
+        self.lock().counts(now)
+    }
+
+    /// Takes a permit, if the part of this instance, one of `instances`, has one left.
+    pub fn take(&self, instances: usize, now: Mono) -> Option<Permit> {
+        let bucket = self.lock().take(instances, now)?;
+        Some(Permit { budget: self.clone(), bucket, spent: false })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Spare> {
+        self.0.lock().expect("no panic under the lock of a budget")
+    }
+}
+
+/// Permission for one repeated attempt; it returns to the budget if it is dropped unspent.
+#[derive(Debug)]
+pub struct Permit {
+    budget: Budget,
+    bucket: u64,
+    spent: bool,
+}
+
+impl Permit {
+    /// Notes that the attempt is made.
+    pub(crate) fn spend(&mut self) {
+        self.spent = true;
+    }
+
+    /// Notes that the attempt was not made after all.
+    pub(crate) fn unspent(mut self) -> Self {
+        self.spent = false;
+        self
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if !self.spent {
+            self.budget.lock().give_back(self.bucket);
+        }
+    }
+}
--- a/crates/relay/src/split.rs
+++ b/crates/relay/src/split.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        arrivals::{Arrival, Arrivals},
+        arrivals::{Arrivals, Pass},
         demand::Class,
         dialect::{Kept, Part},
         fleet::{Need, Stay},
@@ -55,6 +55,11 @@
     }
     let mut tried = Vec::new();
     while tried.len() < TRIES && job.left() > LEAST_LEFT {
+        // If the budget of repeats has one left but not two, the request is rather run whole.
+        let needed = arrivals.needs_to_read();
+        if !gate.hold_permits(&job.service, arrivals, needed) {
+            return None;
+        }
         let stay = match place(gate, job, &tried) {
             Ok(stay) => stay,
             // An engine that generates may still be in time if it reads the prompt itself.
@@ -62,16 +67,14 @@
         };
         tried.push(stay.endpoint.entry.name.clone());
         let zone = stay.endpoint.entry.zone.clone();
-        let read = read(gate, job, stay).await;
-        match read {
-            Ok(_) => gate.count_arrival(&job.service, arrivals, Arrival::Read),
-            Err(true) => gate.count_arrival(&job.service, arrivals, Arrival::ReadFailed),
-            Err(false) => {}
-        }
-        match read {
-            Ok(name) => return Some(Source { name, zone }),
-            Err(arrived) if !arrived || gate.take_spare(&job.service) => {}
-            Err(_) => return None,
+        let pass = gate.admit(&job.service, arrivals)?;
+        match read(gate, job, stay, &pass).await {
+            Reading::Kept(name) => {
+                gate.accepted(&job.service, arrivals, pass);
+                return Some(Source { name, zone });
+            }
+            Reading::Unsent => gate.unsent(&job.service, arrivals, pass),
+            Reading::Failed => {}
         }
     }
     None
@@ -85,13 +88,22 @@
     gate.fleet.choose(&Need { service: &job.service, want, stage, tried, zone: None })
 }
 
-/// Has one engine read the prompt. After a failure, which was logged, tells whether the request
-/// arrived there.
-async fn read(gate: &Gate, job: &Job, mut stay: Stay) -> Result<String, bool> {
+/// What came of having one engine read a prompt.
+enum Reading {
+    /// It keeps the prompt under this name.
+    Kept(String),
+    /// Nothing reached it; logged.
+    Unsent,
+    /// It may have been reached and did not keep the prompt; logged.
+    Failed,
+}
+
+/// Has one engine read the prompt.
+async fn read(gate: &Arc<Gate>, job: &Job, mut stay: Stay, pass: &Pass) -> Reading {
     let endpoint = stay.endpoint.clone();
     let told = outgoing(job, &stay, None, Part::Read);
     let grant = Repeatable::idempotent(true).map(Grant::Again).expect("reading may be repeated");
-    let sent = send(gate, job, &stay, &told, grant).await;
+    let sent = send(gate, job, &stay, &told, grant, pass).await;
     let answered = match sent {
         Ok(answer) => answer.collect(ANSWER, job.left()).await,
         Err(failure) => Err(failure),
@@ -100,7 +112,7 @@
         Ok(whole) => whole,
         Err(failure) => {
             fail(gate, job, &stay, &failure);
-            return Err(failure.step != Step::Connect);
+            return if failure.unsent() { Reading::Unsent } else { Reading::Failed };
         }
     };
     let kept = if head.status.is_success() { (gate.dialect.kept)(&body) } else { None };
@@ -111,7 +123,7 @@
             endpoint = &*endpoint.entry.name, status = head.status.as_u16();
             "the engine did not keep the prompt"
         );
-        return Err(true);
+        return Reading::Failed;
     };
     log::debug!(
         event = "prompt_read", request = job.ask.id.as_str(), endpoint = &*endpoint.entry.name,
@@ -122,7 +134,7 @@
     let engine = stay.reading_time();
     gate.demand(&job.service, |d, _| d.on_read(engine));
     gate.fleet.judge(&endpoint, Kind::Success);
-    Ok(name(gate, &stay, &kept))
+    Reading::Kept(name(gate, &stay, &kept))
 }
 
 fn name(gate: &Gate, stay: &Stay, kept: &Kept) -> String {
--- a/crates/relay/tests/shared_budget.rs
+++ b/crates/relay/tests/shared_budget.rs
@@ -1,28 +1,38 @@
 //! The budget of repeated attempts holds over all instances together.
 
 use {
-    agate_relay::spare::{Rates, Spare},
+    agate_relay::{
+        arrivals::Arrivals,
+        spare::{Budget, Rates},
+    },
     rstest::rstest,
     std::time::Duration,
 };
 
 const RATES: Rates = Rates { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
 
+/// Sends a request twice if the budget permits the second time.
+fn repeat(budget: &Budget, instances: usize, now: Duration) -> bool {
+    let mut arrivals = Arrivals::default();
+    arrivals.admit(|| unreachable!("the first call is free")).expect("the first call");
+    arrivals.admit(|| budget.take(instances, now)).is_some()
+}
+
 /// Pattern: every request fails and would be sent again, evenly over the fleet.
 #[rstest]
 #[case(1)]
 #[case(8)]
 #[case(89)]
 fn storm(#[case] instances: usize) {
-    let mut fleet: Vec<Spare> = (0..instances).map(|_| Spare::new(RATES)).collect();
+    let fleet: Vec<Budget> = (0..instances).map(|_| Budget::new(RATES)).collect();
     let mut repeats = Vec::new();
     let mut requests = Vec::new();
     for ms in 0..40_000_u64 {
         let now = Duration::from_millis(ms);
-        let spare = &mut fleet[ms as usize % instances];
+        let spare = &fleet[ms as usize % instances];
         spare.on_request(now);
         requests.push(ms);
-        if spare.take(instances, now) {
+        if repeat(spare, instances, now) {
             repeats.push(ms);
         }
     }
@@ -38,9 +48,9 @@
 /// A quiet instance may still repeat a few.
 #[test]
 fn own_slack() {
-    let mut spare = Spare::new(RATES);
-    let taken = (0..100).filter(|_| spare.take(8, Duration::from_secs(1))).count();
+    let spare = Budget::new(RATES);
+    let taken = (0..100).filter(|_| repeat(&spare, 8, Duration::from_secs(1))).count();
     assert!((1..=7).contains(&taken), "{taken}");
-    assert!(!spare.take(8, Duration::from_secs(10)), "the window has not passed");
-    assert!(spare.take(8, Duration::from_secs(12)), "it has passed");
+    assert!(!repeat(&spare, 8, Duration::from_secs(10)), "the window has not passed");
+    assert!(repeat(&spare, 8, Duration::from_secs(12)), "it has passed");
 }
