Divide the slack of repeats soundly while instances start and leases lapse

Cause: an instance took its part of the fleet's slack at once after a start, though the window still held what its predecessor had sent, and divided the slack by the newest list of instances, which is empty at a start and short after leases lapsed: all six instances divided by one for 3.8 s.

An instance now takes none of the slack for one window after its start, divides it by the greatest count of the last window, and only if it was on the list within half of that. Connections to endpoints are divided by the same count: they had the same fault.

--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -6,6 +6,7 @@
         demand::{Asked, Demand},
         dialect::Dialect,
         fleet::Fleet,
+        headcount::Headcount,
         meter::Meter,
         spare::{Budget, Counts, Permit, Rates},
     },
@@ -28,6 +29,8 @@
 
 /// Lines on repeated attempts in the time of one window.
 const REPORTS: u32 = 2;
+/// Longest time between two looks at the beliefs without a change.
+const LONGEST_LOOK: Duration = Duration::from_secs(60);
 
 /// Bounds and times of the request path.
 #[derive(Clone, Debug)]
@@ -63,6 +66,7 @@
     origin: Instant,
     stopping: AtomicBool,
     budgets: Mutex<IndexMap<Name, Budget>>,
+    headcount: Mutex<Headcount>,
     demands: Mutex<IndexMap<Name, Demand>>,
 }
 
@@ -74,6 +78,7 @@
         settings: Settings,
         started: impl Fn(&Name) + Send + Sync + 'static,
     ) -> Arc<Self> {
+        let headcount = Headcount::new(settings.rates.window, clock::now());
         Arc::new(Self {
             dialect,
             belief,
@@ -85,6 +90,7 @@
             origin: Instant::now(),
             stopping: AtomicBool::new(false),
             budgets: Mutex::default(),
+            headcount: Mutex::new(headcount),
             demands: Mutex::default(),
         })
     }
@@ -95,9 +101,18 @@
         loop {
             let table = self.belief.table.load_full();
             let entries = self.belief.entries.load_full();
-            self.fleet.install(&entries, table.as_deref(), self.belief.instances());
-            if changes.changed().await.is_err() {
-                return;
+            let now = clock::now();
+            let (instances, falls) = self.headcount(|h| {
+                h.note(self.belief.instances(), now);
+                (h.most(now), h.falls())
+            });
+            self.fleet.install(&entries, table.as_deref(), instances);
+            let fall = falls.map_or(LONGEST_LOOK, |at| at.saturating_sub(now));
+            tokio::select! {
+                changed = changes.changed() => if changed.is_err() {
+                    return;
+                },
+                () = sleep(fall) => {}
             }
         }
     }
@@ -164,12 +179,22 @@
 
     fn take_permit(&self, service: &Name) -> Option<Permit> {
         let now = clock::now();
-        let taken = self.budget(service).take(self.belief.instances(), now);
+        let taken = self.budget(service).take(self.sharing(now), now);
         let outcome = if taken.is_some() { "permitted" } else { "denied" };
         self.meter.repeats.with_label_values(&[&**service, outcome]).inc();
         taken
     }
 
+    /// Number of instances that share what the fleet is allowed, if this one has a part in it.
+    fn sharing(&self, now: Mono) -> Option<usize> {
+        let listed = self.belief.listed.age();
+        self.headcount(|h| h.sharing(listed, now))
+    }
+
+    fn headcount<T>(&self, act: impl FnOnce(&mut Headcount) -> T) -> T {
+        act(&mut self.headcount.lock().expect("no panic under the lock of the headcount"))
+    }
+
     fn budget(&self, service: &Name) -> Budget {
         let mut budgets = self.budgets.lock().expect("no panic under the lock of the budgets");
         let opened = || Budget::new(self.settings.rates);
@@ -187,7 +212,7 @@
                 if repeats + denied > 0 {
                     log::info!(
                         event = "repeats", service = &**service, requests, repeats, denied,
-                        instances = self.belief.instances(),
+                        sharing = self.sharing(now),
                         listed_ms = self.belief.listed.age().map(|a| a.as_millis() as u64),
                         up_ms = self.now().as_millis() as u64;
                         "repeated attempts within the window"
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod events;
 pub mod fleet;
 pub mod gate;
+pub mod headcount;
 pub mod load;
 pub mod meter;
 pub mod place;
--- a/crates/relay/src/spare.rs
+++ b/crates/relay/src/spare.rs
@@ -1,8 +1,17 @@
 //! Budget of repeated attempts that all instances share without talking.
 //!
 //! The whole fleet may send `ratio` of a service's requests again, plus `slack`, within any window.
-//! Each instance stays below its own part: the ratio of its own requests, and an equal part of the
-//! slack by the number of instances known. [`SAFETY`] covers uneven and outdated knowledge of it.
+//! Each instance stays below its own part, which must add up to no more than the whole at every
+//! moment, whatever starts, ends or is cut off:
+//!
+//! - Of the ratio it takes that of the requests which it counted itself. Those of a predecessor are not
+//!   counted again, so nothing that the predecessor sent is forgotten.
+//! - Of the slack it takes an equal part, divided by the greatest number of instances of the last
+//!   window ([`Headcount`]). For one window after its start it takes none, since the predecessor may
+//!   have used that part; nor does it while it does not see itself on the list that the others read,
+//!   since they may not count it.
+//!
+//! [`SAFETY`] covers attempts that arrive later than they were permitted.
 
 use {
     agate_core::Mono,
@@ -77,12 +86,12 @@
         self.buckets.iter().fold(Counts::default(), |sum, b| sum.add(b.counts))
     }
 
-    /// Takes one repeated attempt if the part of this instance, one of `instances`, allows it. Returns
-    /// the bucket it counts in.
-    fn take(&mut self, instances: usize, now: Mono) -> Option<u64> {
+    /// Takes one repeated attempt if the part of this instance allows it; `sharing` instances divide
+    /// the slack, none of which this one may use if that is absent. Returns the bucket it counts in.
+    fn take(&mut self, sharing: Option<usize>, now: Mono) -> Option<u64> {
         let Counts { requests, repeats, .. } = self.counts(now);
         let own = self.rates.ratio * f64::from(requests);
-        let slack = self.rates.slack / instances.max(1) as f64;
+        let slack = sharing.map_or(0.0, |n| self.rates.slack / n.max(1) as f64);
         let allowed = f64::from(repeats) + 1.0 <= SAFETY * (own + slack);
         let bucket = self.bucket(now);
         if !allowed {
@@ -135,9 +144,10 @@
         self.lock().counts(now)
     }
 
-    /// Takes a permit, if the part of this instance, one of `instances`, has one left.
-    pub fn take(&self, instances: usize, now: Mono) -> Option<Permit> {
-        let bucket = self.lock().take(instances, now)?;
+    /// Takes a permit, if one is left; `sharing` instances divide the slack, none of which this one
+    /// may use if that is absent.
+    pub fn take(&self, sharing: Option<usize>, now: Mono) -> Option<Permit> {
+        let bucket = self.lock().take(sharing, now)?;
         Some(Permit { budget: self.clone(), bucket, spent: false })
     }
 
--- a/crates/relay/tests/counted_calls.rs
+++ b/crates/relay/tests/counted_calls.rs
@@ -29,7 +29,7 @@
 }
 
 fn make(arrivals: &mut Arrivals, budget: &Budget, call: Call) {
-    let pass = arrivals.admit(|| budget.take(1, NOW)).expect("a large budget");
+    let pass = arrivals.admit(|| budget.take(Some(1), NOW)).expect("a large budget");
     match call {
         Run | ReadFailed => {}
         Kept => drop(arrivals.accepted(pass)),
@@ -94,7 +94,7 @@
             make(&mut arrivals, &budget, [Run, Kept, ReadFailed][rng.random_range(0..3)]);
         }
         let needed = arrivals.needs_to_read();
-        assert!(arrivals.hold(needed, || budget.take(1, NOW)));
+        assert!(arrivals.hold(needed, || budget.take(Some(1), NOW)));
         let mut more = || -> Option<_> { panic!("a permit is missing") };
         let reading = arrivals.admit(&mut more).expect("held");
         arrivals.accepted(reading);
@@ -107,7 +107,7 @@
 fn cancelled() {
     let (mut arrivals, budget) = (Arrivals::default(), budget());
     make(&mut arrivals, &budget, Run);
-    drop(arrivals.admit(|| budget.take(1, NOW)));
+    drop(arrivals.admit(|| budget.take(Some(1), NOW)));
     drop(arrivals);
     assert_eq!(budget.counts(NOW).repeats, 1);
 }
