--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -181,13 +181,14 @@
 
 /// Runs an instance until it is told to stop.
 pub async fn run(file: &Path) -> Result<ExitCode> {
+    // Until they are awaited, signals end the process, a mere reload included.
+    let (mut term, mut hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let settings = settings::open(file)?;
     let logs = lines::open(&settings.log.level)?;
     log::info!(
         event = "starting", version = env!("CARGO_PKG_VERSION"), settings:? = settings;
         "the instance starts"
     );
-    let (mut term, mut hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let edge = Edge::spawn(&settings).await?;
     let mut current = settings;
     let mut next = Instant::now() + settings::WATCH_PERIOD;
