Count a stream for usage whose endpoint answers with a failure of its own

Cause: a stream counted only from the first bytes of a good answer, or if the connection was closed without one. A 500 is the endpoint's statement that it began; so is any answer that does not state that nothing ran.

A request now counts once any attempt is answered so.

--- a/crates/relay/src/begun.rs
+++ b/crates/relay/src/begun.rs
@@ -24,7 +24,7 @@
 /// A plain service runs what it accepts, so a plain request also counts if this is dropped because the
 /// caller left. A model engine's request counts from its first token, so a stream whose caller leaves
 /// before that does not. An endpoint that took either and closes the connection without an answer has
-/// most often run it.
+/// most often run it, and so has one that answers without stating that it ran nothing.
 pub struct Waiting<'a> {
     gate: &'a Gate,
     job: &'a Job,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -90,6 +90,9 @@
         let resume = job.ask.resume.as_deref();
         let leg = start(gate, &job, &mut attempts, resume, source.as_ref()).await?;
         let verdict = (gate.dialect.judge)(&leg.answer.head);
+        if verdict != Verdict::Good {
+            begun::note(gate, &job);
+        }
         if let Verdict::Spoilt(why) = verdict {
             spoilt(gate, &job, &leg, why);
             again(gate, &job, &mut attempts, Cause::Spoilt)?;
