--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,8 +4,8 @@
 //! route and organisation and checks that the beliefs behind them are fresh. [`run`] sends it to one
 //! endpoint after another until there is an answer or nothing may be tried any more; [`split`] has long
 //! prompts read by another engine first; [`stream`]
-//! passes a stream of events on and resumes it where that is allowed. [`place`] (which endpoint) and
-//! [`spare`] (whether another attempt may be made) are pure.
+//! passes a stream of events on and resumes it where that is allowed. [`place`] (which endpoint),
+//! [`arrivals`], [`spare`] and [`headcount`] (whether a further call may be made) are pure.
 //!
 //! Invariants: a refusal that says "not run" holds an [`agate_link::truth::Untouched`]; an answer is
 //! passed on whole or ends as an error; headers towards endpoints come from the dialect only, which
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -155,7 +155,8 @@
         let grant = attempts.grant.take().expect("a new attempt has a grant");
         let (mut stay, grant) = place(gate, job, attempts, grant, source)?;
         let Some(pass) = gate.admit(&job.service, &mut attempts.arrivals) else {
-            // Only a prompt that no engine read has taken the first call without a permit for this one.
+            // Other failures hold the permit for the next call before they come here; a rejected reading
+            // does not.
             attempts.cause = Cause::Rejected;
             log_denied(job, attempts);
             return Err(refuse(grant, Cause::Rejected, Some(FULL_AFTER.0)));
