--- a/crates/link/src/exchange.rs
+++ b/crates/link/src/exchange.rs
@@ -35,6 +35,19 @@
     Match,
 }
 
+impl Step {
+    /// Stable name in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Step::Connect => "connect",
+            Step::Write => "write",
+            Step::Head => "head",
+            Step::Body => "body",
+            Step::Match => "match",
+        }
+    }
+}
+
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 #[error("{step:?} at endpoint {peer}: {cause}")]
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -273,7 +273,7 @@
     if misdirected {
         endpoint.live.gone.store(true, Relaxed);
     }
-    gate.meter.failures.with_label_values(&[step_label(failure.step)]).inc();
+    gate.meter.failures.with_label_values(&[failure.step.label()]).inc();
     log::info!(
         event = "attempt_failed", request = job.ask.id.as_str(),
         endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
@@ -321,16 +321,6 @@
     );
 }
 
-fn step_label(step: Step) -> &'static str {
-    match step {
-        Step::Connect => "connect",
-        Step::Write => "write",
-        Step::Head => "head",
-        Step::Body => "body",
-        Step::Match => "match",
-    }
-}
-
 /// Refuses a request, truthfully by what its grant proves.
 fn refuse(grant: Grant, cause: Cause, after: Option<Duration>) -> Refused {
     match grant.untouched() {
--- a/crates/relay/src/spare.rs
+++ b/crates/relay/src/spare.rs
@@ -7,7 +7,7 @@
 //! - Of the ratio it takes that of the requests which it counted itself. Those of a predecessor are not
 //!   counted again, so nothing that the predecessor sent is forgotten.
 //! - Of the slack it takes an equal part, divided by the greatest number of instances of the last
-//!   window ([`Headcount`]). For one window after its start it takes none, since the predecessor may
+//!   window ([`crate::headcount`]). For one window after its start it takes none, since the predecessor may
 //!   have used that part; nor does it while it does not see itself on the list that the others read,
 //!   since they may not count it.
 //!
