--- a/crates/cli/tests/role_orders.rs
+++ b/crates/cli/tests/role_orders.rs
@@ -150,8 +150,8 @@
 }
 
 #[rstest]
-#[case::refusing(true)]
 #[ignore = "known red: issue 11"]
+#[case::refusing(true)]
 #[case::ignoring(false)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn follow_demand(#[case] fenced: bool) {
