Name requests by a print of path, caller and body in lines on failed calls

Callers of a request that ends endpoints send it again with another identifier, so the lines of its returns could not be told from those of other requests: the logs did not distinguish a request that is sent on (A), repeats of one sending (B) and repeats of bystanders (C).

The print is a hash that is equal on all instances. The hash over parts moves to the new crate, which both request paths use.

--- a/crates/flow/src/suspect.rs
+++ b/crates/flow/src/suspect.rs
@@ -7,6 +7,7 @@
         serve::Job,
     },
     agate_core::{EndpointId, Mono},
+    agate_quarantine::hash_parts,
     indexmap::{IndexMap, IndexSet},
     std::{
         sync::{Arc, Mutex, MutexGuard},
@@ -142,12 +143,3 @@
     let hash = hash_parts(blake3::Hasher::new_keyed(key), parts);
     u64::from_le_bytes(hash[..8].try_into().expect("a hash has 32 bytes"))
 }
-
-/// Hashes parts with their lengths, so that no two lists of parts look alike.
-pub(crate) fn hash_parts<const N: usize>(mut hash: blake3::Hasher, parts: [&[u8]; N]) -> [u8; 32] {
-    for part in parts {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part);
-    }
-    *hash.finalize().as_bytes()
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod spare;
 pub mod split;
 pub mod stream;
+pub mod suspect;
 
 use {
     bytes::Bytes,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -16,6 +16,7 @@
         shape::{class, need, outgoing},
         split::{self, Source},
         stream,
+        suspect::print_text,
     },
     agate_link::{
         exchange::{self, Answer, Failure, Patience, Step},
@@ -23,6 +24,7 @@
         link::IDLE_LIMIT,
         truth::{Grant, Repeatable, Untouched},
     },
+    agate_quarantine::Work,
     agate_route::health::Kind as Judged,
     agate_view::table::Name,
     http::{Request, Response, StatusCode, header::CONTENT_LENGTH},
@@ -276,7 +278,7 @@
     gate.meter.failures.with_label_values(&[failure.step.label()]).inc();
     log::info!(
         event = "attempt_failed", request = job.ask.id.as_str(),
-        endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
+        print = print_text(job, Work::Run), endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
         declared = failure.declared, misdirected, unrun = failure.grant.is_some(),
         after_ms = stay.elapsed().as_millis() as u64,
         roster_age_ms = gate.belief.roster.age().map(|a| a.as_millis() as u64);
@@ -349,7 +351,7 @@
         Err(failure) => {
             gate.fleet.judge(&stay.endpoint, Judged::Failure);
             log::info!(
-                event = "answer_cut", request = job.ask.id.as_str(),
+                event = "answer_cut", request = job.ask.id.as_str(), print = print_text(job, Work::Run),
                 endpoint = &*stay.endpoint.entry.name, cause = failure.cause.as_str();
                 "the endpoint's answer is not whole"
             );
--- a/crates/relay/src/split.rs
+++ b/crates/relay/src/split.rs
@@ -14,11 +14,13 @@
         run::{LEAST_LEFT, send},
         serve::Job,
         shape::{class, outgoing, want},
+        suspect::print_text,
     },
     agate_link::{
         exchange::{Failure, Step},
         truth::{Grant, Repeatable},
     },
+    agate_quarantine::Work,
     agate_route::health::Kind,
     agate_view::{roster::Stage, table::Name},
     std::{sync::Arc, time::Duration},
@@ -150,7 +152,7 @@
     gate.fleet.judge(endpoint, if failure.declared { Kind::Busy } else { Kind::Failure });
     log::info!(
         event = "reading_failed", request = job.ask.id.as_str(),
-        endpoint = &*endpoint.entry.name, cause = failure.cause.as_str(),
+        print = print_text(job, Work::Read), endpoint = &*endpoint.entry.name, cause = failure.cause.as_str(),
         declared = failure.declared, after_ms = stay.elapsed().as_millis() as u64;
         "an engine did not read the prompt"
     );
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -9,8 +9,10 @@
         run::{self, Attempts, Leg},
         serve::Job,
         shape,
+        suspect::print_text,
     },
     agate_link::flight::Guard,
+    agate_quarantine::Work,
     agate_route::health::Kind as Judged,
     bytes::Bytes,
     futures_util::stream,
@@ -134,6 +136,7 @@
         self.gate.fleet.judge(&stay.endpoint, Judged::Failure);
         log::info!(
             event = "stream_cut", request = self.job.ask.id.as_str(),
+            print = print_text(&self.job, Work::Run),
             endpoint = &*stay.endpoint.entry.name, cause = why, silent,
             last_event = self.splitter.last();
             "the endpoint's stream broke off"
