Hold back requests that crash the endpoints that run them

Callers saw a service lose one endpoint after the other to a single request that came again, and got errors for what ran beside it.

Cause: the platform's request path kept no memory of what was in flight when an endpoint ended (hypothesis A).

Ruled out: B, arrivals never exceed the sendings times the attempts (30 to 32 arrivals for 30 sendings); C, all late arrivals bear one body.

Now a request is blamed only if its endpoint is down, suspected at the second such endpoint without an answer in between, and then sent only as a trial that the store's record holds before the call leaves. So the number of trials does not depend on what instances know of each other, and survives all of them.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -15,6 +15,7 @@
         window,
     },
     agate_lease::Lease,
+    agate_quarantine::{Quarantine, Role},
     agate_relay::{
         gate::{self, Gate},
         ready::Monitor,
@@ -87,10 +88,17 @@
         let incarnation = format!("{}-{:x}", settings.name, rand::random::<u32>());
         let counter = Counter::new(settings.usage.window);
         let counting = counter.clone();
-        let gate =
-            Gate::new(headers::dialect(), belief.clone(), gate_settings(settings), move |org| {
-                counting.count(org);
-            });
+        let timing = counter.clone();
+        let quarantine = Quarantine::new(store.clone(), move || timing.wall());
+        let gate = Gate::new(
+            headers::dialect(),
+            belief.clone(),
+            gate_settings(settings),
+            quarantine.clone(),
+            move |org| counting.count(org),
+        );
+        let heard = belief.clone();
+        tokio::spawn(quarantine.follow(move || role(&heard)));
         figures::calls::register(gate.meter.registry(), &client);
         tokio::spawn(gate.clone().follow());
         tokio::spawn(gate.clone().report_repeats());
@@ -260,6 +268,15 @@
     }
 }
 
+/// How this instance hears of others.
+fn role(belief: &Belief) -> Role {
+    match belief.leads() {
+        true => Role::Leads,
+        false if belief.led() => Role::Led,
+        false => Role::Alone,
+    }
+}
+
 fn gate_settings(settings: &Settings) -> gate::Settings {
     gate::Settings {
         zone: settings.zone.as_str().into(),
--- a/crates/cli/src/edge/talk.rs
+++ b/crates/cli/src/edge/talk.rs
@@ -5,7 +5,7 @@
     agate_relay::{demand, gate::Gate},
     agate_route::ranking::name_hash,
     agate_sync::{
-        message::{Demand, Figures, Load},
+        message::{Demand, Figures, Load, Suspects},
         runner::Ports,
     },
     agate_view::table::Name,
@@ -54,6 +54,7 @@
 ) -> Ports {
     let (seat, name) = (seat.clone(), name.to_owned());
     let (own, others, asked) = (gate.clone(), gate.clone(), asked.clone());
+    let (telling, hearing) = (gate.clone(), gate.clone());
     let (usage, noted, collect) = (counter.clone(), counter.clone(), counter.clone());
     let (vote, agreed, copied) = (counter.clone(), counter.clone(), counter.clone());
     Ports {
@@ -65,6 +66,11 @@
             others.fleet.set_others(&loads.collect());
             others.fleet.set_others_changing(&figures.changing);
         }),
+        suspects: Box::new(move || {
+            let (revision, signs) = telling.quarantine.news();
+            Suspects { revision, signs }
+        }),
+        suspects_told: Box::new(move |told| hearing.quarantine.merge(told.revision, &told.signs)),
         clock: Box::new(move || vote.vote()),
         agreed: Box::new(move |wall| agreed.agree(wall)),
         usage: Box::new(move || usage.newest()),
--- a/crates/flow/src/token.rs
+++ b/crates/flow/src/token.rs
@@ -147,6 +147,7 @@
             grant: None,
             declared: false,
             silent: false,
+            refused: false,
             head: None,
         })
     }
--- a/crates/link/src/exchange.rs
+++ b/crates/link/src/exchange.rs
@@ -64,6 +64,8 @@
     pub declared: bool,
     /// Whether the link stayed silent until a time limit.
     pub silent: bool,
+    /// Whether nothing listens at the endpoint's address.
+    pub refused: bool,
     /// Head of the answer, if one came.
     pub head: Option<Box<Parts>>,
 }
@@ -125,7 +127,12 @@
         Some(link) => (link, patience.reused),
         None => match open(peer).await {
             Ok(link) => (link, patience.fresh),
-            Err(e) => return Err(fail(Step::Connect, peer, e, grant.after(0))),
+            Err(e) => {
+                let refused = e.kind() == io::ErrorKind::ConnectionRefused;
+                let mut failure = fail(Step::Connect, peer, e, grant.after(0));
+                failure.refused = refused;
+                return Err(failure);
+            }
         },
     };
     let before = link.count.load(Ordering::Acquire);
@@ -232,6 +239,7 @@
         grant,
         declared: false,
         silent: false,
+        refused: false,
         head: None,
     })
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,10 +1,32 @@
 //! Requests that crash the endpoints that run them.
 //!
 //! A request is known by a [`Print`] of its path, caller and body, since it returns with another
-//! identifier.
+//! identifier. What leads to its quarantine:
+//!
+//! - [`evidence`]: which calls an endpoint left unanswered, and what shows that it crashed. Both are
+//!   needed: a connection that was reset, cut or went silent before a living endpoint shows nothing.
+//! - [`suspicion`]: crashes by request, told among instances. An answer to the request anywhere ends
+//!   the suspicion, so a popular request that happened to be in flight at crashes is soon cleared.
+//! - [`table`]: suspects and their trials, in one record of the store, so that they outlive every
+//!   process and all instances share them.
+//! - [`quarantine`]: puts these together for one instance.
+//!
+//! Invariants: a suspect is sent only as a trial, which is in the record before the call leaves, to an
+//! endpoint that has no other trial. So the fleet makes a bounded number of trials, whatever
+//! instances start, end or are cut off, and a crash during one names its cause.
+
+pub mod evidence;
+pub mod meter;
+pub mod quarantine;
+pub mod suspicion;
+pub mod table;
+
+pub use quarantine::{Judgement, Quarantine, Role, Trial};
 
 /// Hash of what identifies a request on each of its returns.
 pub type Print = u64;
+/// Hash of one incarnation of an endpoint.
+pub type EndpointHash = u32;
 
 /// Context of the prints, so that they equal no other hash of the same bytes.
 const CONTEXT: &str = "agatetrack prints of requests";
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -7,9 +7,11 @@
     crate::{
         load::Reading,
         place::{self, Candidate, Choice, Want},
+        suspect::{self, Probe},
     },
     agate_core::Mono,
     agate_link::link::Pool,
+    agate_quarantine::EndpointHash,
     agate_route::{
         health::{self, Health, Kind},
         ranking::name_hash,
@@ -27,6 +29,7 @@
         },
         time::{Duration, Instant},
     },
+    tokio::sync::Mutex as Turn,
 };
 
 /// Connections to an endpoint assumed to be allowed while its service is not configured.
@@ -47,6 +50,8 @@
     pub entry: Entry,
     /// Hash of its name.
     pub hash: u64,
+    /// Hash of this incarnation.
+    pub incarnation: EndpointHash,
     /// Connections to it.
     pub pool: Arc<Pool>,
     /// What is known of its load, kept over changes of the entry.
@@ -70,6 +75,8 @@
     pub refusals: Mutex<Refusals>,
     /// Reading of prompts.
     pub reading: Mutex<Reading>,
+    /// What the newest probe showed, and when it began.
+    pub probed: Turn<Option<(Instant, Probe)>>,
 }
 
 impl Live {
@@ -145,6 +152,8 @@
     pub stage: Option<Stage>,
     /// Endpoints that were tried already.
     pub tried: &'a [Name],
+    /// Incarnations that it must not go to now.
+    pub avoided: &'a [EndpointHash],
     /// Availability zone that is nearest; the instance's own if absent.
     pub zone: Option<&'a Name>,
 }
@@ -208,7 +217,8 @@
             let service = table.and_then(|t| t.services.get(&entry.service));
             let most = share(service.map_or(CONNECTIONS, |s| s.connections), instances);
             let hash = name_hash(&entry.name);
-            let endpoint = Endpoint { entry: entry.clone(), hash, pool, live, most };
+            let incarnation = suspect::incarnation(entry);
+            let endpoint = Endpoint { entry: entry.clone(), hash, incarnation, pool, live, most };
             next.entry(entry.service.clone()).or_default().push(Arc::new(endpoint));
         }
         self.services.store(Arc::new(next));
@@ -298,7 +308,8 @@
     fn fits(&self, need: &Need<'_>) -> bool {
         let staged = need.stage.is_none() || self.entry.stage == need.stage;
         let gone = self.live.gone.load(Relaxed);
-        staged && !gone && !need.tried.contains(&self.entry.name)
+        let avoided = need.avoided.contains(&self.incarnation);
+        staged && !gone && !avoided && !need.tried.contains(&self.entry.name)
     }
 
     fn candidate(&self, zone: &Name, now: Mono) -> Candidate {
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -9,9 +9,11 @@
         headcount::Headcount,
         meter::Meter,
         spare::{Budget, Counts, Permit, Rates},
+        suspect,
     },
     agate_core::Mono,
     agate_link::flight::Flight,
+    agate_quarantine::Quarantine,
     agate_view::{
         Belief, clock,
         table::{Kind, Name},
@@ -55,6 +57,8 @@
     pub belief: Arc<Belief>,
     /// The endpoints.
     pub fleet: Fleet,
+    /// Requests that crash endpoints.
+    pub quarantine: Arc<Quarantine>,
     /// Bounds and times.
     pub settings: Settings,
     /// Requests in progress.
@@ -76,16 +80,20 @@
         dialect: Dialect,
         belief: Arc<Belief>,
         settings: Settings,
+        quarantine: Arc<Quarantine>,
         started: impl Fn(&Name) + Send + Sync + 'static,
     ) -> Arc<Self> {
         let headcount = Headcount::new(settings.rates.window, clock::now());
+        let meter = Meter::default();
+        quarantine.meter.register(meter.registry());
         Arc::new(Self {
             dialect,
             belief,
             fleet: Fleet::new(settings.zone.clone()),
+            quarantine,
             settings,
             flight: Flight::default(),
-            meter: Meter::default(),
+            meter,
             started: Box::new(started),
             origin: Instant::now(),
             stopping: AtomicBool::new(false),
@@ -98,9 +106,14 @@
     /// Follows the beliefs until they end.
     pub async fn follow(self: Arc<Self>) {
         let mut changes = self.belief.changes.subscribe();
+        let mut known = self.belief.entries.load_full();
         loop {
             let table = self.belief.table.load_full();
             let entries = self.belief.entries.load_full();
+            for endpoint in suspect::vanished(&known, &entries) {
+                self.quarantine.on_crash(endpoint, "entry_gone");
+            }
+            known = entries.clone();
             let now = clock::now();
             let (instances, falls) = self.headcount(|h| {
                 h.note(self.belief.instances(), now);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -16,7 +16,7 @@
         shape::{class, need, outgoing},
         split::{self, Source},
         stream,
-        suspect::print_text,
+        suspect::{self, Exposure, print_text},
     },
     agate_link::{
         exchange::{self, Answer, Failure, Patience, Step},
@@ -24,7 +24,7 @@
         link::IDLE_LIMIT,
         truth::{Grant, Repeatable, Untouched},
     },
-    agate_quarantine::Work,
+    agate_quarantine::{Trial, Work},
     agate_route::health::Kind as Judged,
     agate_view::table::Name,
     http::{Request, Response, StatusCode, header::CONTENT_LENGTH},
@@ -72,6 +72,8 @@
     pub answer: Answer,
     /// The request's place at the endpoint.
     pub stay: Stay,
+    /// What the call may yet show of the request.
+    pub exposure: Exposure,
 }
 
 /// Runs a request to the head of its answer, for plain answers to their end.
@@ -96,7 +98,7 @@
             begun::note(gate, &job);
         }
         if let Verdict::Spoilt(why) = verdict {
-            spoilt(gate, &job, &leg, why);
+            spoilt(gate, &job, leg, why);
             again(gate, &job, &mut attempts, Cause::Spoilt)?;
             continue;
         }
@@ -104,6 +106,7 @@
         if verdict == Verdict::Failed && job.route.kind.repeatable() && !last {
             gate.fleet.judge(&leg.stay.endpoint, Judged::Neutral);
             if again(gate, &job, &mut attempts, Cause::Rejected).is_ok() {
+                leg.exposure.failed();
                 continue;
             }
             attempts.grant = None;
@@ -148,25 +151,35 @@
 /// Sends the request until some endpoint begins to answer.
 pub async fn start(
     gate: &Arc<Gate>,
-    job: &Job,
+    job: &Arc<Job>,
     attempts: &mut Attempts,
     resume: Option<&str>,
     mut source: Option<&Source>,
 ) -> Result<Leg, Refused> {
     loop {
         let grant = attempts.grant.take().expect("a new attempt has a grant");
-        let (mut stay, grant) = place(gate, job, attempts, grant, source)?;
+        let (suspected, grant) = suspect::judge(gate, job, grant)?;
+        let (mut stay, mut grant) = place(gate, job, attempts, grant, source, suspected)?;
+        let mut trial = None;
+        if suspected {
+            let begun = suspect::begin(gate, job, &stay.endpoint, grant).await?;
+            trial = Some(begun.0);
+            // The store took its time to note the trial.
+            grant = still_allowed(gate, job, begun.1)?;
+        }
         let Some(pass) = gate.admit(&job.service, &mut attempts.arrivals) else {
             // Other failures hold the permit for the next call before they come here; a rejected reading
             // does not.
             attempts.cause = Cause::Rejected;
             log_denied(job, attempts);
+            trial.into_iter().for_each(Trial::unrun);
             return Err(refuse(grant, Cause::Rejected, Some(FULL_AFTER.0)));
         };
         // Memory at another engine can be taken once only.
         let part = source.take().map_or(Part::Whole, |s| Part::Generate(&s.name));
         let outgoing = outgoing(job, &stay, resume, part);
         let waiting = Waiting::new(gate, job);
+        let exposure = Exposure::begin(gate, job, &stay.endpoint, Work::Run, trial);
         let sent = send(gate, job, &stay, &outgoing, grant, &pass).await;
         waiting.end(&sent);
         attempts.tried.push(stay.endpoint.entry.name.clone());
@@ -181,9 +194,12 @@
                     stay.first_token();
                     count_start(gate, job, &stay);
                 }
-                return Ok(Leg { answer, stay });
+                return Ok(Leg { answer, stay, exposure });
+            }
+            Err(failure) => {
+                exposure.ended(&failure).await;
+                failed(gate, job, attempts, &stay, *failure)?;
             }
-            Err(failure) => failed(gate, job, attempts, &stay, *failure)?,
         }
     }
 }
@@ -195,7 +211,23 @@
     attempts: &Attempts,
     grant: Grant,
     source: Option<&Source>,
+    suspected: bool,
 ) -> Result<(Stay, Grant), Refused> {
+    let grant = still_allowed(gate, job, grant)?;
+    let avoided = if suspected { gate.quarantine.unfit() } else { Vec::new() };
+    let need = need(job, &attempts.tried, &avoided, source);
+    match gate.fleet.choose(&need) {
+        Ok(stay) => Ok((stay, grant)),
+        Err(Choice::Full(wait)) => {
+            let after = wait.clamp(FULL_AFTER.0, FULL_AFTER.1);
+            Err(refuse(grant, attempts.cause, Some(after)))
+        }
+        Err(_) => Err(refuse(grant, Cause::NoEndpoint, Some(NO_ENDPOINT_AFTER))),
+    }
+}
+
+/// Checks that the request may still run.
+fn still_allowed(gate: &Gate, job: &Job, grant: Grant) -> Result<Grant, Refused> {
     if job.left() < LEAST_LEFT {
         return Err(refuse(grant, Cause::Late, None));
     }
@@ -205,15 +237,7 @@
     if !key_in_force(gate, job) {
         return Err(refuse(grant, Cause::KeyUnknown, None));
     }
-    let need = need(job, &attempts.tried, source);
-    match gate.fleet.choose(&need) {
-        Ok(stay) => Ok((stay, grant)),
-        Err(Choice::Full(wait)) => {
-            let after = wait.clamp(FULL_AFTER.0, FULL_AFTER.1);
-            Err(refuse(grant, attempts.cause, Some(after)))
-        }
-        Err(_) => Err(refuse(grant, Cause::NoEndpoint, Some(NO_ENDPOINT_AFTER))),
-    }
+    Ok(grant)
 }
 
 /// Whether the key is still in force in the newest configuration.
@@ -331,8 +355,9 @@
     }
 }
 
-fn spoilt(gate: &Gate, job: &Job, leg: &Leg, why: &str) {
+fn spoilt(gate: &Gate, job: &Job, leg: Leg, why: &str) {
     let endpoint = &leg.stay.endpoint;
+    leg.exposure.failed();
     gate.fleet.judge(endpoint, Judged::Failure);
     gate.meter.failures.with_label_values(&["spoilt"]).inc();
     log::info!(
@@ -344,7 +369,7 @@
 
 /// Reads a plain answer to its end and passes it on.
 async fn collect(gate: &Gate, job: &Job, leg: Leg) -> Result<Response<Body>, Cause> {
-    let Leg { answer, stay } = leg;
+    let Leg { answer, stay, exposure } = leg;
     let status = answer.head.status;
     let (head, body) = match answer.collect(HELD_ANSWER, job.left()).await {
         Ok(whole) => whole,
@@ -355,9 +380,16 @@
                 endpoint = &*stay.endpoint.entry.name, cause = failure.cause.as_str();
                 "the endpoint's answer is not whole"
             );
+            exposure.lost(failure.silent).await;
             return Err(if failure.silent { Cause::Late } else { Cause::Lost });
         }
     };
+    // An endpoint that fails requests may do so before it runs them.
+    if status.is_server_error() {
+        exposure.failed()
+    } else {
+        exposure.answered()
+    }
     gate.fleet.judge(&stay.endpoint, Judged::Success);
     let mut response = Response::new(full(body));
     *response.status_mut() = status;
--- a/crates/relay/src/shape.rs
+++ b/crates/relay/src/shape.rs
@@ -9,6 +9,7 @@
         serve::Job,
         split::{self, Source},
     },
+    agate_quarantine::EndpointHash,
     agate_view::{roster::Stage, table::Name},
     std::time::Duration,
 };
@@ -28,7 +29,12 @@
 }
 
 /// What the request needs of its endpoint.
-pub fn need<'a>(job: &'a Job, tried: &'a [Name], source: Option<&'a Source>) -> Need<'a> {
+pub fn need<'a>(
+    job: &'a Job,
+    tried: &'a [Name],
+    avoided: &'a [EndpointHash],
+    source: Option<&'a Source>,
+) -> Need<'a> {
     let engine = job.table.services.get(&job.service).is_some_and(|s| s.engine.is_some());
     let stage = engine.then_some(Stage::Decode);
     let apart = class(job) == Some(Class::Long);
@@ -42,7 +48,7 @@
         }
         None => want(job),
     };
-    Need { service: &job.service, want, stage, tried, zone: source.map(|s| &s.zone) }
+    Need { service: &job.service, want, stage, tried, avoided, zone: source.map(|s| &s.zone) }
 }
 
 /// What is placed if the request's prompt still has to be read.
--- a/crates/relay/src/split.rs
+++ b/crates/relay/src/split.rs
@@ -14,7 +14,7 @@
         run::{LEAST_LEFT, send},
         serve::Job,
         shape::{class, outgoing, want},
-        suspect::print_text,
+        suspect::{Exposure, may_read_apart, print_text},
     },
     agate_link::{
         exchange::{Failure, Step},
@@ -47,7 +47,11 @@
 }
 
 /// Has the prompt read if that pays; `None` if the request shall run whole.
-pub async fn read_apart(gate: &Arc<Gate>, job: &Job, arrivals: &mut Arrivals) -> Option<Source> {
+pub async fn read_apart(
+    gate: &Arc<Gate>,
+    job: &Arc<Job>,
+    arrivals: &mut Arrivals,
+) -> Option<Source> {
     if class(job) != Some(Class::Long) || !gate.fleet.has_stage(&job.service, Stage::Prefill) {
         return None;
     }
@@ -56,7 +60,7 @@
         return None;
     }
     let mut tried = Vec::new();
-    while tried.len() < TRIES && job.left() > LEAST_LEFT {
+    while tried.len() < TRIES && job.left() > LEAST_LEFT && may_read_apart(gate, job) {
         // If the budget of repeats has one left but not two, the request is rather run whole.
         let needed = arrivals.needs_to_read();
         if !gate.hold_permits(&job.service, arrivals, needed) {
@@ -87,7 +91,7 @@
     let within = want.within.saturating_sub(GENERATE);
     let want = Want { within, ..want };
     let stage = Some(Stage::Prefill);
-    gate.fleet.choose(&Need { service: &job.service, want, stage, tried, zone: None })
+    gate.fleet.choose(&Need { service: &job.service, want, stage, tried, avoided: &[], zone: None })
 }
 
 /// What came of having one engine read a prompt.
@@ -101,10 +105,11 @@
 }
 
 /// Has one engine read the prompt.
-async fn read(gate: &Arc<Gate>, job: &Job, mut stay: Stay, pass: &Pass) -> Reading {
+async fn read(gate: &Arc<Gate>, job: &Arc<Job>, mut stay: Stay, pass: &Pass) -> Reading {
     let endpoint = stay.endpoint.clone();
     let told = outgoing(job, &stay, None, Part::Read);
     let grant = Repeatable::idempotent(true).map(Grant::Again).expect("reading may be repeated");
+    let exposure = Exposure::begin(gate, job, &endpoint, Work::Read, None);
     let sent = send(gate, job, &stay, &told, grant, pass).await;
     let answered = match sent {
         Ok(answer) => answer.collect(ANSWER, job.left()).await,
@@ -114,11 +119,13 @@
         Ok(whole) => whole,
         Err(failure) => {
             fail(gate, job, &stay, &failure);
+            exposure.ended(&failure).await;
             return if failure.unsent() { Reading::Unsent } else { Reading::Failed };
         }
     };
     let kept = if head.status.is_success() { (gate.dialect.kept)(&body) } else { None };
     let Some(kept) = kept else {
+        exposure.failed();
         gate.fleet.judge(&endpoint, Kind::Failure);
         log::info!(
             event = "reading_failed", request = job.ask.id.as_str(),
@@ -132,6 +139,7 @@
         ahead = stay.ahead(), took_ms = stay.elapsed().as_millis() as u64;
         "an engine read the prompt"
     );
+    exposure.answered();
     stay.first_token();
     let engine = stay.reading_time();
     gate.demand(&job.service, |d, _| d.on_read(engine));
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -117,7 +117,8 @@
     }
 
     fn finish(&mut self) -> Next {
-        if let Some(Leg { answer, stay }) = self.leg.take() {
+        if let Some(Leg { answer, stay, exposure }) = self.leg.take() {
+            exposure.answered();
             self.gate.fleet.judge(&stay.endpoint, Judged::Success);
             run::note_answer(&self.gate, &self.job, &stay, self.status);
             if let Some(class) = shape::class(&self.job) {
@@ -131,7 +132,7 @@
 
     /// Ends the exchange that broke off, and goes on at another endpoint if that is allowed.
     async fn broken(&mut self, why: &str, silent: bool) -> Next {
-        let Some(Leg { answer, stay }) = self.leg.take() else { return Next::End };
+        let Some(Leg { answer, stay, exposure }) = self.leg.take() else { return Next::End };
         drop(answer);
         self.gate.fleet.judge(&stay.endpoint, Judged::Failure);
         log::info!(
@@ -142,6 +143,7 @@
             "the endpoint's stream broke off"
         );
         drop(stay);
+        exposure.lost(silent).await;
         let cause = if silent { Cause::Late } else { Cause::Lost };
         if run::again(&self.gate, &self.job, &mut self.attempts, cause).is_err() {
             return Next::Broken(cause);
--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -5,6 +5,7 @@
         EndpointHash, Round,
         clocks::{Clock, Vote},
     },
+    agate_quarantine::suspicion::Sign,
     agate_view::Entry,
     serde::{Deserialize, Serialize},
 };
@@ -44,6 +45,15 @@
     pub holder: Option<String>,
 }
 
+/// Requests that crash endpoints.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    /// Revision of the record of suspects; zero if there is none.
+    pub revision: u64,
+    /// What was seen newly.
+    pub signs: Vec<Sign>,
+}
+
 /// What an instance asks and tells.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
@@ -53,6 +63,8 @@
     pub round: Round,
     /// Digest of the endpoints' entries that it knows.
     pub roster: u64,
+    /// What it knows of requests that crash endpoints.
+    pub suspects: Suspects,
     /// What it takes the time of day to be; `None` until it has measured the coordinator's.
     pub clock: Option<Vote>,
     /// Its own figures.
@@ -77,6 +89,8 @@
     pub config: Option<Known>,
     /// The time of day.
     pub clock: Option<Clock>,
+    /// What it knows of requests that crash endpoints.
+    pub suspects: Suspects,
     /// The endpoints that it knows.
     pub roster: Option<Known>,
     /// Figures of all other instances.
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -7,7 +7,7 @@
         assembly::Assembly,
         clocks::{self, Clock, Vote},
         coordinator::Coordinator,
-        message::{Entries, Figures, Known, Message, Question, State, Usage},
+        message::{Entries, Figures, Known, Message, Question, State, Suspects, Usage},
     },
     agate_core::Wall,
     agate_store::{Purpose, Store},
@@ -66,6 +66,10 @@
     pub own: Box<dyn Fn() -> Figures + Send + Sync>,
     /// Takes the figures of all others in.
     pub others: Box<OthersFn>,
+    /// What this instance knows of requests that crash endpoints.
+    pub suspects: Box<dyn Fn() -> Suspects + Send + Sync>,
+    /// Takes over what another instance knows of them.
+    pub suspects_told: Box<dyn Fn(&Suspects) + Send + Sync>,
     /// What this instance itself takes the time of day to be, and for how long it has kept it.
     pub clock: Box<dyn Fn() -> (Wall, Duration) + Send + Sync>,
     /// Takes over the time of day that the instances agree on.
@@ -259,7 +263,8 @@
         let roster = self.belief.digest.load(Ordering::Acquire);
         let (_, kept) = (self.ports.clock)();
         let clock = self.asker.ahead().map(|ahead| Vote::new(ahead, kept));
-        let question = Question { from, round, roster, clock, figures };
+        let suspects = (self.ports.suspects)();
+        let question = Question { from, round, roster, suspects, clock, figures };
         self.send(&Message::Question(question), address).await;
     }
 
@@ -348,6 +353,7 @@
     async fn answer(&mut self, question: &Question, from: SocketAddr) {
         let now = clock::now();
         self.coordinator.on_question(question, now);
+        (self.ports.suspects_told)(&question.suspects);
         let known = |(version, age): (u64, Duration)| {
             let age = age.as_micros().try_into().ok()?;
             (version != 0).then_some(Known { version, age })
@@ -359,6 +365,7 @@
             config: config.and_then(known),
             roster: belief.vouched_roster().and_then(known),
             clock: self.clock(),
+            suspects: (self.ports.suspects)(),
             figures: self.coordinator.totals(&question.from, &(self.ports.own)(), now),
         };
         self.send(&Message::State(state), from).await;
@@ -389,6 +396,7 @@
         let Some(told) = self.asker.on_state(state, (self.ports.clock)().0, clock::now()) else {
             return;
         };
+        (self.ports.suspects_told)(&state.suspects);
         if let Some(proof) = told.config {
             self.belief.confirm_config(proof.version, proof.at);
         }
--- a/crates/sync/tests/agreed_clock.rs
+++ b/crates/sync/tests/agreed_clock.rs
@@ -25,12 +25,26 @@
 
 fn question(from: &str, clock: Vote) -> Question {
     let figures = Figures::default();
-    Question { from: from.into(), round: 1, roster: 0, clock: Some(clock), figures }
+    Question {
+        from: from.into(),
+        round: 1,
+        roster: 0,
+        suspects: Default::default(),
+        clock: Some(clock),
+        figures,
+    }
 }
 
 fn state(round: u64, agreed: Option<Ahead>) -> State {
     let clock = Some(Clock { wall: TRUE.as_micros() as u64, agreed });
-    State { round, config: None, clock, roster: None, figures: Figures::default() }
+    State {
+        round,
+        config: None,
+        clock,
+        suspects: Default::default(),
+        roster: None,
+        figures: Figures::default(),
+    }
 }
 
 /// A machine's clock is off and its instance starts again: the agreed time is that of the others,
--- a/crates/sync/tests/taken_proofs.rs
+++ b/crates/sync/tests/taken_proofs.rs
@@ -15,7 +15,14 @@
 
 fn state(round: u64, age_ms: u64) -> State {
     let config = Some(Known { version: 9, age: age_ms * 1_000 });
-    State { round, config, clock: None, roster: None, figures: Figures::default() }
+    State {
+        round,
+        config,
+        clock: None,
+        suspects: Default::default(),
+        roster: None,
+        figures: Figures::default(),
+    }
 }
 
 /// However long the answer is under way, the proof counts from before the question.
--- a/crates/sync/tests/told_load.rs
+++ b/crates/sync/tests/told_load.rs
@@ -15,7 +15,14 @@
     let demands = vec![Demand { service: 5, reading: 100, slots: 7 }];
     let holder = Some("h".into());
     let figures = Figures { loads, demands, changing: vec![9], holder };
-    Question { from: from.into(), round, roster: 0, clock: None, figures }
+    Question {
+        from: from.into(),
+        round,
+        roster: 0,
+        suspects: Default::default(),
+        clock: None,
+        figures,
+    }
 }
 
 fn tokens(coordinator: &Coordinator, except: &str, at: Duration) -> u32 {
