Bound the time and bytes of an endpoint's answer as a whole

Callers of an endpoint whose bytes do not end waited beyond their deadline: a body in small chunks held one for 2.8 s, a stream for 2.9 s, where the deadline and the route's time are 1 s (endless_bytes on the code before, a trial); interim answers without end took 162 MB from the network for one answer.

Cause: the limit was given to each piece anew, and a timed-out future that is always ready is never timed out, so bytes that come fast enough, or one by one, go on. Interim answers count for nothing in the HTTP library. Calls to the platform and to engines for reports and orders had no bound on their answer.

Now a body has one end, a limit of zero takes nothing more, the bytes before a whole head are bounded on the connection, and each caller states the largest answer. An endpoint that is silent for three objectives although it has a slot is judged; with one caller it was chosen again for each request, each time in vain.

Not covered: report and order calls by a test of their own; they use the same bounded calls.

--- a/crates/cli/src/edge/calls.rs
+++ b/crates/cli/src/edge/calls.rs
@@ -18,7 +18,7 @@
 
 /// The calls of the holder of the duties.
 pub fn calls(settings: &Settings, seat: &Arc<Seat>) -> Calls {
-    let caller = Arc::new(Caller::new(settings.orders));
+    let caller = Arc::new(Caller::new(settings.orders, orders::ANSWER_BYTES));
     let holder: Arc<str> = settings.name.as_str().into();
     let (report_caller, report_holder) = (caller.clone(), holder.clone());
     let (stage_holder, seat) = (holder.clone(), seat.clone());
@@ -57,7 +57,7 @@
         async move {
             let authority = orders::Authority { holder: &holder, token };
             // A connection of its own for each order: none can be delivered late out of an old one.
-            let caller = Caller::new(order.address);
+            let caller = Caller::new(order.address, orders::ANSWER_BYTES);
             let may_act = || seat.may_act() == Some(token);
             let sent =
                 orders::order_stage(&caller, authority, &order.endpoint, order.stage, may_act)
--- a/crates/link/src/call.rs
+++ b/crates/link/src/call.rs
@@ -7,7 +7,7 @@
         HeaderValue, Method, Request, StatusCode,
         header::{CONTENT_TYPE, HOST},
     },
-    http_body_util::{BodyExt, Full},
+    http_body_util::{BodyExt, Full, Limited},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
@@ -28,15 +28,16 @@
 #[derive(Debug)]
 pub struct Caller {
     pool: Arc<Pool>,
+    most: usize,
 }
 
 /// Status and body of an answer.
 pub type Answer = (StatusCode, Bytes);
 
 impl Caller {
-    /// Makes calls to `peer`; nothing is sent yet.
-    pub fn new(peer: SocketAddr) -> Self {
-        Self { pool: Arc::new(Pool::new(peer)) }
+    /// Makes calls to `peer` whose answers have at most `most` bytes; nothing is sent yet.
+    pub fn new(peer: SocketAddr, most: usize) -> Self {
+        Self { pool: Arc::new(Pool::new(peer)), most }
     }
 
     /// Address that is called.
@@ -90,8 +91,12 @@
                 Some(link) => (link, true),
                 None => (self.open().await?, false),
             };
+            link.head.begin();
             match link.sender.try_send_request(request).await {
-                Ok(answer) => return self.read(link, answer).await,
+                Ok(answer) => {
+                    link.head.end();
+                    return self.read(link, answer).await;
+                }
                 Err(mut e) => match e.take_message() {
                     // A connection that closed while idle took nothing.
                     Some(kept) if reused => request = kept,
@@ -113,7 +118,7 @@
         answer: http::Response<hyper::body::Incoming>,
     ) -> Result<Answer, Failure> {
         let status = answer.status();
-        let body = answer.into_body().collect().await;
+        let body = Limited::new(answer.into_body(), self.most).collect().await;
         let body = body.map_err(|e| Failure { cause: e.to_string(), sent: true })?.to_bytes();
         // Ready only when the library has finished the exchange on it.
         if link.sender.ready().await.is_ok() {
--- a/crates/link/src/exchange.rs
+++ b/crates/link/src/exchange.rs
@@ -15,7 +15,7 @@
         io,
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::time::timeout,
 };
@@ -136,6 +136,7 @@
         },
     };
     let before = link.count.load(Ordering::Acquire);
+    link.head.begin();
     let sent = timeout(limit, link.sender.try_send_request(request)).await;
     let written = link.count.load(Ordering::Acquire) - before;
     let answer = match sent {
@@ -153,6 +154,7 @@
             return Err(failure);
         }
     };
+    link.head.end();
     let (head, body) = answer.into_parts();
     if head.headers.get(&signs.id).is_some_and(|v| v.as_bytes() != id.as_bytes()) {
         return Err(fail(Step::Match, peer, "answer to another request", grant.after(1)));
@@ -170,14 +172,19 @@
 impl Answer {
     /// Reads the next piece of the body, `None` at its proper end.
     ///
-    /// Errors: the body was cut, or nothing arrived for `limit`.
+    /// Errors: the body was cut, or nothing arrived for `limit`; none may arrive if that is zero.
     pub async fn next(&mut self, limit: Duration) -> Result<Option<Bytes>> {
         loop {
-            let frame = match timeout(limit, self.body.frame()).await {
+            // A future that is ready is never timed out, so bytes that always are would go on.
+            let timed = match limit.is_zero() {
+                true => Err(()),
+                false => timeout(limit, self.body.frame()).await.map_err(|_| ()),
+            };
+            let frame = match timed {
                 Ok(None) => return Ok(None),
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(e))) => return Err(fail(Step::Body, self.peer, e, None)),
-                Err(_) => {
+                Err(()) => {
                     let mut failure = fail(Step::Body, self.peer, io::ErrorKind::TimedOut, None);
                     failure.silent = true;
                     return Err(failure);
@@ -192,10 +199,11 @@
         }
     }
 
-    /// Reads the whole body, at most `most` bytes, and returns the link to the pool.
+    /// Reads the whole body, at most `most` bytes and within `limit`, and returns the link to the pool.
     pub async fn collect(mut self, most: usize, limit: Duration) -> Result<(Parts, Bytes)> {
         let mut all = Vec::new();
-        while let Some(piece) = self.next(limit).await? {
+        let end = Instant::now() + limit;
+        while let Some(piece) = self.next(end.saturating_duration_since(Instant::now())).await? {
             if all.len() + piece.len() > most {
                 return Err(fail(Step::Body, self.peer, "answer too large", None));
             }
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -5,7 +5,7 @@
 //! handed out again, which is how connections that went silent are retired together.
 
 use {
-    crate::tally::{Count, Tally},
+    crate::tally::{Count, Head, Tally},
     bytes::Bytes,
     http::HeaderMap,
     http_body_util::Full,
@@ -42,6 +42,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Bytes written so far.
     pub count: Count,
+    /// Bytes read of a head that is due.
+    pub head: Head,
     /// When the connection was opened.
     pub born: Instant,
     /// Longest idle time after which it may be used again.
@@ -76,14 +78,14 @@
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     configure(&io)?;
-    let (tally, count) = Tally::wrap(io);
+    let (tally, count, head) = Tally::wrap(io);
     let (sender, conn) = handshake(TokioIo::new(tally)).await.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         if let Err(e) = conn.await {
             log::trace!("connection to endpoint {address} ended: {e}");
         }
     });
-    Ok(Link { sender, count, born: Instant::now(), rest: IDLE_LIMIT, driver })
+    Ok(Link { sender, count, head, born: Instant::now(), rest: IDLE_LIMIT, driver })
 }
 
 /// Sets the options that bound how long a dead connection can look alive.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -40,6 +40,9 @@
 const REFUSED_MOST: Duration = Duration::from_millis(640);
 /// Time for which an endpoint that took no connection gets nothing; a restart takes longer.
 const UNCONNECTED: Duration = Duration::from_millis(500);
+/// Objectives after which silence of an endpoint that is not full is a failure; one that is slow for a
+/// while still answers.
+const OVERDUE: u32 = 3;
 /// Part of the connections that an endpoint accepts which all instances together use.
 const CONNECTION_PART: f64 = 0.85;
 
@@ -351,6 +354,14 @@
         self.endpoint.live.reading().time(self.tokens)
     }
 
+    /// Whether the endpoint has had the request for many times its `objective` although it had a
+    /// slot for it.
+    pub fn overdue(&self, objective: Duration) -> bool {
+        let live = &self.endpoint.live;
+        let used = live.open.load(Relaxed) + live.others.load(Relaxed);
+        used <= self.endpoint.entry.slots && self.elapsed() >= objective * OVERDUE
+    }
+
     /// Time since the request was placed.
     pub fn elapsed(&self) -> Duration {
         self.since.elapsed()
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -314,7 +314,9 @@
             Judged::Failure
         }
         Cause::Rejected => Judged::Busy,
-        Cause::Late if job.left() > LEAST_LEFT => Judged::Failure,
+        Cause::Late if job.left() > LEAST_LEFT || stay.overdue(job.route.objective) => {
+            Judged::Failure
+        }
         Cause::Late => Judged::Neutral,
         _ => Judged::Failure,
     };
