--- a/crates/flow/src/token.rs
+++ b/crates/flow/src/token.rs
@@ -9,11 +9,23 @@
     eventsource_stream::{EventStream, Eventsource},
     futures_util::{Stream, StreamExt, stream},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, pin::Pin, time::Duration},
+    std::{
+        fmt,
+        net::SocketAddr,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::timeout,
 };
 
 /// Data of the event that ends a stream.
 const END: &str = "[DONE]";
+/// Most bytes of a stream without a complete event.
+pub const EVENT_BYTES: usize = 1 << 20;
 
 /// Tokens that a request used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +79,12 @@
 /// Reader of one engine's stream.
 pub struct Tokens {
     events: EventStream<Pieces>,
+    /// Bytes since the last complete event.
+    quiet: Arc<AtomicUsize>,
+    /// Longest wait for the next event.
+    limit: Duration,
+    /// The same for those behind the first one.
+    between: Duration,
     peer: SocketAddr,
     /// Index of the next token.
     next: u32,
@@ -80,8 +98,10 @@
     /// `first` and `between` bound the silence before the first event and between two events.
     pub fn open(answer: Answer, from: u32, first: Duration, between: Duration) -> Self {
         let peer = answer.peer;
-        let events = pieces(answer, first, between).eventsource();
-        Self { events, peer, next: from, queue: Vec::new(), finished: false }
+        let quiet = Arc::<AtomicUsize>::default();
+        let events = pieces(answer, quiet.clone(), first, between).eventsource();
+        let (queue, finished) = (Vec::new(), false);
+        Self { events, quiet, limit: first, between, peer, next: from, queue, finished }
     }
 
     /// Number of tokens read, counting those before this stream.
@@ -97,11 +117,20 @@
             if !self.queue.is_empty() {
                 return Ok(self.queue.remove(0));
             }
-            match self.events.next().await {
+            let Ok(event) = timeout(self.limit, self.events.next()).await else {
+                let mut failure = self.invalid("no event came in time");
+                (failure.step, failure.silent) = (Step::Body, true);
+                return Err(failure);
+            };
+            match event {
                 None => return Err(self.invalid("the stream ended before its end marker")),
                 Some(Err(eventsource_stream::EventStreamError::Transport(f))) => return Err(f),
                 Some(Err(e)) => return Err(self.invalid(e)),
-                Some(Ok(event)) => self.accept(&event.data)?,
+                Some(Ok(event)) => {
+                    self.limit = self.between;
+                    self.quiet.store(0, Ordering::Relaxed);
+                    self.accept(&event.data)?;
+                }
             }
         }
     }
@@ -138,32 +167,45 @@
         Ok(())
     }
 
-    fn invalid(&self, cause: impl std::fmt::Display) -> Box<Failure> {
-        let (step, peer, cause) = (Step::Match, self.peer, cause.to_string());
-        Box::new(Failure {
-            step,
-            peer,
-            cause,
-            grant: None,
-            declared: false,
-            silent: false,
-            refused: false,
-            head: None,
-        })
+    fn invalid(&self, cause: impl fmt::Display) -> Box<Failure> {
+        invalid(self.peer, cause)
     }
 }
 
+fn invalid(peer: SocketAddr, cause: impl fmt::Display) -> Box<Failure> {
+    let (step, cause) = (Step::Match, cause.to_string());
+    Box::new(Failure {
+        step,
+        peer,
+        cause,
+        grant: None,
+        declared: false,
+        silent: false,
+        refused: false,
+        head: None,
+    })
+}
+
 /// Turns an answer into a stream of pieces; its link is returned after the proper end of the body.
-fn pieces(answer: Answer, first: Duration, between: Duration) -> Pieces {
-    Box::pin(stream::unfold((Some(answer), first), move |(answer, limit)| async move {
-        let mut answer = answer?;
-        match answer.next(limit).await {
-            Ok(Some(piece)) => Some((Ok(piece), (Some(answer), between))),
-            Ok(None) => {
-                answer.release();
-                None
+fn pieces(answer: Answer, quiet: Arc<AtomicUsize>, first: Duration, between: Duration) -> Pieces {
+    Box::pin(stream::unfold(
+        (Some(answer), first, quiet),
+        move |(answer, limit, quiet)| async move {
+            let mut answer = answer?;
+            match answer.next(limit).await {
+                Ok(Some(piece))
+                    if quiet.fetch_add(piece.len(), Ordering::Relaxed) > EVENT_BYTES =>
+                {
+                    let failure = invalid(answer.peer, "an event without end");
+                    Some((Err(failure), (None, between, quiet)))
+                }
+                Ok(Some(piece)) => Some((Ok(piece), (Some(answer), between, quiet))),
+                Ok(None) => {
+                    answer.release();
+                    None
+                }
+                Err(failure) => Some((Err(failure), (None, between, quiet))),
             }
-            Err(failure) => Some((Err(failure), (None, between))),
-        }
-    }))
+        },
+    ))
 }
--- /dev/null
+++ b/crates/flow/tests/endless_events.rs
@@ -0,0 +1,72 @@
+//! An engine's stream whose bytes make no event is cut off in bounded time and memory.
+
+use {
+    agate_flow::{
+        header::SIGNS,
+        token::{EVENT_BYTES, Tokens},
+    },
+    agate_link::{
+        exchange::{Patience, send},
+        link::Pool,
+        truth::{Grant, Repeatable},
+    },
+    bytes::Bytes,
+    http::Request,
+    http_body_util::Full,
+    rstest::rstest,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering::SeqCst},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        time::{sleep, timeout},
+    },
+};
+
+/// Longest silence that the reader is told to bear.
+const LIMIT: Duration = Duration::from_millis(300);
+/// Bytes beyond the bound that the buffers of the operating system hold.
+const BUFFERS: usize = 16 << 20;
+
+/// Guards against an event, or comments, that come without end, fast or a piece at a time.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_event(
+    #[values("data: d\n", ": comment\n\n", "x")] unit: &'static str,
+    #[values(None, Some(Duration::from_millis(20)))] pause: Option<Duration>,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let pool = Arc::new(Pool::new(listener.local_addr().expect("an address")));
+    let taken = Arc::<AtomicUsize>::default();
+    let taking = taken.clone();
+    tokio::spawn(async move {
+        let (mut io, _) = listener.accept().await.expect("a connection");
+        let mut buffer = [0; 4 << 10];
+        let _ = io.read(&mut buffer).await;
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+        io.write_all(head.as_bytes()).await.expect("a head");
+        let piece = if pause.is_some() { unit.to_owned() } else { unit.repeat(1_000) };
+        while io.write_all(piece.as_bytes()).await.is_ok() {
+            taking.fetch_add(piece.len(), SeqCst);
+            if let Some(pause) = pause {
+                sleep(pause).await;
+            }
+        }
+    });
+    let request = Request::new(Full::new(Bytes::from("x")));
+    let grant = Grant::Again(Repeatable::generation());
+    let patience = Patience { fresh: LIMIT, reused: LIMIT, rest: LIMIT };
+    let answer = send(&pool, request, "x", &SIGNS, grant, patience).await.expect("a head");
+    let mut tokens = Tokens::open(answer, 0, LIMIT, LIMIT);
+    let begun = Instant::now();
+    let next = timeout(10 * LIMIT, tokens.next()).await.expect("an end");
+    let failure = next.expect_err("no event comes");
+    assert!(begun.elapsed() < 4 * LIMIT, "{failure} after {:?}", begun.elapsed());
+    drop(tokens);
+    assert!(taken.load(SeqCst) < EVENT_BYTES + BUFFERS, "{} bytes", taken.load(SeqCst));
+}
