Do not quarantine a request whose copies were in flight at engines that ended together

Callers of the product's own interface who sent one request in copies got it refused for ten minutes after two engines ended at the same moment.

Cause: each crash raised the count by one, whether the call had left before or after the first crash was known. copies_end_together: quarantined before, served after. A call that was not suspected when it left now makes the request a suspect and no more; the second crash must be of a call that was sent alone.

--- a/crates/cli/tests/crashing_requests.rs
+++ b/crates/cli/tests/crashing_requests.rs
@@ -49,6 +49,26 @@
     }
 }
 
+/// Guards against taking copies of one request, in flight at engines that end together, for a request
+/// that crashes them.
+#[tokio::test]
+async fn copies_end_together() {
+    let demo = start(1, |d| keep(d, "glaze-oracle", 4)).await;
+    let to = demo.instances[0].address();
+    let calls = (0..16).map(|_| ask("popular", 200, false).send(to));
+    let copies: Vec<_> = calls.map(tokio::spawn).collect();
+    let busy = || demo.engines.iter().filter(|e| e.load().running > 0).count();
+    until("copies run at two engines", || busy() >= 2).await;
+    demo.engines.iter().filter(|e| e.load().running > 0).for_each(|e| e.crash());
+    for copy in copies {
+        let reply = copy.await.expect("the copy gets a reply");
+        assert_ne!(reply.code(), "request_quarantined", "{}", reply.body);
+    }
+    demo.engines.iter().for_each(|e| e.restart());
+    let reply = ask("popular", 10, false).send(to).await;
+    assert_eq!(reply.text(), answer("popular", 10), "{}", reply.body);
+}
+
 /// Another organisation's equal request is another request.
 #[tokio::test]
 async fn other_organisation() {
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -44,6 +44,8 @@
     pub chosen: Choice,
     /// The endpoint's seat for a suspected request, if this is one.
     pub seat: Option<Seat>,
+    /// Whether the request was suspected when it was sent.
+    pub suspected: bool,
 }
 
 /// Size of a request as the choice of its endpoint sees it.
@@ -138,6 +140,7 @@
             return Err(exhausted(grant.untouched(), left));
         }
         if let Some(mut target) = target {
+            target.suspected = true;
             target.seat = gate.suspects.sit(target.id);
             if target.seat.is_some() {
                 return found(job, Some(target), grant, left);
@@ -179,7 +182,7 @@
     let chosen = chosen.inspect_err(|e| log::debug!("{e}")).ok()?;
     let id = chosen.id;
     let links = gate.links(id)?;
-    Some(Target { id, links, stay: Stay::begin(gate, id), seat: None, chosen })
+    Some(Target { id, links, stay: Stay::begin(gate, id), seat: None, suspected: false, chosen })
 }
 
 /// Time that a request has left.
@@ -278,12 +281,12 @@
     };
     if cause == Cause::Crash {
         target.links.purge();
-        gate.suspects.crash(
-            job.prints(&gate.secrets),
-            target.id,
-            target.seat.is_some(),
-            gate.now(),
-        );
+        let prints = job.prints(&gate.secrets);
+        if target.suspected {
+            gate.suspects.crash(prints, target.id, target.seat.is_some(), gate.now());
+        } else {
+            gate.suspects.suspect(prints, gate.now());
+        }
     }
     target.stay.end(kind);
     cause
--- a/crates/flow/src/suspect.rs
+++ b/crates/flow/src/suspect.rs
@@ -91,8 +91,19 @@
         self.seats().insert(id).then(|| Seat { suspects: self.clone(), id })
     }
 
-    /// Records that the endpoint `id` crashed with the request in flight; `seated` tells whether it
-    /// had the seat there.
+    /// Records that an endpoint crashed with the request in flight, which was not suspected when it was
+    /// sent. Copies of it may be in flight at many endpoints that crash together, so this makes it a
+    /// suspect and no more.
+    pub fn suspect(&self, prints: &[Fingerprint], now: Mono) {
+        for print in prints {
+            self.state().merge(*print, 1, MEMORY, now);
+            log::warn!("request {print:016x} was in flight at an endpoint crash");
+            (self.announce)(*print, 1);
+        }
+    }
+
+    /// Records that the endpoint `id` crashed with a suspect in flight; `seated` tells whether it had the
+    /// seat there.
     ///
     /// A suspect that gave its seat up, because it got past the point at which it was in flight
     /// before, is not blamed for the crash if another one has the seat.
@@ -104,8 +115,7 @@
             let at = self.explained().get(&id).copied();
             self.seats().contains(&id) || at.is_some_and(|t| now.saturating_sub(t) < EXPLAINED)
         };
-        let suspect = self.worst(prints, now) == Verdict::Alone;
-        if suspect && !seated && explained() {
+        if !seated && explained() {
             return;
         }
         prints.iter().for_each(|p| self.state().crash(*p, now));
