Retire all connections of an endpoint when one was silent and a new one works

Callers lost one request for each open connection to an endpoint after the path between had lost track of them: each waited for its whole time (504) on the next silent connection. silent_connections: the second request after the first silent one failed before, now the first finds out for all.

Found by comparing the two request paths: the product's own has done so since it began. It also repeats idempotent calls over a new connection after a third of their time; this path does not (open).

--- a/crates/relay/src/suspect.rs
+++ b/crates/relay/src/suspect.rs
@@ -159,23 +159,26 @@
         self.lost(failure.silent).await;
     }
 
-    /// Ends without a whole answer; waits a little to learn whether the endpoint crashed.
+    /// Ends without a whole answer; waits a little to learn whether the endpoint crashed, unless it was
+    /// silent.
     pub async fn lost(mut self, silent: bool) {
         self.open = false;
         let (gate, endpoint) = (self.gate.clone(), self.endpoint.clone());
         let (call, incarnation) = (self.call(), endpoint.incarnation);
         gate.quarantine.on_unanswered(call, incarnation);
-        if silent {
-            return;
-        }
         let broken = Instant::now();
         let probing = tokio::spawn(async move {
             match probe(&endpoint, broken).await {
                 Probe::Refused => gate.quarantine.on_crash(incarnation, "refused"),
+                // The path may have lost track of all connections that are as old.
+                Probe::Alive if silent => retire(&endpoint),
                 Probe::Alive => gate.quarantine.on_alive(call, incarnation),
                 Probe::Silent => {}
             }
         });
+        if silent {
+            return;
+        }
         // The probe goes on if it takes longer.
         if timeout(PROBE_WAIT, probing).await.is_err() {
             log::debug!(event = "probe_slow", endpoint = &*self.endpoint.entry.name; "an endpoint does not take a new connection yet");
@@ -191,6 +194,15 @@
     }
 }
 
+/// Closes the idle connections to an endpoint.
+fn retire(endpoint: &Endpoint) {
+    let closed = endpoint.pool.purge();
+    log::info!(
+        event = "connections_retired", endpoint = &*endpoint.entry.name, closed;
+        "a connection was silent while new ones work"
+    );
+}
+
 /// What a new connection shows of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Probe {
