--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -9,7 +9,8 @@
 //!   the suspicion, so a popular request that happened to be in flight at crashes is soon cleared.
 //! - [`table`]: suspects and their trials, in one record of the store, so that they outlive every
 //!   process and all instances share them.
-//! - [`quarantine`]: puts these together for one instance.
+//! - [`quarantine`]: puts these together for one instance; [`record`] follows and changes the record,
+//!   [`trial`] is the permission to send a suspect.
 //!
 //! Invariants: a suspect is sent only as a trial, which is in the record before the call leaves, to an
 //! endpoint that has no other trial. So the fleet makes a bounded number of trials, whatever
@@ -18,10 +19,16 @@
 pub mod evidence;
 pub mod meter;
 pub mod quarantine;
+pub mod record;
 pub mod suspicion;
 pub mod table;
+pub mod trial;
 
-pub use quarantine::{Judgement, Quarantine, Role, Trial};
+pub use {
+    quarantine::{Judgement, Quarantine},
+    record::Role,
+    trial::Trial,
+};
 
 /// Hash of what identifies a request on each of its returns.
 pub type Print = u64;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! The quarantine of one instance: evidence and suspicions in memory, the table in the store.
+//! The quarantine of one instance: what it saw, what it was told, and how a request may be sent.
 
 use {
     crate::{
@@ -6,11 +6,13 @@
         evidence::{Call, Evidence},
         hex,
         meter::Meter,
+        record::Known,
         suspicion::{Sign, Suspicions},
-        table::{End, Table},
+        table::End,
+        trial::Trial,
     },
     agate_core::{Mono, Wall},
-    agate_store::{Purpose, Record, Result, Store},
+    agate_store::Store,
     agate_view::clock,
     arc_swap::ArcSwap,
     std::{
@@ -22,33 +24,16 @@
     },
     tokio::{
         sync::{Mutex as Turn, Notify},
-        time::{sleep, timeout},
+        time::timeout,
     },
 };
 
-/// Key of the record.
-const KEY: &str = "agate/suspects";
 /// Signs in one message between instances, which share a datagram with other figures.
 pub const SIGNS: usize = 12;
-/// Writes of one change while others change the record too.
-const WRITES: u32 = 4;
-/// Tries to bring a result of a trial to the store.
-const KEPT_TRIES: u32 = 6;
-/// Pause between two of them, for each that failed.
-const KEPT_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time that a trial waits for the store.
 const BEGIN_LIMIT: Duration = Duration::from_millis(400);
 /// Time after which a request may return that waits for the store, or for a trial elsewhere.
 const COME_BACK: Duration = Duration::from_millis(250);
-/// Time between two clean-ups, and looks at the record of an instance that hears no other one.
-const LOOK: Duration = Duration::from_secs(2);
-/// Looks between two of which the coordinator that leads reads: the others tell it of changes, unless
-/// they follow another one.
-const LEADER_LOOKS: u32 = 5;
-/// Pause after a read that failed.
-const RETRY: Duration = Duration::from_millis(200);
-/// Time after which an instance that hears a coordinator adds a suspect itself.
-const ADD_AFTER: Duration = Duration::from_secs(1);
 
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,17 +46,6 @@
     Held(Duration),
 }
 
-/// How an instance hears of others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// From a coordinator.
-    Led,
-    /// As the coordinator that leads.
-    Leads,
-    /// Not at all.
-    Alone,
-}
-
 type WallFn = dyn Fn() -> Wall + Send + Sync;
 
 /// The quarantine of one instance.
@@ -79,35 +53,17 @@
     /// Counters.
     pub meter: Meter,
     evidence: Mutex<Evidence>,
-    suspicions: Mutex<Suspicions>,
+    pub(crate) suspicions: Mutex<Suspicions>,
     /// Whether anything is remembered; while not, requests are not hashed.
-    active: AtomicBool,
-    table: ArcSwap<Known>,
+    pub(crate) active: AtomicBool,
+    pub(crate) table: ArcSwap<Known>,
     /// Newest revision of the record of which another instance told.
-    told: AtomicU64,
-    wake: Notify,
+    pub(crate) told: AtomicU64,
+    pub(crate) wake: Notify,
     /// Changes of the record are made one after the other.
-    turn: Turn<()>,
-    store: Store,
-    wall: Box<WallFn>,
-}
-
-/// The record as last seen; revision zero stands for none.
-#[derive(Debug, Default)]
-struct Known {
-    table: Table,
-    revision: u64,
-}
-
-impl Known {
-    fn read(record: Option<Record>) -> Self {
-        let Some(Record { revision, value }) = record else { return Self::default() };
-        let table = Table::decode(&value);
-        if table.is_none() {
-            log::error!(event = "suspects_unread", revision; "the record of suspects is not understood and starts anew");
-        }
-        Self { table: table.unwrap_or_default(), revision }
-    }
+    pub(crate) turn: Turn<()>,
+    pub(crate) store: Store,
+    pub(crate) wall: Box<WallFn>,
 }
 
 impl Quarantine {
@@ -164,7 +120,7 @@
         });
         let wait = match timeout(BEGIN_LIMIT, begun).await {
             Ok(Ok(None)) => {
-                log::info!(event = "trial_begun", print = hex(print), endpoint; "a suspected request is tried");
+                log::info!(event = "trial_begun", print = hex(print).as_str(), endpoint; "a suspected request is tried");
                 return Ok(Trial {
                     quarantine: self.clone(),
                     print,
@@ -174,11 +130,11 @@
             }
             Ok(Ok(Some(wait))) => wait,
             Ok(Err(e)) => {
-                log::info!(event = "trial_refused", print = hex(print), cause:% = e; "the trial is not in the store");
+                log::info!(event = "trial_refused", print = hex(print).as_str(), cause:% = e; "the trial is not in the store");
                 COME_BACK
             }
             Err(_) => {
-                log::info!(event = "trial_refused", print = hex(print), cause = "no answer in time"; "the trial is not in the store");
+                log::info!(event = "trial_refused", print = hex(print).as_str(), cause = "no answer in time"; "the trial is not in the store");
                 COME_BACK
             }
         };
@@ -228,7 +184,7 @@
             let suspected = suspicions.suspected(print);
             drop(suspicions);
             log::info!(
-                event = "request_blamed", print = hex(print), endpoint, trial, suspected;
+                event = "request_blamed", print = hex(print).as_str(), endpoint, trial, suspected;
                 "an endpoint crashed with the request unanswered"
             );
             // An older call may have been left at the endpoint of a trial, which shows nothing of it.
@@ -255,7 +211,7 @@
             self.keep(move |table, _| table.clear(print));
         }
         if cleared || tried {
-            log::info!(event = "request_cleared", print = hex(print); "a request in flight at crashes was answered");
+            log::info!(event = "request_cleared", print = hex(print).as_str(); "a request in flight at crashes was answered");
         }
     }
 
@@ -278,181 +234,24 @@
         }
     }
 
-    /// Follows the record, and adds what is suspected here.
-    pub async fn follow(self: Arc<Self>, role: impl Fn() -> Role) {
-        while let Err(e) = self.read().await {
-            log::debug!("reading the suspects: {e}");
-            sleep(RETRY).await;
-        }
-        let mut looks = 0;
-        loop {
-            let woken = timeout(LOOK, self.wake.notified()).await.is_ok();
-            self.prune();
-            looks += u32::from(!woken);
-            let behind = self.told.load(Ordering::Acquire) > self.table.load().revision;
-            // A look finds what nobody tells, at a fraction of a read's price.
-            let looking = !woken
-                && match role() {
-                    Role::Led => false,
-                    Role::Leads => looks.is_multiple_of(LEADER_LOOKS),
-                    Role::Alone => true,
-                };
-            let read = if behind || looking { self.catch_up().await } else { Ok(()) };
-            let added = match read {
-                Ok(()) => self.add_suspects(role() == Role::Led).await,
-                Err(e) => Err(e),
-            };
-            if let Err(e) = added {
-                log::debug!("following the suspects: {e}");
-                sleep(RETRY).await;
-                self.wake.notify_one();
-            }
-        }
-    }
-
-    /// Reads the record, cheaply if that shows what was told.
-    async fn catch_up(&self) -> Result<()> {
-        let found = self.store.peek(Purpose::Record, KEY).await?;
-        let revision = found.as_ref().map_or(0, |r| r.revision);
-        if revision < self.told.load(Ordering::Acquire) {
-            return self.read().await;
-        }
-        self.install(Known::read(found));
-        Ok(())
-    }
-
-    async fn read(&self) -> Result<()> {
-        let found = self.store.get(Purpose::Record, KEY).await?;
-        self.install(Known::read(found));
-        Ok(())
-    }
-
-    /// Writes suspects that the record lacks. The coordinator that leads hears of all crashes and is
-    /// first; others do so if it did not.
-    async fn add_suspects(self: &Arc<Self>, led: bool) -> Result<()> {
-        let now = clock::now();
-        let known = self.table.load_full();
-        let due = |at: Mono| !led || now.saturating_sub(at) >= ADD_AFTER;
-        let suspects: Vec<Print> = {
-            let suspicions = self.suspicions();
-            let missing = suspicions.suspects().filter(|(p, _)| !known.table.contains(*p));
-            missing.filter(|(_, at)| due(*at)).map(|(print, _)| print).collect()
-        };
-        if suspects.is_empty() {
-            return Ok(());
-        }
-        self.change(move |table, now| {
-            let added = suspects.iter().filter(|p| table.add(**p, now)).count();
-            (added > 0, ())
-        })
-        .await
-    }
-
-    /// Puts a record in force unless a newer one is.
-    fn install(&self, next: Known) {
-        let next = Arc::new(next);
-        self.table.rcu(|old| if old.revision > next.revision { old.clone() } else { next.clone() });
-        let known = self.table.load();
-        self.meter.suspects.set(known.table.len() as i64);
-        if !known.table.is_empty() {
-            self.active.store(true, Ordering::Release);
-        }
-    }
-
-    fn prune(&self) {
+    pub(crate) fn prune(&self) {
         let mut suspicions = self.suspicions();
         suspicions.prune(clock::now());
         let active = !suspicions.is_empty() || !self.table.load().table.is_empty();
         self.active.store(active, Ordering::Release);
     }
 
-    /// Changes the record. `act` says whether the table changed, and its result; it is repeated on the
-    /// newest table if another instance wrote meanwhile.
-    async fn change<T>(&self, act: impl Fn(&mut Table, Wall) -> (bool, T)) -> Result<T> {
-        let _turn = self.turn.lock().await;
-        for _ in 0..WRITES {
-            let known = self.table.load_full();
-            let mut table = known.table.clone();
-            let (changed, out) = act(&mut table, (self.wall)());
-            if !changed {
-                return Ok(out);
-            }
-            match self.store.swap(Purpose::Record, KEY, known.revision, table.encode()).await? {
-                Ok(revision) => {
-                    self.install(Known { table, revision });
-                    return Ok(out);
-                }
-                Err(found) => self.install(Known::read(found)),
-            }
-        }
-        Err(agate_store::Error::Unavailable {
-            step: "swap",
-            peer: KEY.into(),
-            cause: "others changed the record each time".into(),
-        })
-    }
-
-    /// Brings a result to the store in the background.
-    fn keep(self: &Arc<Self>, act: impl Fn(&mut Table, Wall) -> bool + Send + Sync + 'static) {
-        let own = self.clone();
-        tokio::spawn(async move {
-            for failures in 1..=KEPT_TRIES {
-                match own.change(|table, now| (act(table, now), ())).await {
-                    Ok(()) => return,
-                    Err(e) if failures == KEPT_TRIES => {
-                        log::warn!(event = "suspects_unwritten", cause:% = e; "the result of a trial is not in the store");
-                    }
-                    Err(_) => sleep(KEPT_PAUSE * failures).await,
-                }
-            }
-        });
-    }
-
     fn evidence(&self) -> MutexGuard<'_, Evidence> {
         self.evidence.lock().expect("no panic under the lock of the evidence")
     }
 
-    fn suspicions(&self) -> MutexGuard<'_, Suspicions> {
+    pub(crate) fn suspicions(&self) -> MutexGuard<'_, Suspicions> {
         self.suspicions.lock().expect("no panic under the lock of the suspicions")
     }
 }
 
-/// A trial under way. Unless the request is answered or the endpoint's crash shows, it ends without a
-/// result when this is dropped.
-#[derive(Debug)]
-pub struct Trial {
-    quarantine: Arc<Quarantine>,
-    print: Print,
-    endpoint: EndpointHash,
-    end: End,
-}
-
 impl std::fmt::Debug for Quarantine {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("Quarantine")
     }
 }
-
-impl Trial {
-    /// Ends the trial of a call of which nothing ran.
-    pub fn unrun(mut self) {
-        self.end = End::Unrun;
-    }
-}
-
-impl Drop for Trial {
-    fn drop(&mut self) {
-        let Self { print, endpoint, end, .. } = *self;
-        let label = if end == End::Unrun { "unrun" } else { "unresolved" };
-        let quarantine = self.quarantine.clone();
-        let trials = quarantine.meter.trials.clone();
-        quarantine.keep(move |table, now| {
-            let ended = table.end(print, endpoint, end, now);
-            if ended {
-                trials.with_label_values(&[label]).inc();
-                log::info!(event = "trial_ended", print = hex(print), endpoint, result = label; "a trial ended");
-            }
-            ended
-        });
-    }
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod headcount;
 pub mod load;
 pub mod meter;
+pub mod note;
 pub mod place;
 pub mod ready;
 pub mod refusal;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -9,7 +9,7 @@
         fleet::Stay,
         full,
         gate::Gate,
-        meter::Meter,
+        note,
         place::Choice,
         refusal::{Cause, Refused},
         serve::Job,
@@ -27,7 +27,7 @@
     agate_quarantine::{Trial, Work},
     agate_route::health::Kind as Judged,
     agate_view::table::Name,
-    http::{Request, Response, StatusCode, header::CONTENT_LENGTH},
+    http::{Request, Response, header::CONTENT_LENGTH},
     http_body_util::Full,
     std::{
         sync::{Arc, atomic::Ordering::Relaxed},
@@ -192,7 +192,7 @@
             Ok(answer) => {
                 if !job.route.kind.streams() {
                     stay.first_token();
-                    count_start(gate, job, &stay);
+                    note::count_start(gate, job, &stay);
                 }
                 return Ok(Leg { answer, stay, exposure });
             }
@@ -302,7 +302,7 @@
     gate.meter.failures.with_label_values(&[failure.step.label()]).inc();
     log::info!(
         event = "attempt_failed", request = job.ask.id.as_str(),
-        print = print_text(job, Work::Run), endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
+        print = print_text(job, Work::Run).as_str(), endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
         declared = failure.declared, misdirected, unrun = failure.grant.is_some(),
         after_ms = stay.elapsed().as_millis() as u64,
         roster_age_ms = gate.belief.roster.age().map(|a| a.as_millis() as u64);
@@ -378,7 +378,7 @@
         Err(failure) => {
             gate.fleet.judge(&stay.endpoint, Judged::Failure);
             log::info!(
-                event = "answer_cut", request = job.ask.id.as_str(), print = print_text(job, Work::Run),
+                event = "answer_cut", request = job.ask.id.as_str(), print = print_text(job, Work::Run).as_str(),
                 endpoint = &*stay.endpoint.entry.name, cause = failure.cause.as_str();
                 "the endpoint's answer is not whole"
             );
@@ -396,33 +396,6 @@
     let mut response = Response::new(full(body));
     *response.status_mut() = status;
     *response.headers_mut() = (gate.dialect.relay)(&head.headers);
-    note_answer(gate, job, &stay, status);
+    note::note_answer(gate, job, &stay, status);
     Ok(response)
 }
-
-/// Counts and logs an answer that was passed on whole.
-pub fn note_answer(gate: &Gate, job: &Job, stay: &Stay, status: StatusCode) {
-    let kind = job.route.kind.label();
-    let class = if status.is_success() { "success" } else { "failure" };
-    gate.meter.answers.with_label_values(&[kind, class]).inc();
-    Meter::observe(&gate.meter.whole, kind, job.arrived.elapsed());
-    log::debug!(
-        event = "answered", request = job.ask.id.as_str(), route = &*job.route.name,
-        endpoint = &*stay.endpoint.entry.name, status = status.as_u16(),
-        took_ms = job.arrived.elapsed().as_millis() as u64;
-        "answer passed on"
-    );
-}
-
-/// Counts a request that began to run.
-pub fn count_start(gate: &Gate, job: &Job, stay: &Stay) {
-    log::debug!(
-        event = "started", request = job.ask.id.as_str(), route = &*job.route.name,
-        endpoint = &*stay.endpoint.entry.name, ahead = stay.ahead(),
-        placed_ms = stay.elapsed().as_millis() as u64,
-        arrived_ms = job.arrived.elapsed().as_millis() as u64;
-        "the endpoint began to answer"
-    );
-    Meter::observe(&gate.meter.first, job.route.kind.label(), job.arrived.elapsed());
-    begun::note(gate, job);
-}
--- a/crates/relay/src/split.rs
+++ b/crates/relay/src/split.rs
@@ -160,7 +160,7 @@
     gate.fleet.judge(endpoint, if failure.declared { Kind::Busy } else { Kind::Failure });
     log::info!(
         event = "reading_failed", request = job.ask.id.as_str(),
-        print = print_text(job, Work::Read), endpoint = &*endpoint.entry.name, cause = failure.cause.as_str(),
+        print = print_text(job, Work::Read).as_str(), endpoint = &*endpoint.entry.name, cause = failure.cause.as_str(),
         declared = failure.declared, after_ms = stay.elapsed().as_millis() as u64;
         "an engine did not read the prompt"
     );
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,6 +5,7 @@
         Body,
         events::Splitter,
         gate::Gate,
+        note,
         refusal::Cause,
         run::{self, Attempts, Leg},
         serve::Job,
@@ -99,7 +100,7 @@
                     if !self.begun {
                         self.begun = true;
                         leg.stay.first_token();
-                        run::count_start(&self.gate, &self.job, &leg.stay);
+                        note::count_start(&self.gate, &self.job, &leg.stay);
                     }
                     let whole = self.splitter.push(&bytes);
                     if self.splitter.overflows() {
@@ -120,7 +121,7 @@
         if let Some(Leg { answer, stay, exposure }) = self.leg.take() {
             exposure.answered();
             self.gate.fleet.judge(&stay.endpoint, Judged::Success);
-            run::note_answer(&self.gate, &self.job, &stay, self.status);
+            note::note_answer(&self.gate, &self.job, &stay, self.status);
             if let Some(class) = shape::class(&self.job) {
                 let hold = stay.elapsed();
                 self.gate.demand(&self.job.service, |d, _| d.on_generated(class, hold));
@@ -137,7 +138,7 @@
         self.gate.fleet.judge(&stay.endpoint, Judged::Failure);
         log::info!(
             event = "stream_cut", request = self.job.ask.id.as_str(),
-            print = print_text(&self.job, Work::Run),
+            print = print_text(&self.job, Work::Run).as_str(),
             endpoint = &*stay.endpoint.entry.name, cause = why, silent,
             last_event = self.splitter.last();
             "the endpoint's stream broke off"
--- a/crates/relay/src/suspect.rs
+++ b/crates/relay/src/suspect.rs
@@ -89,7 +89,7 @@
 fn held(job: &Job, grant: Grant, after: Duration) -> Refused {
     log::info!(
         event = "request_held", request = job.ask.id.as_str(),
-        print = print_text(job, Work::Run), next_ms = after.as_millis() as u64;
+        print = print_text(job, Work::Run).as_str(), next_ms = after.as_millis() as u64;
         "the request is suspected of crashing endpoints"
     );
     match grant.untouched() {
