Start long prompts by what their engine time costs others, at the pace engines have

These engines need 60 ms and more before any prompt, so the learned speed was 15 tokens a millisecond, a quarter of the true one, and 27,000 tokens were expected to take 1.8 s instead of 0.6 s. Each endpoint also learned by itself from a first guess that was four times too fast. - A prompt that cannot be in time was refused although engines had room and its late answer was worth something.

Both parts of the time are now learned for each kind of engine, with the prompt's own tokens as the instrument, since the tokens ahead are known late; each engine learns its factor. A prompt that cannot be in time is started if a late answer for its engine time is worth at least what others lose: the time by which the backlog exceeds what a usual prompt can wait, at the load that all callers ask for.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -108,9 +108,8 @@
             address: settings.peers,
             weight: settings.weight(),
         };
-        let asked = Arc::<talk::OthersAsk>::default();
         let seat = Arc::<Seat>::default();
-        let ports = talk::ports(&gate, &counter, &asked, &seat, &settings.name);
+        let ports = talk::ports(&gate, &counter, &seat, &settings.name);
         let sync =
             bind(own.clone(), incarnation.clone(), store.clone(), belief.clone(), ports).await;
         let sync = sync.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
@@ -137,7 +136,7 @@
             store,
             belief,
             seat,
-            asked: Box::new(move |service| talk::all_ask(&asking, &asked, service)),
+            asked: Box::new(move |service| talk::all_ask(&asking, service)),
             calls,
             announce: Box::new(move |names| announcing.fleet.set_changing(names)),
             counter,
--- a/crates/cli/src/edge/talk.rs
+++ b/crates/cli/src/edge/talk.rs
@@ -9,22 +9,19 @@
         runner::Ports,
     },
     agate_view::table::Name,
-    indexmap::IndexMap,
-    std::sync::{Arc, Mutex},
+    std::sync::Arc,
 };
 
-/// What the callers of all other instances ask for, by the hash of the service's name.
-pub type OthersAsk = Mutex<IndexMap<u32, Demand>>;
-
 /// Engine time that callers of all instances ask of `service`.
-pub fn all_ask(gate: &Gate, others: &OthersAsk, service: &Name) -> stage::Asked {
-    let others = others.lock().expect("no panic under the lock of the demands");
-    let others = others.get(&(name_hash(service) as u32)).copied().unwrap_or_default();
-    let own = gate.demand(service, demand::Demand::asked);
-    stage::Asked {
-        reading: own.reading + f64::from(others.reading) / 1e3,
-        slots: own.slots + f64::from(others.slots) / 1e3,
-    }
+pub fn all_ask(gate: &Gate, service: &Name) -> stage::Asked {
+    let demand::Asked { reading, slots } = gate.all_ask(service);
+    stage::Asked { reading, slots }
+}
+
+/// What was told of the demand for one service.
+fn told(demand: &Demand) -> demand::Asked {
+    let whole = |milli: u32| f64::from(milli) / 1e3;
+    demand::Asked { reading: whole(demand.reading), slots: whole(demand.slots) }
 }
 
 /// What this instance tells of itself.
@@ -45,23 +42,16 @@
 }
 
 /// The ports of the talk.
-pub fn ports(
-    gate: &Arc<Gate>,
-    counter: &Arc<Counter>,
-    asked: &Arc<OthersAsk>,
-    seat: &Arc<Seat>,
-    name: &str,
-) -> Ports {
+pub fn ports(gate: &Arc<Gate>, counter: &Arc<Counter>, seat: &Arc<Seat>, name: &str) -> Ports {
     let (seat, name) = (seat.clone(), name.to_owned());
-    let (own, others, asked) = (gate.clone(), gate.clone(), asked.clone());
+    let (own, others) = (gate.clone(), gate.clone());
     let (telling, hearing) = (gate.clone(), gate.clone());
     let (usage, noted, collect) = (counter.clone(), counter.clone(), counter.clone());
     let (vote, agreed, copied) = (counter.clone(), counter.clone(), counter.clone());
     Ports {
         own: Box::new(move || own_figures(&own, &seat, &name)),
         others: Box::new(move |figures| {
-            let demands = figures.demands.iter().map(|d| (d.service, *d)).collect();
-            *asked.lock().expect("no panic under the lock of the demands") = demands;
+            others.set_others_ask(figures.demands.iter().map(|d| (d.service, told(d))).collect());
             let loads = figures.loads.iter().map(|l| (l.endpoint, (l.open, l.tokens)));
             others.fleet.set_others(&loads.collect());
             others.fleet.set_others_changing(&figures.changing);
--- a/crates/relay/src/demand.rs
+++ b/crates/relay/src/demand.rs
@@ -73,6 +73,11 @@
         self.read += WEIGHT * (time.as_secs_f64() - self.read);
     }
 
+    /// Engine time that reading a prompt takes.
+    pub fn usual_read(&self) -> Duration {
+        Duration::from_secs_f64(self.read)
+    }
+
     /// What is asked for at `now`.
     pub fn asked(&mut self, now: Mono) -> Asked {
         self.decay(now);
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -5,7 +5,8 @@
 
 use {
     crate::{
-        load::Reading,
+        load::{Rate, Reading},
+        pace::{Pace, Sample},
         place::{self, Candidate, Choice, Want},
         suspect::{self, Probe},
     },
@@ -24,7 +25,7 @@
     indexmap::IndexMap,
     std::{
         sync::{
-            Arc, Mutex,
+            Arc, Mutex, MutexGuard,
             atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
         },
         time::{Duration, Instant},
@@ -61,6 +62,8 @@
     pub live: Arc<Live>,
     /// Most requests of this instance there at once.
     pub most: u32,
+    /// How endpoints of its kind read.
+    pace: SharedPace,
 }
 
 /// Figures of one endpoint.
@@ -76,34 +79,30 @@
     pub health: Health,
     /// When it refused a request for lack of capacity, and how often in a row.
     pub refusals: Mutex<Refusals>,
-    /// Reading of prompts.
-    pub reading: Mutex<Reading>,
+    /// Prompts that are not read yet, and how the endpoint reads.
+    pub unread: Mutex<Unread>,
     /// What the newest probe showed, and when it began.
     pub probed: Turn<Option<(Instant, Probe)>>,
 }
 
 impl Live {
-    /// Figures of a new endpoint, with the mean reading speed of those like it.
-    fn like(known: &Services, entry: &Entry) -> Self {
-        let same = known.get(&entry.service).into_iter().flatten();
-        let same = same.filter(|e| e.entry.stage == entry.stage);
-        let speeds: Vec<f64> = same.map(|e| e.live.reading().speed()).collect();
-        let reading = match speeds.len() {
-            0 => Reading::default(),
-            n => Reading::with_speed(speeds.iter().sum::<f64>() / n as f64),
-        };
-        Self { reading: Mutex::new(reading), ..Self::default() }
-    }
-
-    fn refusals(&self) -> std::sync::MutexGuard<'_, Refusals> {
+    fn refusals(&self) -> MutexGuard<'_, Refusals> {
         self.refusals.lock().expect("no panic under the lock of the refusals")
     }
 
-    fn reading(&self) -> std::sync::MutexGuard<'_, Reading> {
-        self.reading.lock().expect("no panic under the lock of a reading")
+    fn unread(&self) -> MutexGuard<'_, Unread> {
+        self.unread.lock().expect("no panic under the lock of the unread tokens")
     }
 }
 
+/// Prompt tokens at an endpoint whose first token has not come, and how it reads them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Unread {
+    own: u64,
+    others: u64,
+    rate: Rate,
+}
+
 /// Refusals of an endpoint for lack of capacity.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Refusals {
@@ -121,12 +120,17 @@
     }
 }
 
+type SharedPace = Arc<Mutex<Pace>>;
+/// Service and stage of endpoints that read alike.
+type KindOf = (Name, Option<Stage>);
+
 /// Endpoints by service.
 pub type Services = IndexMap<Name, Vec<Arc<Endpoint>>>;
 
 /// All endpoints.
 pub struct Fleet {
     services: ArcSwap<Services>,
+    paces: Mutex<IndexMap<KindOf, SharedPace>>,
     /// Hashes of endpoints that are about to change: those that this instance changes, and others.
     changing: [ArcSwap<Vec<u32>>; 2],
     origin: Instant,
@@ -165,7 +169,8 @@
     /// Makes an empty fleet seen from `zone`.
     pub fn new(zone: Name) -> Self {
         let changing = [ArcSwap::default(), ArcSwap::default()];
-        Self { services: ArcSwap::default(), changing, origin: Instant::now(), zone }
+        let (services, paces) = (ArcSwap::default(), Mutex::default());
+        Self { services, paces, changing, origin: Instant::now(), zone }
     }
 
     fn now(&self) -> Mono {
@@ -214,19 +219,33 @@
             let kept = kept.into_iter().find(|e| e.entry.same(entry));
             let (pool, live) = match kept {
                 Some(e) if e.entry.stage == entry.stage => (e.pool.clone(), e.live.clone()),
-                Some(e) => (e.pool.clone(), Arc::new(Live::like(&old, entry))),
-                None => (Arc::new(Pool::new(entry.address)), Arc::new(Live::like(&old, entry))),
+                Some(e) => (e.pool.clone(), Arc::default()),
+                None => (Arc::new(Pool::new(entry.address)), Arc::default()),
             };
             let service = table.and_then(|t| t.services.get(&entry.service));
             let most = share(service.map_or(CONNECTIONS, |s| s.connections), instances);
             let hash = name_hash(&entry.name);
             let incarnation = suspect::incarnation(entry);
-            let endpoint = Endpoint { entry: entry.clone(), hash, incarnation, pool, live, most };
-            next.entry(entry.service.clone()).or_default().push(Arc::new(endpoint));
+            let (entry, pace) = (entry.clone(), self.pace(entry));
+            let endpoint = Endpoint { entry, hash, incarnation, pool, live, most, pace };
+            next.entry(endpoint.entry.service.clone()).or_default().push(Arc::new(endpoint));
         }
+        let mut paces = self.lock_paces();
+        paces.retain(|(service, _), _| next.contains_key(service));
+        drop(paces);
         self.services.store(Arc::new(next));
     }
 
+    /// How endpoints of the kind of `entry` read.
+    fn pace(&self, entry: &Entry) -> SharedPace {
+        let mut paces = self.lock_paces();
+        paces.entry((entry.service.clone(), entry.stage)).or_default().clone()
+    }
+
+    fn lock_paces(&self) -> MutexGuard<'_, IndexMap<KindOf, SharedPace>> {
+        self.paces.lock().expect("no panic under the lock of the paces")
+    }
+
     /// Chooses an endpoint and counts the request there.
     pub fn choose(&self, need: &Need<'_>) -> Result<Stay, Choice> {
         let services = self.services.load();
@@ -254,18 +273,18 @@
         all.any(|e| e.entry.stage == Some(stage) && !e.live.gone.load(Relaxed) && free(e))
     }
 
-    /// Whether `service` has endpoints of `stage`.
-    pub fn has_stage(&self, service: &Name, stage: Stage) -> bool {
+    /// Number of endpoints of `service` that are of `stage`.
+    pub fn count_stage(&self, service: &Name, stage: Stage) -> usize {
         let services = self.services.load();
-        let mut all = services.get(service).into_iter().flatten();
-        all.any(|e| e.entry.stage == Some(stage) && !e.live.gone.load(Relaxed))
+        let all = services.get(service).into_iter().flatten();
+        all.filter(|e| e.entry.stage == Some(stage) && !e.live.gone.load(Relaxed)).count()
     }
 
     /// Every endpoint's hash with this instance's requests and unread prompt tokens there.
     pub fn loads(&self) -> Vec<(u32, u32, u32)> {
         let services = self.services.load();
         let load = |e: &Arc<Endpoint>| {
-            let tokens = u32::try_from(e.live.reading().own).unwrap_or(u32::MAX);
+            let tokens = u32::try_from(e.live.unread().own).unwrap_or(u32::MAX);
             (e.hash as u32, e.live.open.load(Relaxed), tokens)
         };
         services.values().flatten().map(load).filter(|(_, open, _)| *open > 0).collect()
@@ -277,7 +296,7 @@
         for endpoint in services.values().flatten() {
             let (open, tokens) = others.get(&(endpoint.hash as u32)).copied().unwrap_or_default();
             endpoint.live.others.store(open, Relaxed);
-            endpoint.live.reading().others = u64::from(tokens);
+            endpoint.live.unread().others = u64::from(tokens);
         }
     }
 
@@ -325,22 +344,50 @@
             others: self.live.others.load(Relaxed),
             most: self.most,
             slots: self.entry.slots,
-            reading: *self.live.reading(),
+            reading: self.reading(),
         }
     }
 }
 
+impl Endpoint {
+    fn pace(&self) -> MutexGuard<'_, Pace> {
+        self.pace.lock().expect("no panic under the lock of a pace")
+    }
+
+    fn reading(&self) -> Reading {
+        let Unread { own, others, rate } = *self.live.unread();
+        Reading { own, others, ..Reading::new(&self.pace(), &rate) }
+    }
+
+    /// Requests that a new one is beside of.
+    fn beside(&self) -> u32 {
+        let used = self.live.open.load(Relaxed) + self.live.others.load(Relaxed);
+        used.min(self.entry.slots.saturating_sub(1))
+    }
+
+    /// Learns from a first token.
+    fn learn(&self, sample: &Sample) {
+        let mut pace = self.pace();
+        let expected = pace.base() + sample.ahead as f64 / pace.speed();
+        pace.learn(sample);
+        drop(pace);
+        self.live.unread().rate.learn(expected, sample.millis);
+    }
+}
+
 impl Stay {
     fn new(endpoint: Arc<Endpoint>, tokens: u32) -> Self {
+        let ahead = endpoint.reading().ahead(tokens, endpoint.beside());
         endpoint.live.open.fetch_add(1, Relaxed);
-        let ahead = endpoint.live.reading().sent(tokens);
+        endpoint.live.unread().own += u64::from(tokens);
         Self { endpoint, tokens, ahead, since: Instant::now(), reading: true }
     }
 
     /// Notes that the first token came, and learns from it.
     pub fn first_token(&mut self) {
-        if self.end_reading() {
-            self.endpoint.live.reading().learn(self.ahead, self.since.elapsed());
+        if self.end_reading() && self.tokens > 0 {
+            let millis = self.since.elapsed().as_secs_f64() * 1e3;
+            self.endpoint.learn(&Sample { own: self.tokens, ahead: self.ahead, millis });
         }
     }
 
@@ -351,7 +398,7 @@
 
     /// Engine time that reading the request's own prompt takes.
     pub fn reading_time(&self) -> Duration {
-        self.endpoint.live.reading().time(self.tokens)
+        self.endpoint.reading().time(self.tokens)
     }
 
     /// Whether the endpoint has had the request for many times its `objective` although it had a
@@ -370,7 +417,8 @@
     fn end_reading(&mut self) -> bool {
         let reading = std::mem::take(&mut self.reading);
         if reading {
-            self.endpoint.live.reading().read(self.tokens);
+            let mut unread = self.endpoint.live.unread();
+            unread.own = unread.own.saturating_sub(self.tokens.into());
         }
         reading
     }
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -14,6 +14,7 @@
     agate_core::Mono,
     agate_link::flight::Flight,
     agate_quarantine::Quarantine,
+    agate_route::ranking::name_hash,
     agate_view::{
         Belief, clock,
         table::{Kind, Name},
@@ -21,7 +22,7 @@
     indexmap::IndexMap,
     std::{
         sync::{
-            Arc, Mutex,
+            Arc, Mutex, MutexGuard,
             atomic::{AtomicBool, Ordering::Relaxed},
         },
         time::{Duration, Instant},
@@ -72,6 +73,8 @@
     budgets: Mutex<IndexMap<Name, Budget>>,
     headcount: Mutex<Headcount>,
     demands: Mutex<IndexMap<Name, Demand>>,
+    /// What the callers of all other instances ask for, by the hash of the service's name.
+    others_ask: Mutex<IndexMap<u32, Asked>>,
 }
 
 impl Gate {
@@ -100,6 +103,7 @@
             budgets: Mutex::default(),
             headcount: Mutex::new(headcount),
             demands: Mutex::default(),
+            others_ask: Mutex::default(),
         })
     }
 
@@ -249,6 +253,23 @@
         demands.iter_mut().map(|(name, d)| (name.clone(), d.asked(now))).collect()
     }
 
+    /// Takes over what the callers of all other instances ask for, by the hash of the service's name.
+    pub fn set_others_ask(&self, asked: IndexMap<u32, Asked>) {
+        *self.lock_others_ask() = asked;
+    }
+
+    /// Engine time that the callers of all instances ask of `service`.
+    pub fn all_ask(&self, service: &Name) -> Asked {
+        let others = self.lock_others_ask().get(&(name_hash(service) as u32)).copied();
+        let others = others.unwrap_or_default();
+        let own = self.demand(service, Demand::asked);
+        Asked { reading: own.reading + others.reading, slots: own.slots + others.slots }
+    }
+
+    fn lock_others_ask(&self) -> MutexGuard<'_, IndexMap<u32, Asked>> {
+        self.others_ask.lock().expect("no panic under the lock of the demands")
+    }
+
     fn now(&self) -> Mono {
         self.origin.elapsed()
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod load;
 pub mod meter;
 pub mod note;
+pub mod pace;
 pub mod place;
 pub mod ready;
 pub mod refusal;
@@ -33,7 +34,8 @@
 pub mod spare;
 pub mod split;
 pub mod stream;
-pub mod suspect;
+mod suspect;
+pub mod worth;
 
 use {
     bytes::Bytes,
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -7,7 +7,11 @@
 //! Other work goes where the fewest requests share or wait for a slot; work that must not wait goes
 //! only where a slot is free.
 
-use {crate::load::Reading, agate_route::ranking::mix, std::time::Duration};
+use {
+    crate::{load::Reading, worth},
+    agate_route::ranking::mix,
+    std::time::Duration,
+};
 
 /// Endpoints that hold a subject's shared parts.
 pub const HOMES: usize = 2;
@@ -50,7 +54,7 @@
 }
 
 /// What is to be placed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Want {
     /// Identifier of the shared beginning of the prompt.
     pub subject: Option<u64>,
@@ -58,8 +62,10 @@
     pub tokens: u32,
     /// Those of them that other requests share.
     pub shared: u32,
-    /// Longest time to the first token for which the request is worth starting.
+    /// Longest time to the first token within which an answer is in time.
     pub within: Duration,
+    /// Whether it is worth starting for a late answer.
+    pub late: worth::Late,
     /// Whether it is worth starting only where a slot is free.
     pub slot: bool,
 }
@@ -70,6 +76,11 @@
         f64::from(self.open + self.others) / f64::from(self.slots.max(1))
     }
 
+    /// Requests that a new one is beside of.
+    fn beside(&self) -> u32 {
+        (self.open + self.others).min(self.slots.saturating_sub(1))
+    }
+
     /// Whether `want` may go there.
     fn takes(&self, want: &Want) -> bool {
         let free = !want.slot || self.use_of_slots() < 1.0;
@@ -116,8 +127,10 @@
         }
     }
     match best {
-        Some(b) if b.expected <= want.within => Choice::At { index: b.index, tokens: b.tokens },
-        Some(b) => Choice::Full(b.expected - want.within),
+        Some(b) if b.is_worth(want, &candidates[b.index]) => {
+            Choice::At { index: b.index, tokens: b.tokens }
+        }
+        Some(b) => Choice::Full(b.expected.saturating_sub(want.within)),
         None => Choice::Full(REFUSING_AFTER),
     }
 }
@@ -136,12 +149,19 @@
     tokens: u32,
 }
 
+impl Way {
+    /// Whether `want` is worth starting this way, at `c`.
+    fn is_worth(&self, want: &Want, c: &Candidate) -> bool {
+        let (own, ahead) = (c.reading.time(self.tokens), c.reading.backlog());
+        self.expected <= want.within || want.late.is_worth(self.expected, own, ahead)
+    }
+}
+
 /// Expected time to the first token of `want` at `c`.
 fn expect(want: &Want, c: &Candidate, tokens: u32) -> Duration {
     let far = if c.near { Duration::ZERO } else { ZONE_PENALTY };
     if want.tokens > 0 {
-        let beside = (c.open + c.others).min(c.slots.saturating_sub(1));
-        return c.reading.first_token(tokens, beside) + far;
+        return c.reading.first_token(tokens, c.beside()) + far;
     }
     // Without a time per request the use of its slots orders the endpoints.
     far + FULL_PENALTY.mul_f64(c.use_of_slots())
--- a/crates/relay/src/shape.rs
+++ b/crates/relay/src/shape.rs
@@ -5,9 +5,11 @@
         demand::Class,
         dialect::{Outgoing, Part},
         fleet::{Need, Stay},
+        gate::Gate,
         place::{ADMIT_PART, Want},
         serve::Job,
         split::{self, Source},
+        worth::Late,
     },
     agate_quarantine::EndpointHash,
     agate_view::{roster::Stage, table::Name},
@@ -40,7 +42,7 @@
     let apart = class(job) == Some(Class::Long);
     let want = match source {
         // Its prompt was read already, so it rather waits for a slot than be refused.
-        Some(_) => Want { subject: None, tokens: 0, shared: 0, within: job.left(), slot: false },
+        Some(_) => Want { within: job.left(), ..Want::default() },
         // An engine that generates for others must not be filled with prompts.
         None if engine && apart => {
             let want = want(job);
@@ -59,7 +61,18 @@
         tokens: prompt.map_or(0, |p| p.input),
         shared: prompt.map_or(0, |p| p.shared()),
         within: within(job),
-        slot: false,
+        ..Want::default()
+    }
+}
+
+/// What decides whether a prompt that cannot be in time is read by an engine that only reads.
+pub fn late(gate: &Gate, job: &Job) -> Late {
+    let usual = gate.demand(&job.service, |d, _| d.usual_read());
+    let engines = gate.fleet.count_stage(&job.service, Stage::Prefill);
+    Late {
+        within: job.left().mul_f64(ADMIT_PART),
+        slack: job.route.objective.mul_f64(ADMIT_PART).saturating_sub(usual),
+        load: gate.all_ask(&job.service).reading / engines.max(1) as f64,
     }
 }
 
--- a/crates/relay/src/split.rs
+++ b/crates/relay/src/split.rs
@@ -13,7 +13,7 @@
         place::{Choice, Want},
         run::{LEAST_LEFT, send},
         serve::Job,
-        shape::{class, outgoing, want},
+        shape::{class, late, outgoing, want},
         suspect::{Exposure, may_read_apart, print_text},
     },
     agate_link::{
@@ -52,7 +52,8 @@
     job: &Arc<Job>,
     arrivals: &mut Arrivals,
 ) -> Option<Source> {
-    if class(job) != Some(Class::Long) || !gate.fleet.has_stage(&job.service, Stage::Prefill) {
+    if class(job) != Some(Class::Long) || gate.fleet.count_stage(&job.service, Stage::Prefill) == 0
+    {
         return None;
     }
     // A prompt is read in vain if no engine can generate the answer then.
@@ -89,7 +90,7 @@
 fn place(gate: &Gate, job: &Job, tried: &[Name]) -> Result<Stay, Choice> {
     let want = want(job);
     let within = want.within.saturating_sub(GENERATE);
-    let want = Want { within, ..want };
+    let want = Want { within, late: late(gate, job), ..want };
     let stage = Some(Stage::Prefill);
     gate.fleet.choose(&Need { service: &job.service, want, stage, tried, avoided: &[], zone: None })
 }
--- a/crates/relay/tests/engine_choice.rs
+++ b/crates/relay/tests/engine_choice.rs
@@ -2,7 +2,8 @@
 
 use {
     agate_relay::{
-        load::{BASE, Reading},
+        load::{Rate, Reading},
+        pace::{Pace, Sample},
         place::{Candidate, Choice, Want, choose},
     },
     agate_route::ranking::mix,
@@ -10,6 +11,7 @@
 };
 
 const SPEED: f64 = 400.0;
+const BASE: Duration = Duration::from_millis(12);
 
 fn engine(i: u64) -> Candidate {
     Candidate {
@@ -21,7 +23,7 @@
         others: 0,
         most: 100,
         slots: 6,
-        reading: Reading::with_speed(SPEED),
+        reading: Reading::new(&Pace::new(12.0, SPEED), &Rate::default()),
     }
 }
 
@@ -36,7 +38,7 @@
         tokens: 9_190,
         shared: 6_300,
         within: Duration::from_millis(100),
-        slot: false,
+        ..Want::default()
     }
 }
 
@@ -80,7 +82,7 @@
     let mut used = std::collections::BTreeSet::new();
     for _ in 0..8 {
         let Choice::At { index, tokens } = choose(&dossier(5), &all) else { break };
-        all[index].reading.sent(tokens);
+        all[index].reading.own += u64::from(tokens);
         all[index].open += 1;
         used.insert(index);
     }
@@ -96,7 +98,7 @@
     for subject in 0..200 {
         match choose(&dossier(subject), &all) {
             Choice::At { index, tokens } => {
-                all[index].reading.sent(tokens);
+                all[index].reading.own += u64::from(tokens);
                 all[index].open += 1;
             }
             Choice::Full(wait) => {
@@ -144,8 +146,7 @@
     for c in &mut all {
         c.others = 6;
     }
-    let read =
-        Want { subject: None, tokens: 0, shared: 0, within: Duration::from_millis(80), slot: true };
+    let read = Want { within: Duration::from_millis(80), slot: true, ..Want::default() };
     assert!(matches!(choose(&read, &all), Choice::Full(_)));
     let question = Want { tokens: 220, within: Duration::from_secs(10), slot: false, ..read };
     assert!(matches!(choose(&question, &all), Choice::At { .. }));
@@ -157,11 +158,43 @@
 /// much, once too little.
 #[test]
 fn steady_speed() {
-    let mut reading = Reading::with_speed(200.0);
+    let mut pace = Pace::new(12.0, 200.0);
     for i in 0..400_u64 {
         let ahead = 10_000 + (i % 7) * 3_000;
         let seen = if i % 2 == 0 { ahead + 8_000 } else { ahead - 8_000 };
-        reading.learn(seen, BASE + Duration::from_secs_f64(ahead as f64 / 500.0 / 1e3));
+        let own = 1_500 + (i % 7) as u32 * 3_000;
+        let millis = 12.0 + ahead as f64 / 500.0;
+        pace.learn(&Sample { own, ahead: seen, millis });
     }
-    assert!((400.0..600.0).contains(&reading.speed()), "{}", reading.speed());
+    assert!((400.0..600.0).contains(&pace.speed()), "{}", pace.speed());
+}
+
+/// Pattern: engines whose first token takes long however short the prompt is. Guards against taking
+/// that time for slow reading, which made prompts of many times the usual length look many times too
+/// slow to be in time, so that they were refused whatever the load.
+#[test]
+fn long_first_step() {
+    let mut pace = Pace::default();
+    for i in 0..60_u64 {
+        let own = 800 + (i % 8) as u32 * 500;
+        let ahead = u64::from(own) + (i % 3) * 1_000;
+        let millis = 70.0 + ahead as f64 / 54.6;
+        pace.learn(&Sample { own, ahead, millis });
+    }
+    let reading = Reading::new(&pace, &Rate::default());
+    let expected = reading.first_token(17_000, 0).as_secs_f64() * 1e3;
+    let true_time = 70.0 + 17_000.0 / 54.6;
+    assert!((0.85..1.15).contains(&(expected / true_time)), "{expected} instead of {true_time}");
+}
+
+/// Pattern: some engines of a kind turn slow. Each one's own speed is learned beside that of its kind.
+#[test]
+fn slow_engine() {
+    let pace = Pace::new(12.0, SPEED);
+    let mut rate = Rate::default();
+    for _ in 0..30 {
+        rate.learn(40.0, 120.0);
+    }
+    let slow = Reading::new(&pace, &rate);
+    assert!((0.3..0.5).contains(&(slow.speed / SPEED)), "{}", slow.speed);
 }
