Tell changes of endpoints as changes, and keep answers of coordinators within a datagram

Causes, found by reading what grows with the fleet: - A coordinator's answer holds the load of every endpoint that has any. Beyond about 130 of them it was longer than a datagram, was not sent ("a message cannot be sealed"), and all instances then read everything from the store themselves. - A change of one endpoint sent all entries to every instance: 375 datagrams each at 3,000 endpoints. - Each answer summed up what all instances had told, so the work grew as their square; the digest of the endpoints formatted and sorted all entries at each read; entries that lapsed or vanished were looked up one in all.

Now answers and questions hold the 96 greatest loads, and drop the least if still too long; a coordinator remembers what its newest 64 steps touched and sends only that to an instance that knows one of them; sums follow each question; the digest is a sum of hashes, of which only changed entries are hashed anew.

--- a/crates/relay/src/suspect.rs
+++ b/crates/relay/src/suspect.rs
@@ -19,6 +19,7 @@
     agate_quarantine::{EndpointHash, Judgement, Print, Trial, Work, evidence::Call, hex, print},
     agate_route::ranking::{mix, name_hash},
     agate_view::Entry,
+    indexmap::IndexSet,
     std::{
         io,
         sync::Arc,
@@ -49,7 +50,7 @@
 
 /// Incarnations that were there without a notice of leaving, and are no more.
 pub fn vanished(old: &[Entry], new: &[Entry]) -> Vec<EndpointHash> {
-    let present: Vec<EndpointHash> = new.iter().map(incarnation).collect();
+    let present: IndexSet<EndpointHash> = new.iter().map(incarnation).collect();
     let staying = old.iter().filter(|e| !e.leaving).map(incarnation);
     staying.filter(|hash| !present.contains(hash)).collect()
 }
--- a/crates/sync/src/assembly.rs
+++ b/crates/sync/src/assembly.rs
@@ -4,46 +4,98 @@
 //! only if their digest is the one that the newest answer of a coordinator vouched for.
 
 use {
-    crate::{asker::Confirmed, message::Entries},
+    crate::{
+        asker::Confirmed,
+        message::{Change, Changes, Entries},
+    },
     agate_core::Mono,
     agate_view::{
         Entry,
-        roster::{Input, Roster},
+        roster::{Digest, EndpointName, digest_of},
     },
     indexmap::IndexMap,
 };
 
+/// What parts lead to, and from where: parts of different ways are not joined.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Way {
+    /// Digest of the set that changes are to be applied to; `None` for a whole set.
+    from: Option<Digest>,
+    /// Digest of the set that they lead to.
+    to: Digest,
+}
+
 /// Parts of one set of entries.
 #[derive(Clone, Debug, Default)]
 pub struct Assembly {
-    digest: u64,
-    parts: IndexMap<u32, Vec<Entry>>,
+    way: Way,
+    parts: IndexMap<u32, Vec<Change>>,
 }
 
 impl Assembly {
-    /// Takes a part in; returns the whole set with the time of its proof once all parts are there
-    /// and `vouched`, the newest proof of a coordinator, is of this very set.
+    /// Takes a part of a whole set in; returns the set with the time of its proof once all parts are
+    /// there and `vouched`, the newest proof of a coordinator, is of this very set.
     pub fn take(
         &mut self,
         part: Entries,
         vouched: Option<Confirmed>,
     ) -> Option<(Vec<Entry>, Mono)> {
-        if part.digest != self.digest {
-            *self = Self { digest: part.digest, ..Self::default() };
+        let rows = part.entries.into_iter().map(Change::Put).collect();
+        let way = Way { from: None, to: part.digest };
+        let whole = self.add(way, part.part, part.parts, rows)?;
+        finish(&[], whole, part.digest, vouched)
+    }
+
+    /// The same for a part of what changed since the set of digest `digest`, which has the entries
+    /// `known`.
+    pub fn change(
+        &mut self,
+        part: Changes,
+        known: &[Entry],
+        digest: Digest,
+        vouched: Option<Confirmed>,
+    ) -> Option<(Vec<Entry>, Mono)> {
+        if part.from != digest {
+            return None;
         }
-        self.parts.insert(part.part, part.entries);
-        if self.parts.len() < part.parts as usize {
+        let way = Way { from: Some(part.from), to: part.digest };
+        let whole = self.add(way, part.part, part.parts, part.rows)?;
+        finish(known, whole, part.digest, vouched)
+    }
+
+    /// Adds a part; returns all changes once they are there.
+    fn add(&mut self, way: Way, part: u32, parts: u32, rows: Vec<Change>) -> Option<Vec<Change>> {
+        if way != self.way {
+            *self = Self { way, ..Self::default() };
+        }
+        self.parts.insert(part, rows);
+        if self.parts.len() < parts as usize {
             return None;
         }
-        let whole = std::mem::take(self);
-        let proof = vouched.filter(|v| v.version == whole.digest)?;
-        let entries: Vec<Entry> = whole.parts.into_values().flatten().collect();
-        (digest_of(&entries) == whole.digest).then_some((entries, proof.at))
+        Some(std::mem::take(self).parts.into_values().flatten().collect())
     }
 }
 
-fn digest_of(entries: &[Entry]) -> u64 {
-    let mut roster = Roster::default();
-    roster.step(Input::Read { entries: entries.to_vec(), sent: Mono::ZERO }, Mono::ZERO);
-    roster.digest()
+/// The set that `rows` make of `known`, if it is the one that is vouched for.
+fn finish(
+    known: &[Entry],
+    rows: Vec<Change>,
+    digest: Digest,
+    vouched: Option<Confirmed>,
+) -> Option<(Vec<Entry>, Mono)> {
+    let proof = vouched.filter(|v| v.version == digest)?;
+    let mut set: IndexMap<EndpointName, Entry> =
+        known.iter().map(|e| (e.name.clone(), e.clone())).collect();
+    for row in rows {
+        match row {
+            Change::Put(entry) => {
+                set.insert(entry.name.clone(), entry);
+            }
+            Change::Remove(name) => {
+                set.swap_remove(&name);
+            }
+        }
+    }
+    let entries: Vec<Entry> = set.into_values().collect();
+    (digest_of(&entries) == digest).then_some((entries, proof.at))
 }
--- a/crates/sync/src/coordinator.rs
+++ b/crates/sync/src/coordinator.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
-        EndpointHash, Round,
+        Round,
         clocks::{self, Ahead, Vote},
-        message::{Demand, Figures, Load, Question, Usage},
+        message::{Figures, Question, Usage},
+        sums::Sums,
     },
     agate_core::Mono,
-    indexmap::{IndexMap, IndexSet},
+    indexmap::IndexMap,
     std::time::Duration,
 };
 
@@ -30,53 +31,46 @@
 }
 
 /// State of one coordinator.
+///
+/// Figures are kept as sums that follow each question, so an answer costs what it tells, not what
+/// all instances told.
 #[derive(Clone, Debug, Default)]
 pub struct Coordinator {
     told: IndexMap<String, Told>,
+    sums: Sums,
     parts: IndexMap<String, Parts>,
 }
 
 impl Coordinator {
     /// Takes a question in; one that was overtaken changes nothing.
     pub fn on_question(&mut self, question: &Question, now: Mono) {
-        self.told.retain(|_, t| now.saturating_sub(t.at) < LOAD_AGE);
-        let told = self.told.entry(question.from.clone()).or_default();
+        let Self { told, sums, .. } = self;
+        told.retain(|_, t| {
+            let fresh = now.saturating_sub(t.at) < LOAD_AGE;
+            if !fresh {
+                sums.remove(&t.figures);
+            }
+            fresh
+        });
+        let told = told.entry(question.from.clone()).or_default();
         if question.round > told.round || told.round == 0 {
             let Question { round, clock, figures, .. } = question.clone();
+            sums.remove(&told.figures);
+            sums.add(&figures);
             *told = Told { round, at: now, clock, figures };
         }
     }
 
     /// Figures of all instances but `except`, with `own` of this one.
     pub fn totals(&self, except: &str, own: &Figures, now: Mono) -> Figures {
-        let mut loads: IndexMap<EndpointHash, Load> = IndexMap::new();
-        let mut demands: IndexMap<u32, Demand> = IndexMap::new();
-        let mut changing: IndexSet<EndpointHash> = IndexSet::new();
-        let mut holder = None;
-        let fresh = |t: &Told| now.saturating_sub(t.at) < LOAD_AGE;
-        let others = self.told.iter().filter(|(from, t)| *from != except && fresh(t));
-        for figures in others.map(|(_, t)| &t.figures).chain([own]) {
-            for load in &figures.loads {
-                let sum = loads.entry(load.endpoint).or_default();
-                sum.endpoint = load.endpoint;
-                sum.open = sum.open.saturating_add(load.open);
-                sum.tokens = sum.tokens.saturating_add(load.tokens);
-            }
-            for demand in &figures.demands {
-                let sum = demands.entry(demand.service).or_default();
-                sum.service = demand.service;
-                sum.reading = sum.reading.saturating_add(demand.reading);
-                sum.slots = sum.slots.saturating_add(demand.slots);
-            }
-            changing.extend(&figures.changing);
-            holder = holder.or_else(|| figures.holder.clone());
-        }
-        Figures {
-            loads: loads.into_values().collect(),
-            demands: demands.into_values().collect(),
-            changing: changing.into_iter().collect(),
-            holder,
-        }
+        let mut sums = self.sums.clone();
+        sums.add(own);
+        let stale = |t: &Told| now.saturating_sub(t.at) >= LOAD_AGE;
+        let left_out = self.told.iter().filter(|(from, t)| *from == except || stale(t));
+        left_out.for_each(|(_, t)| sums.remove(&t.figures));
+        let mut others = self.told.iter().filter(|(from, t)| *from != except && !stale(t));
+        let holder = others.find_map(|(_, t)| t.figures.holder.clone());
+        Figures { holder: holder.or_else(|| own.holder.clone()), ..sums.figures().bounded() }
     }
 
     /// By how much the time of day that the `known` instances agree on is ahead of this one's own,
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -12,10 +12,12 @@
 
 pub mod asker;
 pub mod assembly;
+pub mod changes;
 pub mod clocks;
 pub mod coordinator;
 pub mod message;
 pub mod runner;
+pub mod sums;
 
 /// Identifies an endpoint by a hash of its name.
 pub type EndpointHash = u32;
--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -6,8 +6,12 @@
         clocks::{Clock, Vote},
     },
     agate_quarantine::suspicion::Sign,
-    agate_view::Entry,
+    agate_view::{
+        Entry,
+        roster::{Digest, EndpointName},
+    },
     serde::{Deserialize, Serialize},
+    std::cmp::Reverse,
 };
 
 /// Load of one endpoint.
@@ -45,6 +49,39 @@
     pub holder: Option<String>,
 }
 
+/// Loads in one message; with all else that it holds below what a datagram takes.
+const MOST_LOADS: usize = 96;
+
+impl Figures {
+    /// Leaves out the least loads beyond what a message takes: an endpoint with little load is taken
+    /// for an idle one.
+    pub fn bounded(mut self) -> Self {
+        if self.loads.len() > MOST_LOADS {
+            self.loads.select_nth_unstable_by_key(MOST_LOADS, most_first);
+            self.loads.truncate(MOST_LOADS);
+        }
+        self
+    }
+
+    /// Leaves out the half of the loads that is least, or else of the changes, so that the figures
+    /// fit into a message; `false` if nothing is left to leave out.
+    pub fn shorten(&mut self) -> bool {
+        if self.loads.is_empty() && self.changing.is_empty() {
+            return false;
+        }
+        if self.loads.is_empty() {
+            self.changing.truncate(self.changing.len() / 2);
+        }
+        self.loads.sort_unstable_by_key(most_first);
+        self.loads.truncate(self.loads.len() / 2);
+        true
+    }
+}
+
+fn most_first(load: &Load) -> Reverse<(u32, u32, EndpointHash)> {
+    Reverse((load.tokens, load.open, load.endpoint))
+}
+
 /// Requests that crash endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspects {
@@ -110,6 +147,30 @@
     pub entries: Vec<Entry>,
 }
 
+/// What happened to one endpoint.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    /// Its entry is this now.
+    Put(Entry),
+    /// It is gone.
+    Remove(EndpointName),
+}
+
+/// A part of what changed in the endpoints' entries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Changes {
+    /// Digest of the entries before.
+    pub from: Digest,
+    /// Digest of all entries after it.
+    pub digest: Digest,
+    /// Number of this part, from zero.
+    pub part: u32,
+    /// Number of parts.
+    pub parts: u32,
+    /// The changes of this part.
+    pub rows: Vec<Change>,
+}
+
 /// Usage of one window, whole values.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
@@ -123,6 +184,18 @@
     pub rows: Vec<(String, u64)>,
 }
 
+impl Message {
+    /// Leaves out what is least needed, so that the message fits into a datagram; `false` if it
+    /// cannot be made shorter.
+    pub fn shorten(&mut self) -> bool {
+        match self {
+            Self::Question(question) => question.figures.shorten(),
+            Self::State(state) => state.figures.shorten(),
+            _ => false,
+        }
+    }
+}
+
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -148,4 +221,6 @@
         /// Number of the round.
         round: Round,
     },
+    /// Changes of entries of endpoints that the asking instance knows from before.
+    Changes(Changes),
 }
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -5,17 +5,18 @@
         Round,
         asker::{Asker, Confirmed},
         assembly::Assembly,
+        changes::History,
         clocks::{self, Clock, Vote},
         coordinator::Coordinator,
-        message::{Entries, Figures, Known, Message, Question, State, Suspects, Usage},
+        message::{Figures, Known, Message, Question, State, Suspects, Usage},
     },
-    agate_core::Wall,
+    agate_core::{Mono, Wall},
     agate_store::{Purpose, Store},
     agate_view::{
-        Belief, clock,
+        Belief, Entry, clock,
         peers::{self, Peer},
     },
-    agate_wire::{Context, Keys, MAX_DATAGRAM, open, seal},
+    agate_wire::{Context, Keys, MAX_DATAGRAM, SealError, open, seal},
     indexmap::IndexMap,
     std::{
         io,
@@ -46,8 +47,6 @@
 const ASK_PERIOD_EACH: Duration = Duration::from_millis(1);
 /// Time between two rounds of usage.
 const USAGE_PERIOD: Duration = Duration::from_millis(500);
-/// Entries of endpoints in one message, below what a datagram holds.
-const ENTRY_ROWS: usize = 8;
 /// Age of the own proof above which a coordinator does not pass its entries on.
 const PASSED_AGE: Duration = Duration::from_millis(1_500);
 /// Rows of usage in one message, below what a datagram holds.
@@ -117,6 +116,7 @@
             ports,
             asker: Asker::default(),
             assembly: Assembly::default(),
+            history: History::default(),
             holder: None,
             vouched: None,
             coordinator: Coordinator::default(),
@@ -185,6 +185,7 @@
     ports: Ports,
     asker: Asker,
     assembly: Assembly,
+    history: History,
     /// Instance that holds the duties, as last told.
     holder: Option<String>,
     /// Newest proof of the endpoints by a coordinator.
@@ -259,7 +260,7 @@
 
     async fn question(&self, address: SocketAddr, round: Round) {
         let from = self.incarnation.clone();
-        let figures = (self.ports.own)();
+        let figures = (self.ports.own)().bounded();
         let roster = self.belief.digest.load(Ordering::Acquire);
         let (_, kept) = (self.ports.clock)();
         let clock = self.asker.ahead().map(|ahead| Vote::new(ahead, kept));
@@ -332,7 +333,16 @@
         match message {
             Message::Question(question) => self.answer(&question, from).await,
             Message::State(state) => self.take_over(&state),
-            Message::Entries(entries) => self.take_entries(entries),
+            Message::Entries(part) => {
+                let taken = self.assembly.take(part, self.vouched);
+                self.offer(taken);
+            }
+            Message::Changes(part) => {
+                let digest = self.belief.digest.load(Ordering::Acquire);
+                let known = self.belief.entries.load();
+                let taken = self.assembly.change(part, &known, digest, self.vouched);
+                self.offer(taken);
+            }
             Message::Usage(usage) => {
                 self.coordinator.on_usage(&usage);
                 (self.ports.collect)(&usage);
@@ -372,22 +382,22 @@
         self.pass_entries(question.roster, from).await;
     }
 
-    /// Sends the entries of the endpoints to an instance that knows others, by their digest.
-    async fn pass_entries(&self, known: u64, to: SocketAddr) {
+    /// Sends what it lacks to an instance that knows other endpoints, by their digest.
+    async fn pass_entries(&mut self, known: u64, to: SocketAddr) {
         let vouched = self.belief.vouched_roster().filter(|(_, age)| *age < PASSED_AGE);
-        let Some((digest, _)) = vouched.filter(|(digest, _)| *digest != known) else { return };
-        let entries = self.belief.entries.load_full();
-        let parts = entries.len().div_ceil(ENTRY_ROWS) as u32;
-        for (part, chunk) in entries.chunks(ENTRY_ROWS).enumerate() {
-            let entries = chunk.to_vec();
-            let message = Entries { digest, part: part as u32, parts, entries };
-            self.send(&Message::Entries(message), to).await;
+        let Some((digest, _)) = vouched else { return };
+        self.history.note(digest, &self.belief.entries.load_full());
+        if digest == known {
+            return;
+        }
+        for message in self.history.since(known).iter() {
+            self.send(message, to).await;
         }
     }
 
-    /// Takes a part of the entries in; the belief gets them once all are there.
-    fn take_entries(&mut self, message: Entries) {
-        if let Some((entries, at)) = self.assembly.take(message, self.vouched) {
+    /// Offers the entries to the belief once all parts are there.
+    fn offer(&self, taken: Option<(Vec<Entry>, Mono)>) {
+        if let Some((entries, at)) = taken {
             self.belief.offer(entries, at);
         }
     }
@@ -415,8 +425,17 @@
         (self.ports.others)(&state.figures);
     }
 
+    /// Sends a message; one that is too long for a datagram without the load of the endpoints that
+    /// have least, since an instance that hears nothing would read everything from the store.
     async fn send(&self, message: &Message, to: SocketAddr) {
-        match seal(&self.keys, message, Context::Datagram(to)) {
+        let mut sealed = seal(&self.keys, message, Context::Datagram(to));
+        if matches!(sealed, Err(SealError::Large { .. })) {
+            let mut shorter = message.clone();
+            while matches!(sealed, Err(SealError::Large { .. })) && shorter.shorten() {
+                sealed = seal(&self.keys, &shorter, Context::Datagram(to));
+            }
+        }
+        match sealed {
             Ok(bytes) => {
                 if let Err(e) = self.socket.send_to(&bytes, to).await {
                     log::debug!("sending to the instance at {to}: {e}");
--- a/crates/view/src/roster.rs
+++ b/crates/view/src/roster.rs
@@ -7,11 +7,27 @@
 use {
     crate::table::Name,
     agate_core::Mono,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
 
+/// Hash of an entry.
+type Print = u64;
+/// Digest of a set of entries, equal for equal sets in any order; never zero.
+pub type Digest = u64;
+
+/// Digest of `entries`.
+pub fn digest_of(entries: &[Entry]) -> Digest {
+    sum(entries.iter().map(Entry::print))
+}
+
+/// A sum is as good as a hash of all here: entries come from the store and from authenticated
+/// messages, and a change costs no more than the entries that changed.
+fn sum(prints: impl Iterator<Item = Print>) -> Digest {
+    prints.fold(0, u64::wrapping_add).max(1)
+}
+
 /// Identifier of one incarnation of an endpoint.
 pub type EndpointName = Name;
 
@@ -56,10 +72,19 @@
 }
 
 impl Entry {
-    /// What other instances must agree on; how long it stays slow is left out, since it shrinks.
-    fn fingerprint(&self) -> String {
+    /// Hash of what other instances must agree on; how long it stays slow is left out, since it
+    /// shrinks.
+    fn print(&self) -> Print {
         let Self { name, service, address, zone, slots, leaving, stage, born, spot, .. } = self;
-        format!("{name} {service} {address} {zone} {slots} {leaving} {stage:?} {born:?} {spot}")
+        let mut hasher = blake3::Hasher::new();
+        for text in [name, service, zone] {
+            hasher.update(&(text.len() as u64).to_le_bytes()).update(text.as_bytes());
+        }
+        hasher.update(address.to_string().as_bytes()).update(&slots.to_le_bytes());
+        hasher.update(&[u8::from(*leaving), u8::from(*spot), stage.map_or(0, |s| 1 + s as u8)]);
+        hasher.update(&[u8::from(born.is_some())]).update(&born.unwrap_or_default().to_le_bytes());
+        let bytes = hasher.finalize();
+        u64::from_le_bytes(bytes.as_bytes()[..8].try_into().expect("eight bytes"))
     }
 
     /// Whether both describe the same incarnation at the same place.
@@ -86,6 +111,7 @@
 #[derive(Clone, Debug)]
 struct Known {
     entry: Entry,
+    print: Print,
     missing: bool,
 }
 
@@ -112,23 +138,36 @@
         let graced = self.returned.is_some_and(|at| now.saturating_sub(at) < RETURN_GRACE);
         let mut next: IndexMap<EndpointName, Known> = IndexMap::with_capacity(entries.len());
         for entry in entries {
-            next.insert(entry.name.clone(), Known { entry, missing: false });
+            let print = self.print(&entry);
+            next.insert(entry.name.clone(), Known { entry, print, missing: false });
         }
-        for (name, known) in &self.known {
-            let taken = |k: &Known| k.entry.address == known.entry.address;
-            // An entry that was seen since the return did not lapse in the outage.
-            let lapsed = graced && (returns || known.missing);
-            let kept = lapsed && !known.entry.leaving && !next.values().any(taken);
-            if kept && !next.contains_key(name) {
-                next.insert(name.clone(), Known { entry: known.entry.clone(), missing: true });
-            }
+        if graced {
+            self.keep_lapsed(&mut next, returns);
         }
         let same = next.len() == self.known.len()
-            && next.iter().all(|(n, k)| self.known.get(n).is_some_and(|o| o.entry == k.entry));
+            && next.iter().all(|(n, k)| self.known.get(n).is_some_and(|o| o.print == k.print));
         self.known = next;
         !same
     }
 
+    /// Hash of an entry; that of one which did not change is known.
+    fn print(&self, entry: &Entry) -> Print {
+        let same = self.known.get(&entry.name).filter(|k| k.entry == *entry);
+        same.map_or_else(|| entry.print(), |k| k.print)
+    }
+
+    /// Keeps entries in `next` that lapsed in an outage; `returns` on the first read after it.
+    fn keep_lapsed(&self, next: &mut IndexMap<EndpointName, Known>, returns: bool) {
+        let mut taken: IndexSet<SocketAddr> = next.values().map(|k| k.entry.address).collect();
+        for (name, known) in &self.known {
+            // An entry that was seen since the return did not lapse in the outage.
+            let lapsed = (returns || known.missing) && !known.entry.leaving;
+            if lapsed && !next.contains_key(name) && taken.insert(known.entry.address) {
+                next.insert(name.clone(), Known { missing: true, ..known.clone() });
+            }
+        }
+    }
+
     /// Takes over that another instance's read at `at` showed the same.
     pub fn confirm(&mut self, at: Mono) {
         self.proof = self.proof.map(|known| known.max(at));
@@ -144,16 +183,9 @@
         self.known.values().filter(|k| k.missing).count()
     }
 
-    /// Digest of the entries, equal on instances that know the same; never zero.
-    pub fn digest(&self) -> u64 {
-        let mut names: Vec<String> = self.known.values().map(|k| k.entry.fingerprint()).collect();
-        names.sort_unstable();
-        let mut hasher = blake3::Hasher::new();
-        for name in &names {
-            hasher.update(name.as_bytes()).update(b"\n");
-        }
-        let bytes = hasher.finalize();
-        u64::from_le_bytes(bytes.as_bytes()[..8].try_into().expect("eight bytes")) | 1
+    /// Digest of the entries, equal on instances that know the same.
+    pub fn digest(&self) -> Digest {
+        sum(self.known.values().map(|k| k.print))
     }
 
     /// Time before the newest answered read was sent.
