Look at a bounded number of endpoints for one request

A request built a candidate of every endpoint that fits, each with three locks, for reading and for generating: at 3,000 endpoints more work than an instance with 0.12 of a core can spend on a request. The endpoints of a changed list were each looked up one in all.

Of more than 96 endpoints a request now looks at its subject's homes and a sample, 64 of them near. Test: engine_choice::bounded_look.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -7,7 +7,7 @@
     crate::{
         load::{Rate, Reading},
         pace::{Pace, Sample},
-        place::{self, Candidate, Choice, Want},
+        place::{self, Candidate, Choice, Spot, Want},
         suspect::{self, Probe},
     },
     agate_core::Mono,
@@ -213,10 +213,11 @@
     /// Takes over the newest entries and the newest configuration.
     pub fn install(&self, entries: &[Entry], table: Option<&Table>, instances: usize) {
         let old = self.services.load();
+        let known: IndexMap<&str, &Arc<Endpoint>> =
+            old.values().flatten().map(|e| (&*e.entry.name, e)).collect();
         let mut next = Services::new();
         for entry in entries.iter().filter(|e| !e.leaving) {
-            let kept = old.get(&entry.service).into_iter().flatten();
-            let kept = kept.into_iter().find(|e| e.entry.same(entry));
+            let kept = known.get(&*entry.name).filter(|e| e.entry.same(entry));
             let (pool, live) = match kept {
                 Some(e) if e.entry.stage == entry.stage => (e.pool.clone(), e.live.clone()),
                 Some(e) => (e.pool.clone(), Arc::default()),
@@ -250,12 +251,17 @@
     pub fn choose(&self, need: &Need<'_>) -> Result<Stay, Choice> {
         let services = self.services.load();
         let Some(all) = services.get(need.service) else { return Err(Choice::None) };
+        let zone = need.zone.unwrap_or(&self.zone);
         let fits: Vec<&Arc<Endpoint>> = all.iter().filter(|e| e.fits(need)).collect();
+        let spot = |e: &&Arc<Endpoint>| Spot { hash: e.hash, near: e.entry.zone == *zone };
+        let spots: Vec<Spot> = fits.iter().map(spot).collect();
+        let listed = place::shortlist(need.want.subject, &spots, rand::random());
+        let fits: Vec<&Arc<Endpoint>> = listed.into_iter().map(|i| fits[i]).collect();
         let now = self.now();
         let pool: Vec<&Health> = fits.iter().map(|e| &e.live.health).collect();
         health::return_early(&pool, now);
         let candidates: Vec<Candidate> =
-            fits.iter().map(|e| self.candidate(e, need.zone.unwrap_or(&self.zone), now)).collect();
+            fits.iter().map(|e| self.candidate(e, zone, now)).collect();
         match place::choose(&need.want, &candidates) {
             Choice::At { index, tokens } => Ok(Stay::new(fits[index].clone(), tokens)),
             other => Err(other),
@@ -391,6 +397,11 @@
         }
     }
 
+    /// Requests that its endpoint runs at once.
+    pub fn slots(&self) -> u32 {
+        self.endpoint.entry.slots
+    }
+
     /// Prompt tokens known to be ahead of the request when it was placed, its own included.
     pub fn ahead(&self) -> u64 {
         self.ahead
--- a/crates/relay/src/pace.rs
+++ b/crates/relay/src/pace.rs
@@ -46,6 +46,9 @@
     tx: f64,
     ty: f64,
     least: f64,
+    // Of the fit.
+    base: f64,
+    speed: f64,
 }
 
 impl Default for Pace {
@@ -58,7 +61,7 @@
     /// Pace that is assumed until answers come: `base` milliseconds, and `speed` tokens a millisecond.
     pub fn new(base: f64, speed: f64) -> Self {
         let (t, x, y, tx, ty) = (0.0, 0.0, 0.0, 0.0, 0.0);
-        let mut out = Self { n: 0.0, t, x, y, tx, ty, least: f64::MAX };
+        let mut out = Self { n: 0.0, t, x, y, tx, ty, least: f64::MAX, base, speed };
         for tokens in FIRST_TOKENS {
             out.add(FIRST_WEIGHT, tokens, tokens, base + tokens / speed);
         }
@@ -73,6 +76,8 @@
         }
         self.add(1.0, f64::from(sample.own), sample.ahead as f64, sample.millis);
         self.least = (self.least * RISE).min(sample.millis);
+        self.base = self.fit_base();
+        self.speed = self.x / (self.y - self.n * self.base).max(LEAST_READ);
     }
 
     fn add(&mut self, weight: f64, t: f64, x: f64, y: f64) {
@@ -84,8 +89,7 @@
         self.ty += weight * t * y;
     }
 
-    /// Time to a first token that does not depend on the prompt, in milliseconds.
-    pub fn base(&self) -> f64 {
+    fn fit_base(&self) -> f64 {
         let ahead = self.n * self.tx - self.t * self.x;
         let time = self.n * self.ty - self.t * self.y;
         let slope = if ahead > 0.0 { (time / ahead).max(0.0) } else { 0.0 };
@@ -93,8 +97,13 @@
         fitted.clamp(0.0, self.least.min(self.y / self.n))
     }
 
+    /// Time to a first token that does not depend on the prompt, in milliseconds.
+    pub fn base(&self) -> f64 {
+        self.base
+    }
+
     /// Reading speed in tokens a millisecond.
     pub fn speed(&self) -> f64 {
-        self.x / (self.y - self.n * self.base()).max(LEAST_READ)
+        self.speed
     }
 }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -10,9 +10,15 @@
 use {
     crate::{load::Reading, worth},
     agate_route::ranking::mix,
+    indexmap::IndexSet,
     std::time::Duration,
 };
 
+/// Endpoints that are looked at closely for one request. Among so many, the least loaded is hardly
+/// worse than among all, while looking at thousands takes longer than a request may wait.
+pub const MOST_CANDIDATES: usize = 96;
+/// Those of them in the own availability zone.
+const MOST_NEAR: usize = 64;
 /// Endpoints that hold a subject's shared parts.
 pub const HOMES: usize = 2;
 /// Extra time counted for a subject's second home, so that its first one keeps it while idle.
@@ -135,6 +141,32 @@
     }
 }
 
+/// An endpoint as far as it decides whether it is looked at more closely.
+#[derive(Clone, Copy, Debug)]
+pub struct Spot {
+    /// Hash of its name, equal on every instance.
+    pub hash: u64,
+    /// Whether it is in this instance's availability zone.
+    pub near: bool,
+}
+
+/// Indices of the endpoints to choose from: all of a few, and of many those that hold the subject's
+/// shared parts and a sample of the others, most of them near. `draw` varies the sample.
+pub fn shortlist(subject: Option<u64>, all: &[Spot], draw: u32) -> Vec<usize> {
+    if all.len() <= MOST_CANDIDATES {
+        return (0..all.len()).collect();
+    }
+    let mut out: IndexSet<usize> =
+        find_homes(subject, all.iter().map(|s| s.hash)).into_iter().flatten().collect();
+    for near in [true, false] {
+        let part: Vec<usize> = (0..all.len()).filter(|i| all[*i].near == near).collect();
+        let most = if near { MOST_NEAR } else { MOST_CANDIDATES - out.len() };
+        let count = most.min(part.len());
+        out.extend((0..count).map(|k| part[(draw as usize + k * part.len() / count) % part.len()]));
+    }
+    out.into_iter().collect()
+}
+
 /// Mean part of the time within which a first token must come that is taken already.
 fn fullness(want: &Want, candidates: &[Candidate]) -> f64 {
     let sum: f64 = candidates.iter().map(|c| c.reading.fullness(want.within)).sum();
@@ -167,12 +199,17 @@
     far + FULL_PENALTY.mul_f64(c.use_of_slots())
 }
 
-/// Candidates that hold the subject's shared parts: those with the greatest rendezvous hashes.
+/// Candidates that hold the subject's shared parts.
 fn homes(want: &Want, candidates: &[Candidate]) -> [Option<usize>; HOMES] {
+    find_homes(want.subject, candidates.iter().map(|c| c.hash))
+}
+
+/// Indices of the greatest rendezvous hashes of `subject` among endpoints with these `hashes`.
+fn find_homes(subject: Option<u64>, hashes: impl Iterator<Item = u64>) -> [Option<usize>; HOMES] {
     let mut best: [Option<(u64, usize)>; HOMES] = [None; HOMES];
-    let Some(subject) = want.subject else { return [None; HOMES] };
-    for (i, c) in candidates.iter().enumerate() {
-        let mut entry = Some((mix(c.hash, subject), i));
+    let Some(subject) = subject else { return [None; HOMES] };
+    for (i, hash) in hashes.enumerate() {
+        let mut entry = Some((mix(hash, subject), i));
         for place in &mut best {
             if entry > *place {
                 std::mem::swap(place, &mut entry);
--- a/crates/relay/tests/engine_choice.rs
+++ b/crates/relay/tests/engine_choice.rs
@@ -4,7 +4,7 @@
     agate_relay::{
         load::{Rate, Reading},
         pace::{Pace, Sample},
-        place::{Candidate, Choice, Want, choose},
+        place::{Candidate, Choice, MOST_CANDIDATES, Spot, Want, choose, shortlist},
     },
     agate_route::ranking::mix,
     std::time::Duration,
@@ -198,3 +198,22 @@
     let slow = Reading::new(&pace, &rate);
     assert!((0.3..0.5).contains(&(slow.speed / SPEED)), "{}", slow.speed);
 }
+
+/// Pattern: thousands of endpoints. A request looks at a bounded number of them, its subject's homes
+/// always among these, and every endpoint gets its turn.
+#[test]
+fn bounded_look() {
+    let all: Vec<Spot> = (0..3_000).map(|i| Spot { hash: mix(i, 77), near: i % 6 == 0 }).collect();
+    let mut looked = std::collections::BTreeSet::new();
+    for draw in 0..4_000 {
+        let listed = shortlist(Some(5), &all, draw * 7);
+        assert!(listed.len() <= MOST_CANDIDATES);
+        assert!(listed.iter().filter(|i| all[**i].near).count() >= 60, "most are near");
+        let home = (0..3_000).max_by_key(|i| mix(all[*i].hash, 5)).expect("there are endpoints");
+        assert!(listed.contains(&home));
+        looked.extend(listed);
+    }
+    assert_eq!(looked.len(), all.len());
+    let few: Vec<usize> = shortlist(Some(5), &all[..MOST_CANDIDATES], 9);
+    assert_eq!(few, (0..MOST_CANDIDATES).collect::<Vec<_>>());
+}
