Do not run long prompts on engines that generate while others read

The pace had made engines that generate look quick enough to read long prompts themselves whenever those that read were full; the wrong pace had kept them out. They read at half the speed, and all their streams wait meanwhile.

A long prompt for which no reading engine has room is refused at once, with the time after which one has. A short prompt that is read where it runs counts as taking all slots for that time in the demand for slots.

--- a/crates/relay/src/demand.rs
+++ b/crates/relay/src/demand.rs
@@ -16,6 +16,12 @@
 /// Engine time that reading a prompt takes, assumed before the first one was read.
 const FIRST_READ: Duration = Duration::from_millis(10);
 
+/// Time for which a request takes a slot of an engine of `slots` slots, if it had it for `run` and kept
+/// the engine reading for `reading`: while an engine reads, all its slots wait, however many are free.
+pub fn hold(run: Duration, reading: Duration, slots: u32) -> Duration {
+    run.max(reading * slots)
+}
+
 /// Class of a model request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -90,7 +90,10 @@
         cause: Cause::Full,
     };
     loop {
-        let source = split::read_apart(gate, &job, &mut attempts.arrivals).await;
+        let source = match split::read_apart(gate, &job, &mut attempts.arrivals).await {
+            Ok(source) => source,
+            Err(wait) => return Err(no_room(&mut attempts, wait)),
+        };
         let resume = job.ask.resume.as_deref();
         let leg = start(gate, &job, &mut attempts, resume, source.as_ref()).await?;
         let verdict = (gate.dialect.judge)(&leg.answer.head);
@@ -121,6 +124,17 @@
     }
 }
 
+/// Refuses a request for which an engine is expected to have room after `wait`.
+fn no_room(attempts: &mut Attempts, wait: Duration) -> Refused {
+    let grant = attempts.grant.take().expect("a new attempt has a grant");
+    refuse(grant, attempts.cause, Some(full_after(wait)))
+}
+
+/// Time after which a caller may come back to a service that has room after `wait`.
+fn full_after(wait: Duration) -> Duration {
+    wait.clamp(FULL_AFTER.0, FULL_AFTER.1)
+}
+
 /// Whether the route and the time left allow another attempt.
 fn may_go_on(job: &Job, attempts: &Attempts) -> bool {
     attempts.sent < job.route.attempts
@@ -218,10 +232,7 @@
     let need = need(job, &attempts.tried, &avoided, source);
     match gate.fleet.choose(&need) {
         Ok(stay) => Ok((stay, grant)),
-        Err(Choice::Full(wait)) => {
-            let after = wait.clamp(FULL_AFTER.0, FULL_AFTER.1);
-            Err(refuse(grant, attempts.cause, Some(after)))
-        }
+        Err(Choice::Full(wait)) => Err(refuse(grant, attempts.cause, Some(full_after(wait)))),
         Err(_) => Err(refuse(grant, Cause::NoEndpoint, Some(NO_ENDPOINT_AFTER))),
     }
 }
--- a/crates/relay/src/split.rs
+++ b/crates/relay/src/split.rs
@@ -47,44 +47,48 @@
 }
 
 /// Has the prompt read if that pays; `None` if the request shall run whole.
+///
+/// Errors: the time after which an engine that reads may have room. A long prompt does not run whole
+/// instead: engines that generate read slowly, and all their streams wait meanwhile.
 pub async fn read_apart(
     gate: &Arc<Gate>,
     job: &Arc<Job>,
     arrivals: &mut Arrivals,
-) -> Option<Source> {
-    if class(job) != Some(Class::Long) || gate.fleet.count_stage(&job.service, Stage::Prefill) == 0
-    {
-        return None;
+) -> Result<Option<Source>, Duration> {
+    let readers = gate.fleet.count_stage(&job.service, Stage::Prefill);
+    if class(job) != Some(Class::Long) || readers == 0 {
+        return Ok(None);
     }
     // A prompt is read in vain if no engine can generate the answer then.
     if !gate.fleet.has_slot(&job.service, Stage::Decode) {
-        return None;
+        return Ok(None);
     }
     let mut tried = Vec::new();
     while tried.len() < TRIES && job.left() > LEAST_LEFT && may_read_apart(gate, job) {
         // If the budget of repeats has one left but not two, the request is rather run whole.
         let needed = arrivals.needs_to_read();
         if !gate.hold_permits(&job.service, arrivals, needed) {
-            return None;
+            return Ok(None);
         }
         let stay = match place(gate, job, &tried) {
             Ok(stay) => stay,
+            Err(Choice::Full(wait)) if tried.is_empty() => return Err(wait),
             // An engine that generates may still be in time if it reads the prompt itself.
-            Err(_) => return None,
+            Err(_) => return Ok(None),
         };
         tried.push(stay.endpoint.entry.name.clone());
         let zone = stay.endpoint.entry.zone.clone();
-        let pass = gate.admit(&job.service, arrivals)?;
+        let Some(pass) = gate.admit(&job.service, arrivals) else { return Ok(None) };
         match read(gate, job, stay, &pass).await {
             Reading::Kept(name) => {
                 gate.accepted(&job.service, arrivals, pass);
-                return Some(Source { name, zone });
+                return Ok(Some(Source { name, zone }));
             }
             Reading::Unsent => gate.unsent(&job.service, arrivals, pass),
             Reading::Failed => {}
         }
     }
-    None
+    Ok(None)
 }
 
 fn place(gate: &Gate, job: &Job, tried: &[Name]) -> Result<Stay, Choice> {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Body,
+        demand::{self, Class},
         events::Splitter,
         gate::Gate,
         note,
@@ -123,7 +124,11 @@
             self.gate.fleet.judge(&stay.endpoint, Judged::Success);
             note::note_answer(&self.gate, &self.job, &stay, self.status);
             if let Some(class) = shape::class(&self.job) {
-                let hold = stay.elapsed();
+                let hold = match class {
+                    Class::Short => demand::hold(stay.elapsed(), stay.reading_time(), stay.slots()),
+                    // Its prompt is to be read by another engine, even if this one did.
+                    Class::Long => stay.elapsed(),
+                };
                 self.gate.demand(&self.job.service, |d, _| d.on_generated(class, hold));
             }
             answer.release();
--- a/crates/relay/tests/engine_demand.rs
+++ b/crates/relay/tests/engine_demand.rs
@@ -1,7 +1,7 @@
 //! Demand follows what callers ask for, served or not.
 
 use {
-    agate_relay::demand::{Class, Demand, MEMORY},
+    agate_relay::demand::{Class, Demand, MEMORY, hold},
     std::time::Duration,
 };
 
@@ -38,3 +38,12 @@
     let asked = demand.asked(MEMORY * 8);
     assert!(asked.reading < 1e-4 && asked.slots < 1e-4, "{asked:?}");
 }
+
+/// Pattern: short prompts on engines of many slots. While an engine reads one, all its slots wait, so
+/// the demand for slots must not look small because few are taken.
+#[test]
+fn reading_takes_all_slots() {
+    let (run, reading) = (Duration::from_millis(100), Duration::from_millis(40));
+    assert_eq!(hold(run, reading, 64), reading * 64);
+    assert_eq!(hold(run, Duration::from_millis(1), 6), run, "a quick reading changes nothing");
+}
