--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -5,10 +5,10 @@
 
 use {
     crate::{
-        load::{Rate, Reading},
-        pace::{Pace, Sample},
+        endpoint::{Endpoint, SharedPace},
         place::{self, Candidate, Choice, Spot, Want},
-        suspect::{self, Probe},
+        stay::Stay,
+        suspect,
     },
     agate_core::Mono,
     agate_link::link::Pool,
@@ -24,103 +24,18 @@
     arc_swap::ArcSwap,
     indexmap::IndexMap,
     std::{
-        sync::{
-            Arc, Mutex, MutexGuard,
-            atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
-        },
+        sync::{Arc, Mutex, MutexGuard, atomic::Ordering::Relaxed},
         time::{Duration, Instant},
     },
-    tokio::sync::Mutex as Turn,
 };
 
 /// Connections to an endpoint assumed to be allowed while its service is not configured.
 const CONNECTIONS: u32 = 16;
-/// Time for which an endpoint that refused a request gets none.
-const REFUSED_FIRST: Duration = Duration::from_millis(40);
-/// Longest such time.
-const REFUSED_MOST: Duration = Duration::from_millis(640);
 /// Time for which an endpoint that took no connection gets nothing; a restart takes longer.
 const UNCONNECTED: Duration = Duration::from_millis(500);
-/// Objectives after which silence of an endpoint that is not full is a failure; one that is slow for a
-/// while still answers.
-const OVERDUE: u32 = 3;
 /// Part of the connections that an endpoint accepts which all instances together use.
 const CONNECTION_PART: f64 = 0.85;
 
-/// One endpoint.
-#[derive(Debug)]
-pub struct Endpoint {
-    /// Its entry.
-    pub entry: Entry,
-    /// Hash of its name.
-    pub hash: u64,
-    /// Hash of this incarnation.
-    pub incarnation: EndpointHash,
-    /// Connections to it.
-    pub pool: Arc<Pool>,
-    /// What is known of its load, kept over changes of the entry.
-    pub live: Arc<Live>,
-    /// Most requests of this instance there at once.
-    pub most: u32,
-    /// How endpoints of its kind read.
-    pace: SharedPace,
-}
-
-/// Figures of one endpoint.
-#[derive(Debug, Default)]
-pub struct Live {
-    /// Requests of this instance.
-    pub open: AtomicU32,
-    /// Requests of all other instances, as last told.
-    pub others: AtomicU32,
-    /// Set when it said that another incarnation has its address.
-    pub gone: AtomicBool,
-    /// Failure detector.
-    pub health: Health,
-    /// When it refused a request for lack of capacity, and how often in a row.
-    pub refusals: Mutex<Refusals>,
-    /// Prompts that are not read yet, and how the endpoint reads.
-    pub unread: Mutex<Unread>,
-    /// What the newest probe showed, and when it began.
-    pub probed: Turn<Option<(Instant, Probe)>>,
-}
-
-impl Live {
-    fn refusals(&self) -> MutexGuard<'_, Refusals> {
-        self.refusals.lock().expect("no panic under the lock of the refusals")
-    }
-
-    fn unread(&self) -> MutexGuard<'_, Unread> {
-        self.unread.lock().expect("no panic under the lock of the unread tokens")
-    }
-}
-
-/// Prompt tokens at an endpoint whose first token has not come, and how it reads them.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Unread {
-    own: u64,
-    others: u64,
-    rate: Rate,
-}
-
-/// Refusals of an endpoint for lack of capacity.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Refusals {
-    row: u32,
-    until: Mono,
-}
-
-impl Refusals {
-    /// Leaves the endpoint out for a while, longer with each refusal in a row.
-    fn on_refusal(&mut self, now: Mono) {
-        if now >= self.until {
-            self.until = now + (REFUSED_FIRST * (1 << self.row.min(8))).min(REFUSED_MOST);
-            self.row += 1;
-        }
-    }
-}
-
-type SharedPace = Arc<Mutex<Pace>>;
 /// Service and stage of endpoints that read alike.
 type KindOf = (Name, Option<Stage>);
 
@@ -137,17 +52,6 @@
     zone: Name,
 }
 
-/// A request at an endpoint; its end is counted when this is dropped.
-#[derive(Debug)]
-pub struct Stay {
-    /// The endpoint.
-    pub endpoint: Arc<Endpoint>,
-    tokens: u32,
-    ahead: u64,
-    since: Instant,
-    reading: bool,
-}
-
 /// What a request needs of its endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -332,116 +236,6 @@
     }
 }
 
-impl Endpoint {
-    fn fits(&self, need: &Need<'_>) -> bool {
-        let staged = need.stage.is_none() || self.entry.stage == need.stage;
-        let gone = self.live.gone.load(Relaxed);
-        let avoided = need.avoided.contains(&self.incarnation);
-        staged && !gone && !avoided && !need.tried.contains(&self.entry.name)
-    }
-
-    fn candidate(&self, zone: &Name, now: Mono) -> Candidate {
-        Candidate {
-            hash: self.hash,
-            near: self.entry.zone == *zone,
-            healthy: health::usable(&self.live.health, now),
-            refusing: self.live.refusals().until > now,
-            open: self.live.open.load(Relaxed),
-            others: self.live.others.load(Relaxed),
-            most: self.most,
-            slots: self.entry.slots,
-            reading: self.reading(),
-        }
-    }
-}
-
-impl Endpoint {
-    fn pace(&self) -> MutexGuard<'_, Pace> {
-        self.pace.lock().expect("no panic under the lock of a pace")
-    }
-
-    fn reading(&self) -> Reading {
-        let Unread { own, others, rate } = *self.live.unread();
-        Reading { own, others, ..Reading::new(&self.pace(), &rate) }
-    }
-
-    /// Requests that a new one is beside of.
-    fn beside(&self) -> u32 {
-        let used = self.live.open.load(Relaxed) + self.live.others.load(Relaxed);
-        used.min(self.entry.slots.saturating_sub(1))
-    }
-
-    /// Learns from a first token.
-    fn learn(&self, sample: &Sample) {
-        let mut pace = self.pace();
-        let expected = pace.base() + sample.ahead as f64 / pace.speed();
-        pace.learn(sample);
-        drop(pace);
-        self.live.unread().rate.learn(expected, sample.millis);
-    }
-}
-
-impl Stay {
-    fn new(endpoint: Arc<Endpoint>, tokens: u32) -> Self {
-        let ahead = endpoint.reading().ahead(tokens, endpoint.beside());
-        endpoint.live.open.fetch_add(1, Relaxed);
-        endpoint.live.unread().own += u64::from(tokens);
-        Self { endpoint, tokens, ahead, since: Instant::now(), reading: true }
-    }
-
-    /// Notes that the first token came, and learns from it.
-    pub fn first_token(&mut self) {
-        if self.end_reading() && self.tokens > 0 {
-            let millis = self.since.elapsed().as_secs_f64() * 1e3;
-            self.endpoint.learn(&Sample { own: self.tokens, ahead: self.ahead, millis });
-        }
-    }
-
-    /// Requests that its endpoint runs at once.
-    pub fn slots(&self) -> u32 {
-        self.endpoint.entry.slots
-    }
-
-    /// Prompt tokens known to be ahead of the request when it was placed, its own included.
-    pub fn ahead(&self) -> u64 {
-        self.ahead
-    }
-
-    /// Engine time that reading the request's own prompt takes.
-    pub fn reading_time(&self) -> Duration {
-        self.endpoint.reading().time(self.tokens)
-    }
-
-    /// Whether the endpoint has had the request for many times its `objective` although it had a
-    /// slot for it.
-    pub fn overdue(&self, objective: Duration) -> bool {
-        let live = &self.endpoint.live;
-        let used = live.open.load(Relaxed) + live.others.load(Relaxed);
-        used <= self.endpoint.entry.slots && self.elapsed() >= objective * OVERDUE
-    }
-
-    /// Time since the request was placed.
-    pub fn elapsed(&self) -> Duration {
-        self.since.elapsed()
-    }
-
-    fn end_reading(&mut self) -> bool {
-        let reading = std::mem::take(&mut self.reading);
-        if reading {
-            let mut unread = self.endpoint.live.unread();
-            unread.own = unread.own.saturating_sub(self.tokens.into());
-        }
-        reading
-    }
-}
-
-impl Drop for Stay {
-    fn drop(&mut self) {
-        self.end_reading();
-        self.endpoint.live.open.fetch_sub(1, Relaxed);
-    }
-}
-
 /// Connections of one of `instances` to an endpoint that accepts `all`.
 fn share(all: u32, instances: usize) -> u32 {
     let own = f64::from(all) * CONNECTION_PART / instances.max(1) as f64;
--- a/crates/relay/src/note.rs
+++ b/crates/relay/src/note.rs
@@ -1,7 +1,7 @@
 //! Counts and logs how far a request came.
 
 use {
-    crate::{begun, fleet::Stay, gate::Gate, meter::Meter, serve::Job},
+    crate::{begun, gate::Gate, meter::Meter, serve::Job, stay::Stay},
     http::StatusCode,
 };
 
--- a/crates/relay/src/shape.rs
+++ b/crates/relay/src/shape.rs
@@ -4,11 +4,12 @@
     crate::{
         demand::Class,
         dialect::{Outgoing, Part},
-        fleet::{Need, Stay},
+        fleet::Need,
         gate::Gate,
         place::{ADMIT_PART, Want},
         serve::Job,
         split::{self, Source},
+        stay::Stay,
         worth::Late,
     },
     agate_quarantine::EndpointHash,
--- a/crates/relay/src/suspect.rs
+++ b/crates/relay/src/suspect.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        fleet::Endpoint,
+        endpoint::Endpoint,
         gate::Gate,
         refusal::{Cause, Refused},
         serve::Job,
