Log the prompt parts of lost calls

The lines of calls that an endpoint left unanswered named the request, its fingerprint and the endpoint. Requests that share a part of their prompts and are otherwise different could not be told from unrelated ones. The lines bear the fingerprints of all parts but the last now: of the service and the part's identifier, so equal on every instance and for every caller.

--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -59,6 +59,14 @@
     u64::from_le_bytes(hash[..8].try_into().expect("a hash has 32 bytes"))
 }
 
+/// Fingerprint of a part of prompts to the model engines of `service`; equal on every instance and
+/// for all requests whose prompts contain the part.
+pub fn part_fingerprint(service: &str, part: u64) -> Fingerprint {
+    let parts = [b"part".as_slice(), service.as_bytes(), &part.to_le_bytes()];
+    let hash = hash_parts(blake3::Hasher::new_derive_key(CONTEXT), parts);
+    u64::from_le_bytes(hash[..8].try_into().expect("a hash has 32 bytes"))
+}
+
 /// Formats a fingerprint in hexadecimal, for log lines.
 pub fn hex(fingerprint: Fingerprint) -> String {
     format!("{fingerprint:016x}")
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -13,6 +13,7 @@
     },
     agate_quarantine::{
         Decision, EndpointHash, Fingerprint, Trial, Work, evidence::Call, fingerprint, hex,
+        part_fingerprint,
     },
     agate_route::ranking::{mix, name_hash},
     agate_transport::{
@@ -45,6 +46,14 @@
     hex(fingerprint_of(job, work))
 }
 
+/// Fingerprints of the parts of a request's prompt that other requests may share, for log lines.
+pub fn parts_text(job: &Job) -> String {
+    let parts = job.info.prompt.as_ref().map_or(&[][..], |p| p.shared_parts());
+    let text: Vec<String> =
+        parts.iter().map(|p| hex(part_fingerprint(&job.service, p.id))).collect();
+    text.join(",")
+}
+
 /// Hash of the endpoint process that an entry describes: its name and start time.
 pub fn incarnation_hash(entry: &Entry) -> EndpointHash {
     mix(name_hash(&entry.name), entry.born.unwrap_or_default()) as EndpointHash
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -7,7 +7,7 @@
     crate::{
         assignment::Assignment,
         calls::{Admission, CallTracker},
-        crash::{CallGuard, fingerprint_text, may_prefill},
+        crash::{CallGuard, fingerprint_text, may_prefill, parts_text},
         demand::PromptClass,
         dialect::{Part, PrefillHandle},
         fleet::Requirements,
@@ -184,7 +184,7 @@
     );
     log::info!(
         event = "reading_failed", request = job.info.id.as_str(),
-        print = fingerprint_text(job, Work::Prefill).as_str(), endpoint = &*endpoint.entry.name, cause = failure.cause.as_str(),
+        print = fingerprint_text(job, Work::Prefill).as_str(), parts = parts_text(job).as_str(), endpoint = &*endpoint.entry.name, cause = failure.cause.as_str(),
         declared = failure.declared, after_ms = assignment.elapsed().as_millis() as u64;
         "prefill failed"
     );
--- a/crates/relay/src/request_info.rs
+++ b/crates/relay/src/request_info.rs
@@ -32,10 +32,14 @@
         self.input.saturating_sub(own)
     }
 
+    /// All parts but the last, which other requests may share.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Identifier of the shared prefix; `None` if the prompt has fewer than two parts.
     pub fn prefix(&self) -> Option<u64> {
-        let (_, shared) = self.parts.split_last()?;
-        shared.iter().map(|p| p.id).reduce(mix)
+        self.shared_parts().iter().map(|p| p.id).reduce(mix)
     }
 }
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,7 +5,7 @@
         Body,
         assignment::Assignment,
         calls::{Admission, CallTracker},
-        crash::{self, CallGuard, fingerprint_text},
+        crash::{self, CallGuard, fingerprint_text, parts_text},
         dialect::{Outgoing, Part, Verdict},
         full,
         placement::Choice,
@@ -345,7 +345,7 @@
     state.metrics.failures.with_label_values(&[failure.step.label()]).inc();
     log::info!(
         event = "attempt_failed", request = job.info.id.as_str(),
-        print = fingerprint_text(job, Work::Run).as_str(), endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
+        print = fingerprint_text(job, Work::Run).as_str(), parts = parts_text(job).as_str(), endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
         declared = failure.declared, misdirected, unrun = failure.grant.is_some(),
         after_ms = assignment.elapsed().as_millis() as u64,
         roster_age_ms = state.view.roster.age().map(|a| a.as_millis() as u64);
@@ -423,7 +423,7 @@
         Err(failure) => {
             state.fleet.record_result(&assignment.endpoint, ExchangeResult::Failure);
             log::info!(
-                event = "answer_cut", request = job.info.id.as_str(), print = fingerprint_text(job, Work::Run).as_str(),
+                event = "answer_cut", request = job.info.id.as_str(), print = fingerprint_text(job, Work::Run).as_str(), parts = parts_text(job).as_str(),
                 endpoint = &*assignment.endpoint.entry.name, cause = failure.cause.as_str();
                 "the endpoint's response is incomplete"
             );
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Body,
-        crash::fingerprint_text,
+        crash::{fingerprint_text, parts_text},
         demand::{self, PromptClass},
         events::Splitter,
         proxy_state::ProxyState,
@@ -149,7 +149,7 @@
         self.state.fleet.record_result(&assignment.endpoint, ExchangeResult::Failure);
         log::info!(
             event = "stream_cut", request = self.job.info.id.as_str(),
-            print = fingerprint_text(&self.job, Work::Run).as_str(),
+            print = fingerprint_text(&self.job, Work::Run).as_str(), parts = parts_text(&self.job).as_str(),
             endpoint = &*assignment.endpoint.entry.name, cause = why, silent,
             last_event = self.splitter.last_id();
             "the endpoint's stream was interrupted"
