Quarantine prompt parts that crash endpoints

Callers saw: requests that share one part of their prompts, no two alike, crashed engine after engine, until most of the service was gone for everybody.

Cause: evidence was kept for each request (path, caller and body), while the cause is a property that many requests share. A request that never comes again never reaches two crashes. Shown by the lines of lost calls: the part was in flight at 13 of 14 crashed engines, no request at more than three. Ruled out: evidence that is cleared (request_cleared names harmless requests only), crashes that are not recognised (each has its endpoint_down), retries beyond a route's attempts.

Fix: what is recognised is a property, the whole request or a part of its prompt but the last, of a service. A prefill and a run are judged apart; both are tried, one at a time in the fleet, where the fewest requests are open. The first crash in a trial of a part is followed by a second trial after a second, so that a coincidence does not refuse all requests with a popular part for ten minutes. Only a complete response to a request that was sent after the last crash clears.

Why it works: the trials are in the record of the store before they are sent, so their number is bounded whatever the requests look like, and popular parts are answered within 250 ms.

--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -1,7 +1,7 @@
 //! Unanswered calls and crashes per endpoint, as one instance saw them; no I/O or clock.
 
 use {
-    crate::{EndpointHash, Fingerprint},
+    crate::{EndpointHash, Fingerprint, Property},
     agate_core::Mono,
     indexmap::IndexMap,
     std::time::Duration,
@@ -16,12 +16,12 @@
 pub const MAX_CALLS: usize = 64;
 
 /// A call that an endpoint left unanswered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Call {
-    /// Fingerprint of its request.
-    pub fingerprint: Fingerprint,
-    /// Whether it was a trial of a suspect.
-    pub trial: bool,
+    /// Properties of its request.
+    pub properties: Vec<Property>,
+    /// Suspects that it was a trial of; empty if it was none.
+    pub trial: Vec<Fingerprint>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -47,17 +47,17 @@
 }
 
 impl Evidence {
-    /// Records a call that ended without a response; returns whether the endpoint is already known
-    /// to have crashed, in which case the call is not stored.
-    pub fn on_unanswered(&mut self, endpoint: EndpointHash, call: Call, now: Mono) -> bool {
+    /// Records a call that ended without a response. Returns the call if the endpoint is already
+    /// known to have crashed.
+    pub fn on_unanswered(&mut self, endpoint: EndpointHash, call: Call, now: Mono) -> Option<Call> {
         let entry = self.entry_of(endpoint, now);
         if entry.crashed.is_some() {
-            return true;
+            return Some(call);
         }
         if entry.unanswered.len() < MAX_CALLS {
             entry.unanswered.push((call, now));
         }
-        false
+        None
     }
 
     /// Records that an endpoint crashed; returns and removes the calls that it left unanswered.
@@ -71,9 +71,9 @@
     }
 
     /// Drops an unanswered call, since the endpoint is alive and only the connection broke.
-    pub fn on_alive(&mut self, endpoint: EndpointHash, call: Call, now: Mono) {
+    pub fn on_alive(&mut self, endpoint: EndpointHash, call: &Call, now: Mono) {
         let entry = self.entry_of(endpoint, now);
-        if let Some(index) = entry.unanswered.iter().rposition(|(c, _)| *c == call) {
+        if let Some(index) = entry.unanswered.iter().rposition(|(c, _)| c == call) {
             entry.unanswered.remove(index);
         }
     }
--- a/crates/quarantine/src/metrics.rs
+++ b/crates/quarantine/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of the quarantine.
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry};
 
 /// Quarantine metrics of one instance.
 #[derive(Clone, Debug)]
@@ -9,31 +9,42 @@
     pub crashes: IntCounterVec,
     /// Calls left unanswered by crashed endpoints.
     pub crash_calls: IntCounter,
-    /// Trials of suspects, by result.
+    /// Trials of suspects, by result and kind of suspect.
     pub trials: IntCounterVec,
-    /// Number of suspects in the record as last read.
-    pub suspects: IntGauge,
+    /// Number of suspects in the record as last read, by kind.
+    pub suspects: IntGaugeVec,
+    /// Requests that were refused because of a suspect, by its kind.
+    pub held: IntCounterVec,
 }
 
 impl Default for Metrics {
     fn default() -> Self {
-        let counters = |name: &str, help: &str, label: &str| {
-            IntCounterVec::new(Opts::new(name, help), &[label]).expect("names are valid")
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels).expect("names are valid")
         };
+        let suspects = Opts::new("agate_suspects", "suspected requests and prompt parts");
         Self {
             crashes: counters(
                 "agate_endpoint_crashes_total",
                 "endpoints seen to crash",
-                "shown_by",
+                &["shown_by"],
             ),
             crash_calls: IntCounter::new(
                 "agate_crash_calls_total",
                 "calls that crashes left unanswered",
             )
             .expect("names are valid"),
-            trials: counters("agate_trials_total", "trials of suspected requests", "result"),
-            suspects: IntGauge::new("agate_suspects", "suspected requests")
-                .expect("names are valid"),
+            trials: counters(
+                "agate_trials_total",
+                "trials of suspected requests and prompt parts",
+                &["result", "kind"],
+            ),
+            suspects: IntGaugeVec::new(suspects, &["kind"]).expect("names are valid"),
+            held: counters(
+                "agate_held_requests_total",
+                "requests refused for a suspected request or prompt part",
+                &["kind"],
+            ),
         }
     }
 }
@@ -45,11 +56,12 @@
     ///
     /// Panics if they are already registered.
     pub fn register(&self, registry: &Registry) {
-        let all: [Box<dyn prometheus::core::Collector>; 4] = [
+        let all: [Box<dyn prometheus::core::Collector>; 5] = [
             Box::new(self.crashes.clone()),
             Box::new(self.crash_calls.clone()),
             Box::new(self.trials.clone()),
             Box::new(self.suspects.clone()),
+            Box::new(self.held.clone()),
         ];
         for metric in all {
             registry.register(metric).expect("names of metrics are unique");
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -3,10 +3,11 @@
 
 use {
     crate::{
-        EndpointHash, Fingerprint,
+        EndpointHash, Fingerprint, Property,
         evidence::{Call, Evidence},
         hex,
         metrics::Metrics,
+        property::kind,
         record::Snapshot,
         suspicion::{Observation, Suspicions},
         table::TrialEnd,
@@ -16,6 +17,7 @@
     agate_store::Store,
     agate_view::clock,
     arc_swap::ArcSwap,
+    indexmap::IndexSet,
     std::{
         sync::{
             Arc, Mutex, MutexGuard,
@@ -31,21 +33,26 @@
 
 /// Maximum number of observations in one message between instances; they share a datagram with
 /// other data.
-pub const MAX_OBSERVATIONS: usize = 12;
+pub const MAX_OBSERVATIONS: usize = 24;
 /// Maximum time that the begin of a trial waits for the store.
 const BEGIN_TIMEOUT: Duration = Duration::from_millis(400);
 /// Retry-after time of a request whose trial could not be written to the store.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Whether and how a request may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// The request is not suspected.
+    /// The request has no suspected property.
     Allowed,
-    /// The request may be sent only as a trial.
-    TrialOnly,
-    /// The request may not be sent before this time has passed.
-    Blocked(Duration),
+    /// The request may be sent only as a trial of these suspects.
+    TrialOnly(Vec<Fingerprint>),
+    /// The request may not be sent before `wait` has passed.
+    Blocked {
+        /// Suspects among its properties.
+        suspects: Vec<Fingerprint>,
+        /// Time until the next trial.
+        wait: Duration,
+    },
 }
 
 type WallFn = dyn Fn() -> Wall + Send + Sync;
@@ -90,13 +97,23 @@
         self.active.load(Ordering::Acquire)
     }
 
-    /// Decides whether and how a request may be sent.
-    pub fn check(&self, fingerprint: Fingerprint) -> Decision {
-        match self.table.load().table.wait(fingerprint, (self.wall)()) {
-            Some(wait) if wait.is_zero() => Decision::TrialOnly,
-            Some(wait) => Decision::Blocked(wait),
-            None if self.suspicions().suspected(fingerprint) => Decision::TrialOnly,
-            None => Decision::Allowed,
+    /// Decides whether and how a request with these properties may be sent.
+    pub fn check(&self, properties: &[Property]) -> Decision {
+        let record = self.table.load();
+        let proved = |print: Fingerprint| record.table.proved(print);
+        let now = clock::now();
+        let mut suspicions = self.suspicions();
+        let prints = properties.iter().map(|p| p.print);
+        let suspects: Vec<Fingerprint> = prints
+            .filter(|p| record.table.contains(*p) || suspicions.suspected(*p, proved, now))
+            .collect();
+        drop(suspicions);
+        if suspects.is_empty() {
+            return Decision::Allowed;
+        }
+        match record.table.wait(&suspects, (self.wall)()) {
+            Some(wait) if !wait.is_zero() => Decision::Blocked { suspects, wait },
+            _ => Decision::TrialOnly(suspects),
         }
     }
 
@@ -108,7 +125,7 @@
         out
     }
 
-    /// Writes a trial of at most `length` to the record and begins it.
+    /// Writes a trial of `suspects` of at most `length` to the record and begins it.
     ///
     /// # Errors
     ///
@@ -116,42 +133,37 @@
     /// not respond in time.
     pub async fn begin_trial(
         self: &Arc<Self>,
-        fingerprint: Fingerprint,
+        suspects: Vec<Fingerprint>,
         endpoint: EndpointHash,
         length: Duration,
     ) -> std::result::Result<Trial, Duration> {
-        let begun = self.change(move |table, now| {
-            let wait = table.begin_trial(fingerprint, endpoint, length, now).err();
+        let begun = self.change(|table, now| {
+            let wait = table.begin_trial(&suspects, endpoint, length, now).err();
             (wait.is_none(), wait)
         });
-        let wait = match timeout(BEGIN_TIMEOUT, begun).await {
+        let cause = match timeout(BEGIN_TIMEOUT, begun).await {
+            Ok(Ok(Some(wait))) => return Err(wait),
             Ok(Ok(None)) => {
-                log::info!(event = "trial_begun", print = hex(fingerprint).as_str(), endpoint; "began a trial of a suspected request");
-                return Ok(Trial {
-                    quarantine: self.clone(),
-                    fingerprint,
-                    endpoint,
-                    end: TrialEnd::Unresolved,
-                });
-            }
-            Ok(Ok(Some(wait))) => wait,
-            Ok(Err(e)) => {
-                log::info!(event = "trial_refused", print = hex(fingerprint).as_str(), cause:% = e; "the trial was not written to the store");
-                RETRY_AFTER
-            }
-            Err(_) => {
-                log::info!(event = "trial_refused", print = hex(fingerprint).as_str(), cause = "no answer in time"; "the trial was not written to the store");
-                RETRY_AFTER
+                for print in &suspects {
+                    log::info!(event = "trial_begun", print = hex(*print).as_str(), of = kind(*print), endpoint; "began a trial of a suspect");
+                }
+                let end = TrialEnd::Unresolved;
+                return Ok(Trial { quarantine: self.clone(), prints: suspects, endpoint, end });
             }
+            Ok(Err(e)) => e.to_string(),
+            Err(_) => "no answer in time".into(),
         };
-        Err(wait)
+        for print in &suspects {
+            log::info!(event = "trial_refused", print = hex(*print).as_str(), of = kind(*print), cause = cause.as_str(); "the trial was not written to the store");
+        }
+        Err(RETRY_AFTER)
     }
 
     /// Records a call that its endpoint left unanswered.
     pub fn on_unanswered(self: &Arc<Self>, call: Call, endpoint: EndpointHash) {
         let now = clock::now();
         let crashed = self.evidence().on_unanswered(endpoint, call, now);
-        if crashed {
+        if let Some(call) = crashed {
             self.record_crash(&[call], endpoint, now);
         }
     }
@@ -176,7 +188,7 @@
 
     /// Records that an endpoint is alive although a call on a broken connection was left
     /// unanswered.
-    pub fn on_alive(&self, call: Call, endpoint: EndpointHash) {
+    pub fn on_alive(&self, call: &Call, endpoint: EndpointHash) {
         self.evidence().on_alive(endpoint, call, clock::now());
     }
 
@@ -186,41 +198,86 @@
         }
         self.metrics.crash_calls.inc_by(calls.len() as u64);
         self.active.store(true, Ordering::Release);
-        for Call { fingerprint, trial } in calls.iter().copied() {
-            let mut suspicions = self.suspicions();
-            suspicions.on_crash(fingerprint, endpoint, now);
-            let suspected = suspicions.suspected(fingerprint);
-            drop(suspicions);
+        let record = self.table.load();
+        let proved = |print: Fingerprint| record.table.proved(print);
+        let tried: Vec<Fingerprint> = record.table.tried_at(endpoint).collect();
+        let mut suspicions = self.suspicions();
+        // A crash during a trial was not caused by the calls beside it, unless they have suspects too.
+        let mut caused = |call: &&Call| {
+            let mut prints = call.properties.iter().map(|p| p.print);
+            tried.is_empty()
+                || prints.any(|p| tried.contains(&p) || suspicions.suspected(p, proved, now))
+        };
+        let blamed: IndexSet<Property> = calls
+            .iter()
+            .filter(|call| caused(call))
+            .flat_map(|call| &call.properties)
+            .copied()
+            .collect();
+        for property in &blamed {
+            suspicions.on_crash(*property, endpoint, now);
+        }
+        for Property { print, .. } in blamed {
+            let suspected = suspicions.suspected(print, proved, now);
             log::info!(
-                event = "request_blamed", print = hex(fingerprint).as_str(), endpoint, trial, suspected;
+                event = "request_blamed", print = hex(print).as_str(), of = kind(print), endpoint,
+                trial = tried.contains(&print), suspected;
                 "an endpoint crashed with the request unanswered"
             );
-            // Calls sent before the trial may also be unanswered; they do not decide the trial.
-            if trial {
-                let trials = self.metrics.trials.clone();
-                self.save(move |table, now| {
-                    let crashed = table.on_crash(fingerprint, endpoint, now);
-                    if crashed {
-                        trials.with_label_values(&["crashed"]).inc();
-                    }
-                    crashed
-                });
-            }
+        }
+        drop(suspicions);
+        // Calls sent before the trial may also be unanswered; they do not decide the trial.
+        let on_trial: IndexSet<Fingerprint> =
+            calls.iter().flat_map(|c| &c.trial).copied().collect();
+        if !on_trial.is_empty() {
+            self.save_crash(on_trial, endpoint);
         }
         self.wake.notify_one();
     }
 
-    /// Records a response to a request, which ends its suspicion.
-    pub fn on_response(self: &Arc<Self>, fingerprint: Fingerprint) {
-        let cleared = self.suspicions().on_response(fingerprint, clock::now());
-        let tried = self.table.load().table.contains(fingerprint);
-        if tried {
-            self.metrics.trials.with_label_values(&["answered"]).inc();
-            self.save(move |table, _| table.clear(fingerprint));
+    /// Records in the store that a trial of `suspects` crashed `endpoint`.
+    fn save_crash(self: &Arc<Self>, suspects: IndexSet<Fingerprint>, endpoint: EndpointHash) {
+        let trials = self.metrics.trials.clone();
+        self.save(move |table, now| {
+            let crashed = suspects.iter().filter(|p| table.on_crash(**p, endpoint, now));
+            let crashed: Vec<&Fingerprint> = crashed.collect();
+            for print in &crashed {
+                trials.with_label_values(&["crashed", kind(**print)]).inc();
+            }
+            !crashed.is_empty()
+        });
+    }
+
+    /// Records a complete response to a request that was sent `since` ago, which ends the suspicion
+    /// of its properties unless an endpoint crashed after that.
+    pub fn on_response(self: &Arc<Self>, properties: &[Property], since: Duration) {
+        let now = clock::now();
+        let sent = now.saturating_sub(since);
+        let known = self.table.load();
+        let mut tried = Vec::new();
+        for Property { print, .. } in properties.iter().copied() {
+            let cleared = self.suspicions().on_response(print, sent, now);
+            let suspect = known.table.contains(print);
+            if suspect {
+                tried.push(print);
+            }
+            if cleared || suspect {
+                log::info!(event = "request_cleared", print = hex(print).as_str(), of = kind(print); "a response counts against the suspicion");
+            }
         }
-        if cleared || tried {
-            log::info!(event = "request_cleared", print = hex(fingerprint).as_str(); "request cleared by a response");
+        if tried.is_empty() {
+            return;
         }
+        let trials = self.metrics.trials.clone();
+        self.save(move |table, wall| {
+            let sent = wall.saturating_sub(since);
+            let cleared: Vec<&Fingerprint> =
+                tried.iter().filter(|p| table.clear(**p, sent)).collect();
+            for print in &cleared {
+                trials.with_label_values(&["answered", kind(**print)]).inc();
+            }
+            !cleared.is_empty()
+        });
     }
 
     /// Returns the revision of the record and recent observations, to send to other instances.
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -118,16 +118,19 @@
         let now = clock::now();
         let known = self.table.load_full();
         let due = |at: Mono| !led || now.saturating_sub(at) >= ADD_DELAY;
-        let suspects: Vec<Fingerprint> = {
-            let suspicions = self.suspicions();
-            let missing = suspicions.suspects().filter(|(p, _)| !known.table.contains(*p));
-            missing.filter(|(_, at)| due(*at)).map(|(fingerprint, _)| fingerprint).collect()
+        let suspects: Vec<(Fingerprint, Duration)> = {
+            let mut suspicions = self.suspicions();
+            let all = suspicions.suspects(|p| known.table.proved(p), now);
+            let missing = all.filter(|(p, at)| !known.table.contains(*p) && due(*at));
+            missing.map(|(print, at)| (print, now.saturating_sub(at))).collect()
         };
         if suspects.is_empty() {
             return Ok(());
         }
         self.change(move |table, now| {
-            let added = suspects.iter().filter(|p| table.add(**p, now)).count();
+            let add =
+                |(print, age): &&(_, Duration)| table.add(*print, now.saturating_sub(*age), now);
+            let added = suspects.iter().filter(add).count();
             (added > 0, ())
         })
         .await
@@ -138,7 +141,11 @@
         let next = Arc::new(next);
         self.table.rcu(|old| if old.revision > next.revision { old.clone() } else { next.clone() });
         let known = self.table.load();
-        self.metrics.suspects.set(known.table.len() as i64);
+        let (parts, requests) = known.table.counts();
+        for (kind, count) in [("part", parts), ("request", requests)] {
+            self.metrics.suspects.with_label_values(&[kind]).set(count as i64);
+        }
+        self.suspicions().invalidate();
         if !known.table.is_empty() {
             self.active.store(true, Ordering::Release);
         }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,10 +1,10 @@
-//! Suspected requests and their trials, stored in one record that the whole fleet shares.
+//! Suspects and their trials, stored in one record that the whole fleet shares.
 //!
 //! Times are wall-clock times on which the instances agree. All functions are pure; a writer that
 //! loses a race applies its change again to the latest table.
 
 use {
-    crate::{EndpointHash, Fingerprint},
+    crate::{EndpointHash, Fingerprint, property::is_part},
     agate_core::Wall,
     agate_view::framing,
     indexmap::IndexMap,
@@ -12,14 +12,23 @@
     std::time::Duration,
 };
 
-/// Pauses after the first and the second trial that crashed an endpoint. After the third, the
-/// request is refused until it expires: the operators allow three trials.
+/// Pauses after the first and the second trial of a request that crashed an endpoint. After the
+/// third, the request is refused until it expires: the operators allow three trials.
 const CRASH_PAUSES: [Duration; 2] = [Duration::from_secs(600), Duration::from_secs(3_600)];
+/// The same pauses for a prompt part. The first one is short, because the endpoint may have crashed
+/// for another reason, and a pause refuses all requests that share the part.
+const PART_CRASH_PAUSES: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(600)];
+/// Additional pause before a trial of several prompt parts at once, whose crash does not tell which
+/// of them caused it. Requests with one of them are tried first.
+const JOINT_PAUSE: Duration = Duration::from_secs(1);
 /// Initial pause after a trial without a result. It is longer than a crashed endpoint's entry stays
 /// listed, so that a crash shown only by the entry's removal is known before the next trial.
 const UNRESOLVED_PAUSE: Duration = Duration::from_secs(5);
 /// Maximum pause after trials without a result.
 const MAX_UNRESOLVED_PAUSE: Duration = Duration::from_secs(60);
+/// Initial pause after a trial whose caller disconnected: a crash of its endpoint is usually known by
+/// then.
+const ABANDONED_PAUSE: Duration = Duration::from_secs(1);
 /// Pause after a trial that did not run, such as one that the endpoint rejected.
 const NOT_RUN_PAUSE: Duration = Duration::from_millis(250);
 /// Time after which a suspect that crashed no endpoint in a trial expires.
@@ -37,6 +46,19 @@
     NotRun,
     /// The request may have run.
     Unresolved,
+    /// The caller disconnected before the response was complete.
+    Abandoned,
+}
+
+impl TrialEnd {
+    /// Stable name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NotRun => "unrun",
+            Self::Unresolved => "unresolved",
+            Self::Abandoned => "abandoned",
+        }
+    }
 }
 
 /// One trial of a suspect.
@@ -49,7 +71,7 @@
     crashed: bool,
 }
 
-/// One suspected request.
+/// One suspected property.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Suspect {
     /// Trials that crashed their endpoint.
@@ -58,7 +80,7 @@
     unresolved: u8,
     /// Earliest time of the next trial, in milliseconds since the Unix epoch.
     next: u64,
-    /// Last crash, in milliseconds since the Unix epoch; the time it was added if none yet.
+    /// Last crash, in a trial or before, in milliseconds since the Unix epoch.
     crashed: u64,
     /// Last trial.
     attempt: Option<Attempt>,
@@ -71,7 +93,7 @@
     }
 }
 
-/// All suspected requests of the fleet.
+/// All suspects of the fleet.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Table {
     suspects: IndexMap<Fingerprint, Suspect>,
@@ -92,14 +114,20 @@
         framing::decode(bytes)
     }
 
-    /// Whether the request is a suspect.
-    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.contains_key(&fingerprint)
+    /// Whether the property is a suspect.
+    pub fn contains(&self, print: Fingerprint) -> bool {
+        self.suspects.contains_key(&print)
+    }
+
+    /// Whether the property is a suspect that crashed an endpoint in a trial.
+    pub fn proved(&self, print: Fingerprint) -> bool {
+        self.suspects.get(&print).is_some_and(|s| s.crashes > 0)
     }
 
-    /// Number of suspects.
-    pub fn len(&self) -> usize {
-        self.suspects.len()
+    /// Number of suspects that are prompt parts, and of others.
+    pub fn counts(&self) -> (usize, usize) {
+        let parts = self.suspects.keys().filter(|p| is_part(**p)).count();
+        (parts, self.suspects.len() - parts)
     }
 
     /// Whether there are no suspects.
@@ -107,22 +135,34 @@
         self.suspects.is_empty()
     }
 
-    /// Time until the next trial of a suspect, zero if it may begin now; `None` if it is no
-    /// suspect.
-    pub fn wait(&self, fingerprint: Fingerprint, now: Wall) -> Option<Duration> {
-        let suspect = self.suspects.get(&fingerprint)?;
+    /// All suspects, with their number of trials that crashed an endpoint and the time until the
+    /// next trial.
+    pub fn suspects(&self, now: Wall) -> impl Iterator<Item = (Fingerprint, u8, Duration)> {
+        let wait = move |s: &Suspect| Duration::from_millis(s.next.saturating_sub(millis(now)));
+        self.suspects.iter().map(move |(print, s)| (*print, s.crashes, wait(s)))
+    }
+
+    /// Time until a request with the properties `prints` may be tried, zero if at once; `None` if
+    /// none of them is a suspect.
+    pub fn wait(&self, prints: &[Fingerprint], now: Wall) -> Option<Duration> {
+        let suspects = || prints.iter().filter_map(|p| Some((*p, self.suspects.get(p)?)));
+        let parts = suspects().filter(|(p, _)| is_part(*p)).count();
+        let pause = if parts > 1 { millis(JOINT_PAUSE) } else { 0 };
         let now = millis(now);
-        let wait = Duration::from_millis(suspect.next.saturating_sub(now));
-        // Most trials soon end with a response, which clears the request, so callers retry early.
-        let open = suspect.attempt.is_some_and(|a| a.until > now);
-        Some(if open { wait.min(NOT_RUN_PAUSE) } else { wait })
+        let wait = |s: &Suspect| {
+            let wait = Duration::from_millis((s.next + pause).saturating_sub(now));
+            // Most trials soon end with a response, which clears the suspect, so callers retry early.
+            let open = s.attempt.is_some_and(|a| a.until > now);
+            if open { wait.min(NOT_RUN_PAUSE) } else { wait }
+        };
+        suspects().map(|(_, s)| wait(s)).max()
     }
 
-    /// Adds a suspect; returns `false` if it already was one.
-    pub fn add(&mut self, fingerprint: Fingerprint, now: Wall) -> bool {
+    /// Adds a suspect whose last crash was at `crashed`; returns `false` if it already was one.
+    pub fn add(&mut self, print: Fingerprint, crashed: Wall, now: Wall) -> bool {
         let now = millis(now);
         self.suspects.retain(|_, s| !s.is_expired(now));
-        if self.suspects.contains_key(&fingerprint) {
+        if self.suspects.contains_key(&print) {
             return false;
         }
         if self.suspects.len() >= CAPACITY {
@@ -132,56 +172,69 @@
                 self.suspects.shift_remove_index(index);
             }
         }
-        let suspect = Suspect { crashes: 0, unresolved: 0, next: now, crashed: now, attempt: None };
-        self.suspects.insert(fingerprint, suspect);
+        let crashed = millis(crashed);
+        let suspect = Suspect { crashes: 0, unresolved: 0, next: now, crashed, attempt: None };
+        self.suspects.insert(print, suspect);
         true
     }
 
-    /// Removes a suspect after a response to it; returns whether it was one.
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
-        self.suspects.shift_remove(&fingerprint).is_some()
+    /// Removes a suspect after a response to a request of it that was sent at `sent`; returns
+    /// whether it was one. A request sent before the last crash clears nothing.
+    pub fn clear(&mut self, print: Fingerprint, sent: Wall) -> bool {
+        let clears = self.suspects.get(&print).is_some_and(|s| s.crashed <= millis(sent));
+        clears && self.suspects.shift_remove(&print).is_some()
     }
 
-    /// Begins a trial of at most `length` at `endpoint`, after adding the request if it is no
-    /// suspect.
+    /// Removes a suspect whatever it did; returns whether it was one.
+    pub fn release(&mut self, print: Fingerprint) -> bool {
+        self.suspects.shift_remove(&print).is_some()
+    }
+
+    /// Begins a trial of at most `length` at `endpoint`, after adding those of `prints` that are no
+    /// suspects.
     ///
     /// # Errors
     ///
-    /// Returns the time to wait if the next trial is not due or the endpoint has another trial.
+    /// Returns the time to wait if the next trial of one of them is not due or the endpoint has
+    /// another trial.
     pub fn begin_trial(
         &mut self,
-        fingerprint: Fingerprint,
+        prints: &[Fingerprint],
         endpoint: EndpointHash,
         length: Duration,
         now: Wall,
     ) -> Result<(), Duration> {
-        self.add(fingerprint, now);
-        let wait = self.wait(fingerprint, now).unwrap_or_default();
+        for print in prints {
+            self.add(*print, now, now);
+        }
+        let wait = self.wait(prints, now).unwrap_or_default();
         if !wait.is_zero() {
             return Err(wait);
         }
         if self.on_trial(now).any(|e| e == endpoint) {
             return Err(NOT_RUN_PAUSE);
         }
-        let suspect = self.suspects.get_mut(&fingerprint).expect("it was added above");
         let until = millis(now + length);
-        suspect.attempt = Some(Attempt { endpoint, until, crashed: false });
-        // Counts as unresolved until it ends, since the instance may stop before it records the
-        // end.
-        suspect.next = until + millis(unresolved_pause(suspect.unresolved));
-        suspect.unresolved = suspect.unresolved.saturating_add(1);
+        for print in prints {
+            let suspect = self.suspects.get_mut(print).expect("it was added above");
+            suspect.attempt = Some(Attempt { endpoint, until, crashed: false });
+            // Counts as unresolved until it ends, since the instance may stop before it records the
+            // end.
+            suspect.next = until + millis(doubled(UNRESOLVED_PAUSE, suspect.unresolved));
+            suspect.unresolved = suspect.unresolved.saturating_add(1);
+        }
         Ok(())
     }
 
     /// Ends the trial at `endpoint`; returns whether it was the suspect's open trial.
     pub fn end(
         &mut self,
-        fingerprint: Fingerprint,
+        print: Fingerprint,
         endpoint: EndpointHash,
         end: TrialEnd,
         now: Wall,
     ) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
+        let Some(suspect) = self.suspects.get_mut(&print) else { return false };
         let Some(attempt) = &mut suspect.attempt else { return false };
         if attempt.endpoint != endpoint || attempt.until == 0 || attempt.crashed {
             return false;
@@ -189,10 +242,12 @@
         attempt.until = 0;
         let pause = match end {
             TrialEnd::NotRun => {
+                suspect.attempt = None;
                 suspect.unresolved = suspect.unresolved.saturating_sub(1);
                 NOT_RUN_PAUSE
             }
-            TrialEnd::Unresolved => unresolved_pause(suspect.unresolved.saturating_sub(1)),
+            TrialEnd::Unresolved => doubled(UNRESOLVED_PAUSE, suspect.unresolved.saturating_sub(1)),
+            TrialEnd::Abandoned => doubled(ABANDONED_PAUSE, suspect.unresolved.saturating_sub(1)),
         };
         suspect.next = millis(now + pause);
         true
@@ -200,13 +255,8 @@
 
     /// Records that a trial crashed `endpoint`; returns whether it was the suspect's last trial and
     /// not counted yet.
-    pub fn on_crash(
-        &mut self,
-        fingerprint: Fingerprint,
-        endpoint: EndpointHash,
-        now: Wall,
-    ) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
+    pub fn on_crash(&mut self, print: Fingerprint, endpoint: EndpointHash, now: Wall) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&print) else { return false };
         let Some(attempt) = &mut suspect.attempt else { return false };
         if attempt.endpoint != endpoint || attempt.crashed {
             return false;
@@ -215,11 +265,18 @@
         suspect.crashes = suspect.crashes.saturating_add(1);
         suspect.unresolved = 0;
         suspect.crashed = millis(now);
-        let pause = CRASH_PAUSES.get(usize::from(suspect.crashes) - 1);
+        let pauses = if is_part(print) { &PART_CRASH_PAUSES } else { &CRASH_PAUSES };
+        let pause = pauses.get(usize::from(suspect.crashes) - 1);
         suspect.next = millis(now + pause.copied().unwrap_or(CRASHER_RETENTION));
         true
     }
 
+    /// Suspects whose last trial was at `endpoint`.
+    pub fn tried_at(&self, endpoint: EndpointHash) -> impl Iterator<Item = Fingerprint> {
+        let tried = move |s: &Suspect| s.attempt.is_some_and(|a| a.endpoint == endpoint);
+        self.suspects.iter().filter(move |(_, s)| tried(s)).map(|(print, _)| *print)
+    }
+
     /// Endpoints that have an open trial at `now`.
     pub fn on_trial(&self, now: Wall) -> impl Iterator<Item = EndpointHash> {
         let now = millis(now);
@@ -229,7 +286,6 @@
 }
 
 /// Pause after a trial without a result that followed `earlier` ones; doubles with each.
-fn unresolved_pause(earlier: u8) -> Duration {
-    let doublings = u32::from(earlier).min(8);
-    (UNRESOLVED_PAUSE * (1 << doublings)).min(MAX_UNRESOLVED_PAUSE)
+fn doubled(pause: Duration, earlier: u8) -> Duration {
+    (pause * (1 << u32::from(earlier).min(8))).min(MAX_UNRESOLVED_PAUSE)
 }
--- a/crates/quarantine/src/trial.rs
+++ b/crates/quarantine/src/trial.rs
@@ -1,7 +1,9 @@
-//! Guard of one trial of a suspect.
+//! Guard of one trial of suspects.
 
 use {
-    crate::{EndpointHash, Fingerprint, hex, quarantine::Quarantine, table::TrialEnd},
+    crate::{
+        EndpointHash, Fingerprint, hex, property::kind, quarantine::Quarantine, table::TrialEnd,
+    },
     std::sync::Arc,
 };
 
@@ -9,31 +11,46 @@
 #[derive(Debug)]
 pub struct Trial {
     pub(crate) quarantine: Arc<Quarantine>,
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) prints: Vec<Fingerprint>,
     pub(crate) endpoint: EndpointHash,
     pub(crate) end: TrialEnd,
 }
 
 impl Trial {
+    /// Suspects on trial.
+    pub fn prints(&self) -> &[Fingerprint] {
+        &self.prints
+    }
+
     /// Ends the trial of a call that did not run.
     pub fn not_run(mut self) {
         self.end = TrialEnd::NotRun;
     }
+
+    /// Ends the trial of a call whose caller disconnected.
+    pub fn abandon(mut self) {
+        self.end = TrialEnd::Abandoned;
+    }
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        let Self { fingerprint, endpoint, end, .. } = *self;
-        let label = if end == TrialEnd::NotRun { "unrun" } else { "unresolved" };
+        let Self { endpoint, end, .. } = *self;
+        let prints = std::mem::take(&mut self.prints);
         let quarantine = self.quarantine.clone();
         let trials = quarantine.metrics.trials.clone();
         quarantine.save(move |table, now| {
-            let ended = table.end(fingerprint, endpoint, end, now);
-            if ended {
-                trials.with_label_values(&[label]).inc();
-                log::info!(event = "trial_ended", print = hex(fingerprint).as_str(), endpoint, result = label; "a trial ended");
+            let open = prints.iter().filter(|p| table.end(**p, endpoint, end, now));
+            let ended: Vec<Fingerprint> = open.copied().collect();
+            for print in &ended {
+                trials.with_label_values(&[end.label(), kind(*print)]).inc();
+                log::info!(
+                    event = "trial_ended", print = hex(*print).as_str(), of = kind(*print), endpoint,
+                    result = end.label();
+                    "a trial ended"
+                );
             }
-            ended
+            !ended.is_empty()
         });
     }
 }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -12,8 +12,8 @@
         serve::Job,
     },
     agate_quarantine::{
-        Decision, EndpointHash, Fingerprint, Trial, Work, evidence::Call, fingerprint, hex,
-        part_fingerprint,
+        Decision, EndpointHash, Fingerprint, Property, Trial, Work, evidence::Call, hex,
+        property::kind,
     },
     agate_route::ranking::{mix, name_hash},
     agate_transport::{
@@ -24,8 +24,8 @@
     agate_view::Entry,
     indexmap::IndexSet,
     std::{
-        io,
-        sync::Arc,
+        io, iter,
+        sync::{Arc, OnceLock},
         time::{Duration, Instant},
     },
     tokio::time::timeout,
@@ -35,23 +35,38 @@
 /// another availability zone.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
 
-/// Fingerprint of the part `work` of a request, by which the quarantine recognises it.
-pub fn fingerprint_of(job: &Job, work: Work) -> Fingerprint {
-    let org = job.org.as_ref().map_or("", |org| &org.name);
-    fingerprint(work, org, job.uri.path(), &job.body)
+/// Properties of one request by which the quarantine recognises it; hashed on first use.
+#[derive(Debug, Default)]
+pub struct PropertyCache {
+    run: OnceLock<Vec<Property>>,
+    prefill: OnceLock<Vec<Property>>,
 }
 
-/// The same fingerprint in hexadecimal, for log lines.
+/// Properties of the part `work` of a request: the whole request first, then the parts of its prompt
+/// that other requests may share.
+pub fn properties_of(job: &Job, work: Work) -> &[Property] {
+    let cell = match work {
+        Work::Run => &job.properties.run,
+        Work::Prefill => &job.properties.prefill,
+    };
+    cell.get_or_init(|| {
+        let org = job.org.as_ref().map_or("", |org| &org.name);
+        let request = Property::request(work, org, job.uri.path(), &job.body);
+        let parts = job.info.prompt.as_ref().map_or(&[][..], |p| p.shared_parts());
+        let parts = Property::parts(work, &job.service, parts.iter().map(|p| p.id));
+        iter::once(request).chain(parts).collect()
+    })
+}
+
+/// Fingerprint of a request in hexadecimal, for log lines.
 pub fn fingerprint_text(job: &Job, work: Work) -> String {
-    hex(fingerprint_of(job, work))
+    hex(properties_of(job, work)[0].print)
 }
 
 /// Fingerprints of the parts of a request's prompt that other requests may share, for log lines.
-pub fn parts_text(job: &Job) -> String {
-    let parts = job.info.prompt.as_ref().map_or(&[][..], |p| p.shared_parts());
-    let text: Vec<String> =
-        parts.iter().map(|p| hex(part_fingerprint(&job.service, p.id))).collect();
-    text.join(",")
+pub fn parts_text(job: &Job, work: Work) -> String {
+    let parts = properties_of(job, work)[1..].iter();
+    parts.map(|p| hex(p.print)).collect::<Vec<_>>().join(",")
 }
 
 /// Hash of the endpoint process that an entry describes: its name and start time.
@@ -70,7 +85,8 @@
     missing.filter(|e| !leaving(e)).map(incarnation_hash).collect()
 }
 
-/// Checks the request against the quarantine; `Ok(true, ..)` if it may run only as a trial.
+/// Checks the request against the quarantine. Returns the suspects among its properties; if there are
+/// any, it may run only as a trial of them.
 ///
 /// # Errors
 ///
@@ -79,24 +95,37 @@
     state: &ProxyState,
     job: &Job,
     grant: Grant,
-) -> Result<(bool, Grant), Refused> {
+) -> Result<(Vec<Fingerprint>, Grant), Refused> {
     if !state.quarantine.is_active() {
-        return Ok((false, grant));
+        return Ok((Vec::new(), grant));
     }
-    match state.quarantine.check(fingerprint_of(job, Work::Run)) {
-        Decision::Allowed => Ok((false, grant)),
-        Decision::TrialOnly => Ok((true, grant)),
-        Decision::Blocked(after) => Err(refuse_held(job, grant, after)),
+    match state.quarantine.check(properties_of(job, Work::Run)) {
+        Decision::Allowed => Ok((Vec::new(), grant)),
+        Decision::TrialOnly(suspects) => Ok((suspects, grant)),
+        Decision::Blocked { suspects, wait } => {
+            Err(refuse_held(state, job, &suspects, grant, wait))
+        }
     }
 }
 
-/// Whether another engine may prefill the prompt: not if the prefill or the run is suspected.
-pub fn may_prefill(state: &ProxyState, job: &Job) -> bool {
-    let free = |work| state.quarantine.check(fingerprint_of(job, work)) == Decision::Allowed;
-    !state.quarantine.is_active() || (free(Work::Prefill) && free(Work::Run))
+/// Checks whether another engine may prefill the prompt: not if the run has suspects, nor before the
+/// next trial of the prefill's suspects. Returns these; if there are any, it may be prefilled only as
+/// a trial of them.
+pub fn check_prefill(state: &ProxyState, job: &Job) -> Option<Vec<Fingerprint>> {
+    if !state.quarantine.is_active() {
+        return Some(Vec::new());
+    }
+    if state.quarantine.check(properties_of(job, Work::Run)) != Decision::Allowed {
+        return None;
+    }
+    match state.quarantine.check(properties_of(job, Work::Prefill)) {
+        Decision::Allowed => Some(Vec::new()),
+        Decision::TrialOnly(suspects) => Some(suspects),
+        Decision::Blocked { .. } => None,
+    }
 }
 
-/// Begins a trial of the request at an endpoint.
+/// Begins a trial of `suspects` at an endpoint.
 ///
 /// # Errors
 ///
@@ -104,26 +133,33 @@
 pub async fn begin_trial(
     state: &ProxyState,
     job: &Job,
+    suspects: Vec<Fingerprint>,
     endpoint: &Endpoint,
     grant: Grant,
 ) -> Result<(Trial, Grant), Refused> {
-    let begun = state.quarantine.begin_trial(
-        fingerprint_of(job, Work::Run),
-        endpoint.incarnation,
-        job.remaining(),
-    );
+    let begun =
+        state.quarantine.begin_trial(suspects.clone(), endpoint.incarnation, job.remaining());
     match begun.await {
         Ok(trial) => Ok((trial, grant)),
-        Err(after) => Err(refuse_held(job, grant, after)),
+        Err(wait) => Err(refuse_held(state, job, &suspects, grant, wait)),
     }
 }
 
-fn refuse_held(job: &Job, grant: Grant, after: Duration) -> Refused {
-    log::info!(
-        event = "request_held", request = job.info.id.as_str(),
-        print = fingerprint_text(job, Work::Run).as_str(), next_ms = after.as_millis() as u64;
-        "request quarantined: suspected of crashing endpoints"
-    );
+fn refuse_held(
+    state: &ProxyState,
+    job: &Job,
+    suspects: &[Fingerprint],
+    grant: Grant,
+    after: Duration,
+) -> Refused {
+    for print in suspects {
+        state.quarantine.metrics.held.with_label_values(&[kind(*print)]).inc();
+        log::info!(
+            event = "request_held", request = job.info.id.as_str(), print = hex(*print).as_str(),
+            of = kind(*print), next_ms = after.as_millis() as u64;
+            "request quarantined: a property of it is suspected of crashing endpoints"
+        );
+    }
     match grant.not_run_proof() {
         Some(proof) => Refused::not_run(Cause::Crashing, Some(after), proof),
         None => Refused::unknown(Cause::Crashing),
@@ -156,14 +192,16 @@
     }
 
     fn call(&self) -> Call {
-        Call { fingerprint: fingerprint_of(&self.job, self.work), trial: self.trial.is_some() }
+        let trial = self.trial.as_ref().map_or_else(Vec::new, |t| t.prints().to_vec());
+        Call { properties: properties_of(&self.job, self.work).to_vec(), trial }
     }
 
-    /// Ends the call with a complete response, which clears the request of suspicion.
-    pub fn on_response(mut self) {
+    /// Ends the call, which was sent `since` ago, with a complete response, which clears the request
+    /// of suspicion.
+    pub fn on_response(mut self, since: Duration) {
         self.open = false;
         if self.state.quarantine.is_active() {
-            self.state.quarantine.on_response(fingerprint_of(&self.job, self.work));
+            self.state.quarantine.on_response(properties_of(&self.job, self.work), since);
         }
     }
 
@@ -197,14 +235,14 @@
         self.open = false;
         let (state, endpoint) = (self.state.clone(), self.endpoint.clone());
         let (call, incarnation) = (self.call(), endpoint.incarnation);
-        state.quarantine.on_unanswered(call, incarnation);
+        state.quarantine.on_unanswered(call.clone(), incarnation);
         let failed_at = Instant::now();
         let probing = tokio::spawn(async move {
             match probe(&endpoint, failed_at).await {
                 Probe::Refused => state.quarantine.on_crash(incarnation, "refused"),
                 // The network path may have lost the state of all connections of that age.
                 Probe::Alive if silent => close_idle(&endpoint),
-                Probe::Alive => state.quarantine.on_alive(call, incarnation),
+                Probe::Alive => state.quarantine.on_alive(&call, incarnation),
                 Probe::Unknown => {}
             }
         });
@@ -222,6 +260,7 @@
     fn drop(&mut self) {
         if self.open {
             self.state.quarantine.on_unanswered(self.call(), self.endpoint.incarnation);
+            self.trial.take().into_iter().for_each(Trial::abandon);
         }
     }
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -77,6 +77,8 @@
     pub late: late::LatePolicy,
     /// Whether it may go only where a slot is free.
     pub needs_slot: bool,
+    /// Whether it goes where the fewest other requests are open, since it may crash the endpoint.
+    pub isolated: bool,
 }
 
 impl Candidate {
@@ -134,7 +136,9 @@
         let expected = expected_ttft(workload, c, tokens);
         let recomputed = tokens - (workload.tokens - workload.shared.min(workload.tokens));
         let second = if home == Some(1) { SECOND_PENALTY } else { Duration::ZERO };
-        let score = expected + second + c.prefill.prefill_time(recomputed).mul_f64(weight);
+        let others = if workload.isolated { c.open + c.others_open } else { 0 };
+        let cost = expected + second + c.prefill.prefill_time(recomputed).mul_f64(weight);
+        let score = (others, cost);
         if best.as_ref().is_none_or(|b| score < b.score) {
             best = Some(Scored { score, expected, index, tokens });
         }
@@ -194,7 +198,8 @@
 
 /// A candidate with its cost.
 struct Scored {
-    score: Duration,
+    /// Number of open requests that count, then the cost.
+    score: (u32, Duration),
     expected: Duration,
     index: usize,
     tokens: u32,
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -7,7 +7,7 @@
     crate::{
         assignment::Assignment,
         calls::{Admission, CallTracker},
-        crash::{CallGuard, fingerprint_text, may_prefill, parts_text},
+        crash::{self, CallGuard, fingerprint_text, parts_text},
         demand::PromptClass,
         dialect::{Part, PrefillHandle},
         fleet::Requirements,
@@ -17,7 +17,7 @@
         run::{MIN_REMAINING, send},
         serve::Job,
     },
-    agate_quarantine::Work,
+    agate_quarantine::{Trial, Work},
     agate_route::health::ExchangeResult,
     agate_transport::{
         exchange::{Failure, Step},
@@ -68,13 +68,14 @@
         return Ok(None);
     }
     let mut tried = Vec::new();
-    while tried.len() < MAX_TRIES && job.remaining() > MIN_REMAINING && may_prefill(state, job) {
+    while tried.len() < MAX_TRIES && job.remaining() > MIN_REMAINING {
+        let Some(suspects) = crash::check_prefill(state, job) else { return Ok(None) };
         // If the retry budget allows one more call but not two, one engine does the whole request.
         let needed = calls.permits_to_prefill();
         if !state.reserve_permits(&job.service, calls, needed) {
             return Ok(None);
         }
-        let assignment = match choose_engine(state, job, &tried) {
+        let assignment = match choose_engine(state, job, &tried, !suspects.is_empty()) {
             Ok(assignment) => assignment,
             Err(Choice::Full(wait)) if tried.is_empty() => return Err(wait),
             // A decode engine may still be in time if it prefills the prompt itself.
@@ -82,8 +83,18 @@
         };
         tried.push(assignment.endpoint.entry.name.clone());
         let zone = assignment.endpoint.entry.zone.clone();
-        let Some(admission) = state.admit(&job.service, calls) else { return Ok(None) };
-        match prefill(state, job, assignment, &admission).await {
+        let mut trial = None;
+        if !suspects.is_empty() {
+            let endpoint = assignment.endpoint.incarnation;
+            let begun = state.quarantine.begin_trial(suspects, endpoint, job.remaining());
+            let Ok(begun) = begun.await else { return Ok(None) };
+            trial = Some(begun);
+        }
+        let Some(admission) = state.admit(&job.service, calls) else {
+            trial.into_iter().for_each(Trial::not_run);
+            return Ok(None);
+        };
+        match prefill(state, job, assignment, trial, &admission).await {
             PrefillOutcome::Stored(name) => {
                 state.on_prefill_accepted(&job.service, calls, admission);
                 return Ok(Some(KvSource { name, zone }));
@@ -95,17 +106,23 @@
     Ok(None)
 }
 
-fn choose_engine(state: &ProxyState, job: &Job, tried: &[Name]) -> Result<Assignment, Choice> {
+fn choose_engine(
+    state: &ProxyState,
+    job: &Job,
+    tried: &[Name],
+    isolated: bool,
+) -> Result<Assignment, Choice> {
     let workload = workload(job);
     let limit = workload.limit.saturating_sub(DECODE_MARGIN);
-    let workload = Workload { limit, late: late_policy(state, job), ..workload };
+    let workload = Workload { limit, late: late_policy(state, job), isolated, ..workload };
+    let avoided = if isolated { state.quarantine.trial_exclusions() } else { Vec::new() };
     let stage = Some(Stage::Prefill);
     state.fleet.choose(&Requirements {
         service: &job.service,
         workload,
         stage,
         tried,
-        avoided: &[],
+        avoided: &avoided,
         zone: None,
     })
 }
@@ -125,12 +142,13 @@
     state: &Arc<ProxyState>,
     job: &Arc<Job>,
     mut assignment: Assignment,
+    trial: Option<Trial>,
     admission: &Admission,
 ) -> PrefillOutcome {
     let endpoint = assignment.endpoint.clone();
     let outgoing = outgoing(job, &assignment, None, Part::Prefill);
     let grant = Retryable::idempotent(true).map(Grant::Again).expect("a prefill may be retried");
-    let guard = CallGuard::begin(state, job, &endpoint, Work::Prefill, None);
+    let guard = CallGuard::begin(state, job, &endpoint, Work::Prefill, trial);
     let sent = send(state, job, &assignment, &outgoing, grant, admission).await;
     let answered = match sent {
         Ok(response) => response.collect(MAX_RESPONSE, job.remaining()).await,
@@ -160,7 +178,7 @@
         ahead = assignment.ahead(), took_ms = assignment.elapsed().as_millis() as u64;
         "prompt prefilled"
     );
-    guard.on_response();
+    guard.on_response(assignment.elapsed());
     assignment.on_first_token();
     let time = assignment.prefill_time();
     state.demand(&job.service, |d, _| d.on_prefill(time));
@@ -184,7 +202,7 @@
     );
     log::info!(
         event = "reading_failed", request = job.info.id.as_str(),
-        print = fingerprint_text(job, Work::Prefill).as_str(), parts = parts_text(job).as_str(), endpoint = &*endpoint.entry.name, cause = failure.cause.as_str(),
+        print = fingerprint_text(job, Work::Prefill).as_str(), parts = parts_text(job, Work::Prefill).as_str(), endpoint = &*endpoint.entry.name, cause = failure.cause.as_str(),
         declared = failure.declared, after_ms = assignment.elapsed().as_millis() as u64;
         "prefill failed"
     );
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -189,12 +189,14 @@
 ) -> Result<Call, Refused> {
     loop {
         let grant = attempts.grant.take().expect("a new attempt has a grant");
-        let (suspected, grant) = crash::check_quarantine(state, job, grant)?;
+        let (suspects, grant) = crash::check_quarantine(state, job, grant)?;
+        let suspected = !suspects.is_empty();
         let (mut assignment, mut grant) =
             choose_endpoint(state, job, attempts, grant, source, suspected)?;
         let mut trial = None;
         if suspected {
-            let begun = crash::begin_trial(state, job, &assignment.endpoint, grant).await?;
+            let begun =
+                crash::begin_trial(state, job, suspects, &assignment.endpoint, grant).await?;
             trial = Some(begun.0);
             // Recording the trial in the store takes time, so the deadline and key are checked
             // again.
@@ -248,7 +250,8 @@
 ) -> Result<(Assignment, Grant), Refused> {
     let grant = check_allowed(state, job, grant)?;
     let avoided = if suspected { state.quarantine.trial_exclusions() } else { Vec::new() };
-    let requirements = requirements(job, &attempts.tried, &avoided, source);
+    let mut requirements = requirements(job, &attempts.tried, &avoided, source);
+    requirements.workload.isolated = suspected;
     match state.fleet.choose(&requirements) {
         Ok(assignment) => Ok((assignment, grant)),
         Err(Choice::Full(wait)) => Err(refuse(grant, attempts.cause, Some(full_retry(wait)))),
@@ -345,7 +348,7 @@
     state.metrics.failures.with_label_values(&[failure.step.label()]).inc();
     log::info!(
         event = "attempt_failed", request = job.info.id.as_str(),
-        print = fingerprint_text(job, Work::Run).as_str(), parts = parts_text(job).as_str(), endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
+        print = fingerprint_text(job, Work::Run).as_str(), parts = parts_text(job, Work::Run).as_str(), endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(),
         declared = failure.declared, misdirected, unrun = failure.grant.is_some(),
         after_ms = assignment.elapsed().as_millis() as u64,
         roster_age_ms = state.view.roster.age().map(|a| a.as_millis() as u64);
@@ -423,7 +426,7 @@
         Err(failure) => {
             state.fleet.record_result(&assignment.endpoint, ExchangeResult::Failure);
             log::info!(
-                event = "answer_cut", request = job.info.id.as_str(), print = fingerprint_text(job, Work::Run).as_str(), parts = parts_text(job).as_str(),
+                event = "answer_cut", request = job.info.id.as_str(), print = fingerprint_text(job, Work::Run).as_str(), parts = parts_text(job, Work::Run).as_str(),
                 endpoint = &*assignment.endpoint.entry.name, cause = failure.cause.as_str();
                 "the endpoint's response is incomplete"
             );
@@ -435,7 +438,7 @@
     if status.is_server_error() {
         guard.on_error_response()
     } else {
-        guard.on_response()
+        guard.on_response(assignment.elapsed())
     }
     state.fleet.record_result(&assignment.endpoint, ExchangeResult::Success);
     let mut response = Response::new(full(body));
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        Body, full,
+        Body,
+        crash::PropertyCache,
+        full,
         proxy_state::ProxyState,
         refusal::{Cause, Promise, Refused},
         request_info::RequestInfo,
@@ -59,6 +61,8 @@
     pub deadline: Instant,
     /// Whether it was already counted for usage.
     pub start_flag: StartFlag,
+    /// Properties by which the quarantine recognises it.
+    pub properties: PropertyCache,
 }
 
 impl Job {
@@ -156,6 +160,7 @@
         arrived,
         deadline,
         start_flag,
+        properties: PropertyCache::default(),
     })
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -121,7 +121,7 @@
 
     fn finish(&mut self) -> Next {
         if let Some(Call { response, assignment, guard }) = self.call.take() {
-            guard.on_response();
+            guard.on_response(assignment.elapsed());
             self.state.fleet.record_result(&assignment.endpoint, ExchangeResult::Success);
             record::record_response(&self.state, &self.job, &assignment, self.status);
             if let Some(class) = requirements::prompt_class(&self.job) {
@@ -149,7 +149,7 @@
         self.state.fleet.record_result(&assignment.endpoint, ExchangeResult::Failure);
         log::info!(
             event = "stream_cut", request = self.job.info.id.as_str(),
-            print = fingerprint_text(&self.job, Work::Run).as_str(), parts = parts_text(&self.job).as_str(),
+            print = fingerprint_text(&self.job, Work::Run).as_str(), parts = parts_text(&self.job, Work::Run).as_str(),
             endpoint = &*assignment.endpoint.entry.name, cause = why, silent,
             last_event = self.splitter.last_id();
             "the endpoint's stream was interrupted"
