Probe endpoints whose responses end with their connections

Callers saw: a response with neither a length nor chunks, cut off by the crash of its endpoint, came as a complete one; a stream did if the crash fell between two events. And it cleared the crashing part of the prompt, so that its requests crashed endpoint after endpoint.

Cause: without framing, the end of the connection is the end of the response, and the end of a process closes connections in the same way. The quarantine took it for a complete response.

Ruled out: a reset of the connection, which is an error already. What settles it is whether the endpoint is still there: a new connection, which goes to the pool. If it is refused, the endpoint crashed: the response is incomplete and is retried, resumed or ended as an error, and the crash counts against the request. Endpoints that are leaving may stop after their last response and are not probed.

Framed responses cost nothing more.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -205,6 +205,29 @@
         }
     }
 
+    /// Ends the call, which was sent `since` ago, with a response that ended with its connection.
+    /// Probes whether the endpoint crashed, which ends a response in the same way; returns whether the
+    /// response is complete.
+    pub async fn on_unframed_response(mut self, since: Duration) -> bool {
+        // The endpoint may stop after its last response if it is leaving.
+        let probed = match self.state.is_leaving(&self.endpoint) {
+            true => Ok(Probe::Unknown),
+            false => timeout(PROBE_WAIT, probe(&self.endpoint, Instant::now())).await,
+        };
+        match probed {
+            Ok(Probe::Refused) => {
+                self.open = false;
+                let incarnation = self.endpoint.incarnation;
+                self.state.quarantine.on_unanswered(self.call(), incarnation);
+                self.state.quarantine.on_crash(incarnation, "refused");
+                return false;
+            }
+            Ok(Probe::Alive) => self.on_response(since),
+            Ok(Probe::Unknown) | Err(_) => self.on_error_response(),
+        }
+        true
+    }
+
     /// Ends the call with a response that shows only that the endpoint is alive.
     pub fn on_error_response(mut self) {
         self.open = false;
--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -6,6 +6,7 @@
         crash,
         demand::{Demand, EngineDemand},
         dialect::Dialect,
+        endpoint::Endpoint,
         fleet::Fleet,
         instance_count::InstanceCount,
         metrics::Metrics,
@@ -154,6 +155,13 @@
         known && fresh(self.view.config.age()) && fresh(self.view.roster.age()) && !self.stopping()
     }
 
+    /// Whether an endpoint is known to be leaving, or to have left.
+    pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let entries = self.view.entries.load();
+        let listed = entries.iter().find(|e| e.same_incarnation(&endpoint.entry));
+        listed.is_none_or(|e| e.leaving) || !endpoint.takes_work()
+    }
+
     /// Whether [`Self::announce_stop`] was called.
     pub fn stopping(&self) -> bool {
         self.stopping.load(Relaxed)
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -46,6 +46,9 @@
 /// Number of stale pooled connections after which a failed write counts as a failed attempt.
 const MAX_STALE: usize = 4;
 
+/// Cause of a response that ended with its connection, at which the endpoint crashed.
+pub const CRASHED_AT_END: &str = "the endpoint crashed at the end of its connection";
+
 /// Response to the caller, or why there is none.
 pub type Outcome = Result<Response<Body>, Refused>;
 
@@ -417,19 +420,24 @@
     );
 }
 
+fn on_cut(state: &ProxyState, job: &Job, assignment: &Assignment, cause: &str) {
+    state.fleet.record_result(&assignment.endpoint, ExchangeResult::Failure);
+    log::info!(
+        event = "answer_cut", request = job.info.id.as_str(),
+        print = fingerprint_text(job, Work::Run).as_str(), parts = parts_text(job, Work::Run).as_str(),
+        endpoint = &*assignment.endpoint.entry.name, cause;
+        "the endpoint's response is incomplete"
+    );
+}
+
 /// Buffers a complete response and returns it for the caller.
 async fn collect(state: &ProxyState, job: &Job, call: Call) -> Result<Response<Body>, Cause> {
     let Call { response, assignment, guard } = call;
-    let status = response.head.status;
+    let (status, framed) = (response.head.status, response.is_framed());
     let (head, body) = match response.collect(MAX_BUFFERED, job.remaining()).await {
         Ok(whole) => whole,
         Err(failure) => {
-            state.fleet.record_result(&assignment.endpoint, ExchangeResult::Failure);
-            log::info!(
-                event = "answer_cut", request = job.info.id.as_str(), print = fingerprint_text(job, Work::Run).as_str(), parts = parts_text(job, Work::Run).as_str(),
-                endpoint = &*assignment.endpoint.entry.name, cause = failure.cause.as_str();
-                "the endpoint's response is incomplete"
-            );
+            on_cut(state, job, &assignment, &failure.cause);
             guard.on_lost(failure.silent).await;
             return Err(if failure.silent { Cause::Late } else { Cause::Lost });
         }
@@ -437,8 +445,11 @@
     // An endpoint may return a server error before it runs the request, so that clears nothing.
     if status.is_server_error() {
         guard.on_error_response()
-    } else {
+    } else if framed {
         guard.on_response(assignment.elapsed())
+    } else if !guard.on_unframed_response(assignment.elapsed()).await {
+        on_cut(state, job, &assignment, CRASHED_AT_END);
+        return Err(Cause::Lost);
     }
     state.fleet.record_result(&assignment.endpoint, ExchangeResult::Success);
     let mut response = Response::new(full(body));
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Body,
+        assignment::Assignment,
         crash::{fingerprint_text, parts_text},
         demand::{self, PromptClass},
         events::Splitter,
@@ -112,33 +113,41 @@
                         return Next::Bytes(whole);
                     }
                 }
-                Ok(None) if self.splitter.is_complete() && self.started => return self.finish(),
+                Ok(None) if self.splitter.is_complete() && self.started => {
+                    return self.on_end().await;
+                }
                 Ok(None) => return self.on_break("ended amid an event", false).await,
                 Err(failure) => return self.on_break(&failure.cause, failure.silent).await,
             }
         }
     }
 
-    fn finish(&mut self) -> Next {
-        if let Some(Call { response, assignment, guard }) = self.call.take() {
+    /// Ends the stream after a complete event.
+    async fn on_end(&mut self) -> Next {
+        let Some(Call { response, assignment, guard }) = self.call.take() else { return Next::End };
+        if response.is_framed() {
             guard.on_response(assignment.elapsed());
-            self.state.fleet.record_result(&assignment.endpoint, ExchangeResult::Success);
-            record::record_response(&self.state, &self.job, &assignment, self.status);
-            if let Some(class) = requirements::prompt_class(&self.job) {
-                let slot_time = match class {
-                    PromptClass::Short => demand::slot_time(
-                        assignment.elapsed(),
-                        assignment.prefill_time(),
-                        assignment.slots(),
-                    ),
-                    // Its prompt should be prefilled by another engine, so the stall of other
-                    // slots is left out even if this engine prefilled it.
-                    PromptClass::Long => assignment.elapsed(),
-                };
-                self.state.demand(&self.job.service, |d, _| d.on_slot_released(class, slot_time));
-            }
-            response.release();
+        } else if !guard.on_unframed_response(assignment.elapsed()).await {
+            self.record_cut(&assignment, run::CRASHED_AT_END, false);
+            drop(assignment);
+            return self.resume(Cause::Lost).await;
         }
+        self.state.fleet.record_result(&assignment.endpoint, ExchangeResult::Success);
+        record::record_response(&self.state, &self.job, &assignment, self.status);
+        if let Some(class) = requirements::prompt_class(&self.job) {
+            let slot_time = match class {
+                PromptClass::Short => demand::slot_time(
+                    assignment.elapsed(),
+                    assignment.prefill_time(),
+                    assignment.slots(),
+                ),
+                // Its prompt should be prefilled by another engine, so the stall of other slots is
+                // left out even if this engine prefilled it.
+                PromptClass::Long => assignment.elapsed(),
+            };
+            self.state.demand(&self.job.service, |d, _| d.on_slot_released(class, slot_time));
+        }
+        response.release();
         Next::End
     }
 
@@ -146,6 +155,13 @@
     async fn on_break(&mut self, why: &str, silent: bool) -> Next {
         let Some(Call { response, assignment, guard }) = self.call.take() else { return Next::End };
         drop(response);
+        self.record_cut(&assignment, why, silent);
+        drop(assignment);
+        guard.on_lost(silent).await;
+        self.resume(if silent { Cause::Late } else { Cause::Lost }).await
+    }
+
+    fn record_cut(&self, assignment: &Assignment, why: &str, silent: bool) {
         self.state.fleet.record_result(&assignment.endpoint, ExchangeResult::Failure);
         log::info!(
             event = "stream_cut", request = self.job.info.id.as_str(),
@@ -154,9 +170,10 @@
             last_event = self.splitter.last_id();
             "the endpoint's stream was interrupted"
         );
-        drop(assignment);
-        guard.on_lost(silent).await;
-        let cause = if silent { Cause::Late } else { Cause::Lost };
+    }
+
+    /// Resumes a stream that was interrupted for `cause` at another endpoint if that is allowed.
+    async fn resume(&mut self, cause: Cause) -> Next {
         if run::retry(&self.state, &self.job, &mut self.attempts, cause).is_err() {
             return Next::Broken(cause);
         }
--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -9,9 +9,13 @@
         proof::{Declared, Grant},
     },
     bytes::Bytes,
-    http::{HeaderName, Request, response::Parts},
+    http::{
+        HeaderName, Request,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+        response::Parts,
+    },
     http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
+    hyper::body::{Body, Incoming},
     std::{
         io,
         net::SocketAddr,
@@ -175,6 +179,15 @@
 }
 
 impl EndpointResponse {
+    /// Whether the end of the body is marked, by a length or by chunks. Otherwise it ends with the
+    /// connection, which also happens if the endpoint ends amid the body.
+    pub fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        self.body.is_end_stream()
+            || headers.contains_key(CONTENT_LENGTH)
+            || headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Reads the next chunk of the body; `None` at its end.
     ///
     /// Errors: the body was cut off, or nothing arrived within `limit`. A limit of zero fails at
