Forward nothing before the quarantined requests are known

Endpoints saw: an instance that had just started forwarded requests as soon as it had a configuration, before it had read the record of suspects. Such requests are refused now, as not run, and the instance is not ready.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -66,6 +66,8 @@
     /// Whether any suspect or suspicion exists; while not, requests need not be hashed.
     pub(crate) active: AtomicBool,
     pub(crate) table: ArcSwap<Snapshot>,
+    /// Whether the record was read since the start.
+    pub(crate) loaded: AtomicBool,
     /// Latest revision of the record that another instance reported.
     pub(crate) reported_revision: AtomicU64,
     pub(crate) wake: Notify,
@@ -84,6 +86,7 @@
             suspicions: Mutex::default(),
             active: AtomicBool::new(false),
             table: ArcSwap::default(),
+            loaded: AtomicBool::new(false),
             reported_revision: AtomicU64::new(0),
             wake: Notify::new(),
             write_lock: AsyncMutex::default(),
@@ -92,6 +95,11 @@
         })
     }
 
+    /// Whether the suspects are known. Before that, no request may be sent.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Acquire)
+    }
+
     /// Whether any request is suspected or was in flight during a crash.
     pub fn is_active(&self) -> bool {
         self.active.load(Ordering::Acquire)
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -149,6 +149,7 @@
         if !known.table.is_empty() {
             self.active.store(true, Ordering::Release);
         }
+        self.loaded.store(true, Ordering::Release);
     }
 
     /// Changes the record. `act` returns whether it changed the table, and a result. It is called
--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -147,11 +147,12 @@
         self.view.config.age().is_some_and(|age| age < self.settings.key_age)
     }
 
-    /// Whether the instance should get new connections: its view is known and fresh, and it is not
-    /// stopping.
+    /// Whether the instance should get new connections: its view and the quarantined requests are
+    /// known, the view is fresh, and it is not stopping.
     pub fn ready(&self) -> bool {
         let fresh = |age: Option<Duration>| age.is_some_and(|a| a < self.settings.ready_age);
         let known = self.view.table.load().is_some() && !self.fleet.services().is_empty();
+        let known = known && self.quarantine.is_loaded();
         known && fresh(self.view.config.age()) && fresh(self.view.roster.age()) && !self.stopping()
     }
 
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -20,7 +20,7 @@
     Framing,
     /// The instance is stopping.
     Stopping,
-    /// No configuration was received yet.
+    /// The configuration or the quarantined requests are not known yet.
     NoConfig,
     /// The configuration is too old to trust an API key.
     ConfigOld,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -126,7 +126,8 @@
     if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
         return Err(not_run(Cause::Framing, None));
     }
-    let Some(table) = state.view.table.load_full() else {
+    let table = state.view.table.load_full().filter(|_| state.quarantine.is_loaded());
+    let Some(table) = table else {
         return Err(not_run(Cause::NoConfig, Some(RETRY_AFTER)));
     };
     let host = head.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
