Quarantine messages that crash engines on the own interface

Callers saw: requests that share one message, no two alike, crashed engine after engine on the product's own interface too.

Cause: the same as on the platform's path, since this path keeps its own quarantine: evidence was kept for each request.

Fix: each message but the last is a suspect after three crashes, by the same rules as a part of a prompt on the other path (Suspicions). Instances send each other crashes and responses of messages at once. A request with a suspected message holds the reservation of its endpoint and runs alone among those with the message; the second crash under a reservation refuses the message for ten minutes. A response counts only to a request that was sent after the last crash.

The tests of crashing requests are as before.

--- a/crates/cli/src/mesh.rs
+++ b/crates/cli/src/mesh.rs
@@ -29,6 +29,7 @@
     agate_member::{
         self as member, Client, ConnectionLimit, Handle, Hooks, Scope, Server, Settings,
     },
+    agate_quarantine::suspicion::Observation,
     agate_wire::{Answer, Digest, Keys, Name, Place, Query},
     eyre::{Result, WrapErr},
     futures_util::FutureExt,
@@ -48,6 +49,8 @@
 const ANNOUNCE: &str = "config/announce";
 /// Topic of the announcement of a new suspicion.
 const SUSPICION: &str = "quarantine";
+/// Topic of observations of messages that requests share.
+const MESSAGES: &str = "quarantine/messages";
 /// Maximum number of suspicions in one membership message.
 const MAX_SUSPICIONS: usize = 4;
 /// Maximum number of endpoints, busiest first, whose request counts one membership message carries.
@@ -266,11 +269,18 @@
     pub fn announce_suspicion(self: &Arc<Self>, fingerprint: u64, crashes: u8) {
         let left = agate_flow::quarantine::RETENTION.as_millis() as u64;
         let suspicion: Suspicion = (fingerprint, crashes, left);
+        self.send_to_all(|| topic_query(SUSPICION, &suspicion));
+    }
+
+    /// Sends observations of shared messages to every live member.
+    pub fn announce_messages(self: &Arc<Self>, observations: &[Observation]) {
+        self.send_to_all(|| topic_query(MESSAGES, &observations));
+    }
+
+    fn send_to_all(self: &Arc<Self>, query: impl Fn() -> Query) {
         for member in self.live().iter() {
-            let (mesh, name) = (self.clone(), member.name.clone());
-            tokio::spawn(
-                async move { mesh.fetch(&name, topic_query(SUSPICION, &suspicion)).await },
-            );
+            let (mesh, name, query) = (self.clone(), member.name.clone(), query());
+            tokio::spawn(async move { mesh.fetch(&name, query).await });
         }
     }
 
@@ -323,6 +333,13 @@
                 self.merge_suspicion(hash, crashes, Duration::from_millis(left));
                 Answer::Accepted
             }
+            MESSAGES => {
+                let Some(observations) = decode::<Vec<Observation>>(bytes) else {
+                    return Answer::Refused;
+                };
+                self.suspects.merge_messages(&observations, (self.clock)());
+                Answer::Accepted
+            }
             _ => {
                 let serves = [&self.usage_handler, &self.fleet_handler, &self.roles_handler]
                     .into_iter()
@@ -406,11 +423,19 @@
 
 /// Creates the quarantine; `mesh` announces its new suspicions.
 fn create_suspects(mesh: Weak<Mesh>) -> Arc<Suspects> {
-    Suspects::open(move |fingerprint, crashes| {
-        if let Some(mesh) = mesh.upgrade() {
-            mesh.announce_suspicion(fingerprint, crashes);
-        }
-    })
+    let observing = mesh.clone();
+    Suspects::open(
+        move |fingerprint, crashes| {
+            if let Some(mesh) = mesh.upgrade() {
+                mesh.announce_suspicion(fingerprint, crashes);
+            }
+        },
+        move |observations| {
+            if let Some(mesh) = observing.upgrade() {
+                mesh.announce_messages(&observations);
+            }
+        },
+    )
 }
 
 fn topic_query(topic: &str, content: &impl Serialize) -> Query {
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -6,7 +6,7 @@
         admission::{Denied, Entry, Slot},
         metrics::Metrics,
         proxy_state::{ActiveExchange, ProxyState},
-        quarantine::Verdict,
+        quarantine::{Fingerprint, Verdict},
         refusal::{Refused, Result},
         serve::Job,
         suspect::Reservation,
@@ -49,6 +49,8 @@
     pub reservation: Option<Reservation>,
     /// Whether the request was suspected when the endpoint was chosen.
     pub suspected: bool,
+    /// Its shared messages that were suspected then.
+    pub messages: Vec<Fingerprint>,
 }
 
 /// Size of a request, as used for admission and the choice of an endpoint.
@@ -129,8 +131,12 @@
         if left.is_zero() {
             return Err(exhausted(grant.not_run_proof(), left));
         }
-        let verdict = state.suspects.verdict(|| job.fingerprints(&state.secrets), state.now());
-        match verdict {
+        let judged = state.suspects.verdict(
+            || job.fingerprints(&state.secrets),
+            || job.shared_messages(),
+            state.now(),
+        );
+        match judged.verdict {
             Verdict::Refused => {
                 let text = "the request crashed endpoints before and is refused for some minutes";
                 return Err(Refused::with_proof(Refusal::Quarantined, text, grant.not_run_proof()));
@@ -151,8 +157,9 @@
             return Err(exhausted(grant.not_run_proof(), left));
         }
         if let Some(mut target) = target {
-            target.suspected = true;
-            target.reservation = state.suspects.reserve(target.id);
+            target.suspected = judged.request;
+            target.reservation = state.suspects.reserve(target.id, &judged.messages);
+            target.messages = judged.messages;
             if target.reservation.is_some() {
                 return record_target(job, Some(target), grant, left);
             }
@@ -210,6 +217,7 @@
         exchange: ActiveExchange::begin(state, id),
         reservation: None,
         suspected: false,
+        messages: Vec::new(),
         chosen,
     })
 }
@@ -345,6 +353,13 @@
     if cause == Cause::Crash {
         target.connections.purge();
         let fingerprints = job.fingerprints(&state.secrets);
+        state.suspects.crash_messages(
+            job.shared_messages(),
+            &target.messages,
+            target.id,
+            target.reservation.is_some(),
+            state.now(),
+        );
         if target.suspected {
             state.suspects.crash(
                 fingerprints,
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -287,7 +287,12 @@
         self.finished = true;
         self.record_cache(&source);
         source.target.exchange.end(ExchangeResult::Success);
-        self.state.suspects.clear(|| self.job.fingerprints(&self.state.secrets));
+        self.state.suspects.clear(
+            || self.job.fingerprints(&self.state.secrets),
+            || self.job.shared_messages(),
+            source.begin,
+            self.state.now(),
+        );
         self.state.metrics.responses.inc();
         self.job.trace.end("answered", self.state.now());
         let actual = cost(self.usage.prompt_tokens, self.usage.completion_tokens);
--- a/crates/flow/src/model_request.rs
+++ b/crates/flow/src/model_request.rs
@@ -3,6 +3,7 @@
 use {
     crate::refusal::{Refused, Result},
     agate_core::Refusal,
+    agate_quarantine::{Property, Work, hash_parts},
     agate_transport::proof::NotRunProof,
     bytes::Bytes,
     serde::Deserialize,
@@ -11,6 +12,8 @@
 
 /// Bytes of prompt text per token, for estimates.
 const BYTES_PER_TOKEN: usize = 4;
+/// Key derivation context of the hashes of messages.
+const MESSAGE_CONTEXT: &str = "agatetrack shared messages";
 /// Most output tokens of a request that sets no limit.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
@@ -93,6 +96,24 @@
     Ok(ModelRequest { model: known.model, text, output, stream: known.stream, fields })
 }
 
+/// Properties of a model request by which the quarantine recognises requests that share messages: one
+/// for each message but the last. Empty if the body is no model request.
+pub fn shared_messages(body: &[u8]) -> Vec<Property> {
+    #[derive(Deserialize)]
+    struct Shared {
+        model: String,
+        messages: Vec<Value>,
+    }
+    let Ok(Shared { model, messages }) = serde_json::from_slice(body) else { return Vec::new() };
+    let Some((_, shared)) = messages.split_last() else { return Vec::new() };
+    let hash = |message: &Value| {
+        let text = serde_json::to_vec(message).expect("a JSON value serialises");
+        let hash = hash_parts(blake3::Hasher::new_derive_key(MESSAGE_CONTEXT), [&text]);
+        u64::from_le_bytes(hash[..8].try_into().expect("a hash has 32 bytes"))
+    };
+    Property::parts(Work::Run, &model, shared.iter().map(hash)).collect()
+}
+
 impl ModelRequest {
     /// Estimated length of the prompt, in tokens; at least one.
     pub fn prompt_tokens(&self) -> u32 {
--- a/crates/flow/src/quarantine.rs
+++ b/crates/flow/src/quarantine.rs
@@ -1,7 +1,8 @@
 //! Quarantine of requests that crash the endpoints that run them.
 //!
 //! Every request in flight at an endpoint that crashes becomes a suspect, identified by a keyed
-//! fingerprint of its organisation, route and body. A suspect is sent only to an endpoint that runs
+//! fingerprint of its organisation, route and body. A message that requests share becomes one after
+//! several crashes ([`crate::suspect`]). A suspect is sent only to an endpoint that runs
 //! no other suspect, so a further crash can be attributed to it. At [`CRASH_LIMIT`] crashes, the
 //! request is refused. Entries expire. Crash counts are merged by their maximum, so instances may
 //! exchange them in any order and any number of times.
@@ -72,6 +73,15 @@
         }
     }
 
+    /// Records a complete response to a request that was sent at `sent`. Unlike
+    /// [`Quarantine::clear`], this keeps the entry if its last crash came after that.
+    pub fn clear_sent(&mut self, fingerprint: Fingerprint, sent: Mono) {
+        let last_crash = |e: &Entry| e.until.saturating_sub(RETENTION);
+        if self.entries.get(&fingerprint).is_some_and(|e| last_crash(e) <= sent) {
+            self.clear(fingerprint);
+        }
+    }
+
     /// Merges an entry of another instance that expires after `left`.
     pub fn merge(&mut self, fingerprint: Fingerprint, crashes: u8, left: Duration, now: Mono) {
         let until = now + left.min(RETENTION);
--- a/crates/flow/src/serve.rs
+++ b/crates/flow/src/serve.rs
@@ -4,7 +4,7 @@
     crate::{
         caller::Caller,
         decision::Trace,
-        model,
+        model, model_request,
         proxy_state::{Limits, ProxyState},
         quarantine::Fingerprint,
         refusal::{Refused, Result},
@@ -15,6 +15,7 @@
         snapshot::{OrgEntry, RouteEntry, Snapshot},
     },
     agate_core::{Mono, Refusal, RouteId},
+    agate_quarantine::Property,
     agate_transport::{in_flight::Guard, proof::NotRunProof},
     bytes::{Bytes, BytesMut},
     http::{Request, Response, request::Parts},
@@ -49,6 +50,7 @@
     /// Time after which the response is of no use.
     pub deadline: Mono,
     fingerprints: OnceLock<Vec<Fingerprint>>,
+    messages: OnceLock<Vec<Property>>,
     /// Record of the decisions on the request.
     pub trace: Arc<Trace>,
     /// Counts the request as in progress until it is dropped.
@@ -77,6 +79,15 @@
         let make = || keys.iter().map(|key| suspect::fingerprint(self, key)).collect();
         self.fingerprints.get_or_init(make)
     }
+
+    /// Returns the messages that a model request may share with others, as the quarantine knows them;
+    /// hashed on the first call.
+    pub fn shared_messages(&self) -> &[Property] {
+        self.messages.get_or_init(|| match self.route_entry().kind {
+            RouteKind::Model => model_request::shared_messages(&self.body),
+            RouteKind::Service => Vec::new(),
+        })
+    }
 }
 
 /// Handles one request. Every outcome, errors included, is a response.
@@ -143,7 +154,7 @@
     let proof = check_fresh(state, &caller, proof)?;
     let (body, proof) = read_body(state, body, proof).await?;
     let (id, trace) = (id.to_owned(), trace.clone());
-    let fingerprints = OnceLock::new();
+    let (fingerprints, messages) = (OnceLock::new(), OnceLock::new());
     let job = Job {
         id,
         snapshot,
@@ -154,6 +165,7 @@
         start,
         deadline,
         fingerprints,
+        messages,
         trace,
         guard,
     };
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -139,7 +139,8 @@
                     target.exchange.end(ExchangeResult::Success);
                     record_usage(state, job, pool);
                     state.admission(pool).settle(&slot, &job.caller, shape.cost, shape.cost);
-                    state.suspects.clear(|| job.fingerprints(&state.secrets));
+                    let now = state.now();
+                    state.suspects.clear(|| job.fingerprints(&state.secrets), || &[], now, now);
                     return Ok(whole);
                 }
                 Err(failure) => failure,
