Show and release quarantined requests and prompt parts

Instances that find a suspect removed from the record no longer count its crashes until then, or their observations would make it a suspect again: a first form, which forgot the crashes instead, failed fixed_request, since crashes that others had reported came back.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -120,6 +120,25 @@
         #[arg(long, value_enum, default_value_t)]
         output: Output,
     },
+    /// Show the requests and prompt parts that instances on the operators' platform quarantine, or
+    /// release some.
+    #[command(
+        after_help = "Example:\n  agatetrack suspects --settings local.yaml --part assess-llm:5c1e07a2 --release"
+    )]
+    Suspects {
+        /// Settings file of an instance, which names the store.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+        /// Fingerprint as log lines show it; all suspects if absent.
+        #[arg(value_name = "PRINT")]
+        print: Option<String>,
+        /// Part of prompts to a service, as callers name it.
+        #[arg(long, value_name = "SERVICE:PART", conflicts_with = "print")]
+        part: Option<String>,
+        /// Release the suspects instead of showing them.
+        #[arg(long)]
+        release: bool,
+    },
     /// Print a completion script for a shell.
     #[command(after_help = "Example:\n  agatetrack completions bash > agatetrack.bash")]
     Completions {
--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -4,6 +4,7 @@
 pub mod json_log;
 mod platform_calls;
 pub mod settings;
+pub mod suspects;
 mod sync_callbacks;
 
 use {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -29,6 +29,7 @@
 use {
     args::{Args, Command, Output, Settings},
     clap::CommandFactory,
+    edge::suspects::Selection,
     eyre::{Result, WrapErr, eyre},
     instance::Instance,
     settings::{Log, RequestLimits},
@@ -62,6 +63,14 @@
         Command::Explain { of, operator, output, .. } => {
             explain::run(&of.unwrap_or_default(), &operator, output).await
         }
+        Command::Suspects { settings, print, part, release } => {
+            let selection = match (print, part) {
+                (Some(print), _) => Selection::Print(print),
+                (None, Some(part)) => Selection::Part(part),
+                (None, None) => Selection::All,
+            };
+            edge::suspects::run(&settings, selection, release).await
+        }
         Command::Completions { shell } => {
             let mut command = Args::command();
             clap_complete::generate(shell, &mut command, "agatetrack", &mut std::io::stdout());
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Fingerprint, quarantine::Quarantine, table::Table},
     agate_core::{Mono, Wall},
-    agate_store::{Error, Purpose, Record, Result},
+    agate_store::{Error, Purpose, Record, Result, Store},
     agate_view::clock,
     std::{
         sync::{Arc, atomic::Ordering},
@@ -60,6 +60,43 @@
     }
 }
 
+/// Reads the suspects of the fleet, for operators.
+///
+/// # Errors
+///
+/// Returns the store's error.
+pub async fn read(store: &Store) -> Result<Table> {
+    Ok(Snapshot::read(store.get(Purpose::Record, KEY).await?).table)
+}
+
+/// Removes a suspect from the record, for operators; returns whether it was one. Instances forget its
+/// crashes when they read the record.
+///
+/// # Errors
+///
+/// Returns the store's error, or `Unavailable` if instances won every race.
+pub async fn release(store: &Store, print: Fingerprint) -> Result<bool> {
+    for _ in 0..MAX_WRITES {
+        let Snapshot { mut table, revision } =
+            Snapshot::read(store.get(Purpose::Record, KEY).await?);
+        if !table.release(print) {
+            return Ok(false);
+        }
+        if store.swap(Purpose::Record, KEY, revision, table.encode()).await?.is_ok() {
+            return Ok(true);
+        }
+    }
+    Err(lost_races())
+}
+
+fn lost_races() -> Error {
+    Error::Unavailable {
+        step: "swap",
+        peer: KEY.into(),
+        cause: "other instances changed the record on every attempt".into(),
+    }
+}
+
 impl Quarantine {
     /// Follows the record and adds locally suspected requests to it; never returns.
     pub async fn follow(self: Arc<Self>, role: impl Fn() -> Role) {
@@ -139,13 +176,17 @@
     /// Applies a record unless a newer one was applied.
     fn install(&self, next: Snapshot) {
         let next = Arc::new(next);
-        self.table.rcu(|old| if old.revision > next.revision { old.clone() } else { next.clone() });
+        let old = self
+            .table
+            .rcu(|old| if old.revision > next.revision { old.clone() } else { next.clone() });
         let known = self.table.load();
         let (parts, requests) = known.table.counts();
         for (kind, count) in [("part", parts), ("request", requests)] {
             self.metrics.suspects.with_label_values(&[kind]).set(count as i64);
         }
-        self.suspicions().invalidate();
+        // Cleared by a response elsewhere or released by an operator: its crashes no longer count.
+        let removed = old.table.prints().filter(|p| !known.table.contains(*p));
+        self.suspicions().acquit(removed, clock::now());
         if !known.table.is_empty() {
             self.active.store(true, Ordering::Release);
         }
@@ -175,11 +216,7 @@
                 Err(found) => self.install(Snapshot::read(found)),
             }
         }
-        Err(Error::Unavailable {
-            step: "swap",
-            peer: KEY.into(),
-            cause: "other instances changed the record on every attempt".into(),
-        })
+        Err(lost_races())
     }
 
     /// Applies a change to the record in the background, with retries.
--- a/crates/quarantine/src/suspicion.rs
+++ b/crates/quarantine/src/suspicion.rs
@@ -152,8 +152,14 @@
         self.suspects.iter().filter_map(|p| Some((*p, histories.get(p)?.last_crash()?)))
     }
 
-    /// Makes the next query determine the suspects again.
-    pub fn invalidate(&mut self) {
+    /// Ends the suspicion of these properties: crashes until `now` no longer count. Makes the next
+    /// query determine the suspects again.
+    pub fn acquit(&mut self, prints: impl Iterator<Item = Fingerprint>, now: Mono) {
+        for print in prints {
+            if let Some(history) = self.histories.get_mut(&print) {
+                history.on_response(now, now);
+            }
+        }
         self.due = None;
     }
 
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -124,6 +124,11 @@
         self.suspects.get(&print).is_some_and(|s| s.crashes > 0)
     }
 
+    /// Fingerprints of all suspects.
+    pub fn prints(&self) -> impl Iterator<Item = Fingerprint> {
+        self.suspects.keys().copied()
+    }
+
     /// Number of suspects that are prompt parts, and of others.
     pub fn counts(&self) -> (usize, usize) {
         let parts = self.suspects.keys().filter(|p| is_part(**p)).count();
--- a/crates/quarantine/tests/part_suspicion.rs
+++ b/crates/quarantine/tests/part_suspicion.rs
@@ -3,9 +3,10 @@
 
 use {
     agate_quarantine::{
-        Decision, Fingerprint, Property, Quarantine, Work,
+        Decision, Fingerprint, Property, Quarantine, Role, Work,
         evidence::Call,
         property::{hex, is_part, parse_hex},
+        record,
         suspicion::{CAPACITY, PART_CRASHES, SETTLE_TIME, Suspicions},
         table::Table,
     },
@@ -202,6 +203,33 @@
     assert_eq!(own.check(&parts(&[2])), Decision::Allowed);
 }
 
+/// Guards against instances that quarantine a part again which an operator has released, for crashes
+/// that they remember.
+#[tokio::test]
+async fn released_part() {
+    let store = Memory::open(agate_view::clock::now).store();
+    let instances = [instance(&store), instance(&store)];
+    for own in &instances {
+        tokio::spawn(own.clone().follow(|| Role::Standalone));
+        (0..3).for_each(|endpoint| lose(own, &[7], Vec::new(), endpoint));
+    }
+    let all = async |condition: fn(&Decision) -> bool| {
+        for _ in 0..1_000 {
+            if instances.iter().all(|own| condition(&own.check(&parts(&[7])))) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("{:?}", instances[0].check(&parts(&[7])));
+    };
+    all(|decision| *decision != Decision::Allowed).await;
+    while !record::release(&store, print(7)).await.expect("a store") {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    all(|decision| *decision == Decision::Allowed).await;
+    assert!(record::read(&store).await.expect("a store").is_empty());
+}
+
 /// Guards against a prefill that clears the part for the run, or the reverse.
 #[test]
 fn separate_work() {
