Probe twice whether an endpoint crashed

Callers saw: endpoints went on crashing although each crash was noticed. While a process ends, its connections may be closed before its listener; the probe right after a lost call was accepted in between, and the call no longer counted against its request.

Fix: an endpoint that accepts the first probe is probed again 30 ms later before the call is dropped from the evidence, and before a response that ended with its connection clears anything. The retry of the call does not wait for it.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -28,12 +28,14 @@
         sync::{Arc, OnceLock},
         time::{Duration, Instant},
     },
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Maximum time that a request waits to learn whether its endpoint crashed; a few round trips to
 /// another availability zone.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
+/// Time between two probes of an endpoint.
+const PROBE_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Properties of one request by which the quarantine recognises it; hashed on first use.
 #[derive(Debug, Default)]
@@ -208,26 +210,38 @@
     /// Ends the call, which was sent `since` ago, with a response that ended with its connection.
     /// Probes whether the endpoint crashed, which ends a response in the same way; returns whether the
     /// response is complete.
-    pub async fn on_unframed_response(mut self, since: Duration) -> bool {
+    pub async fn on_unframed_response(self, since: Duration) -> bool {
         // The endpoint may stop after its last response if it is leaving.
-        let probed = match self.state.is_leaving(&self.endpoint) {
-            true => Ok(Probe::Unknown),
-            false => timeout(PROBE_WAIT, probe(&self.endpoint, Instant::now())).await,
-        };
-        match probed {
+        if self.state.is_leaving(&self.endpoint) {
+            self.on_error_response();
+            return true;
+        }
+        let sent = Instant::now() - since;
+        match timeout(PROBE_WAIT, probe(&self.endpoint, Instant::now())).await {
             Ok(Probe::Refused) => {
-                self.open = false;
-                let incarnation = self.endpoint.incarnation;
-                self.state.quarantine.on_unanswered(self.call(), incarnation);
-                self.state.quarantine.on_crash(incarnation, "refused");
+                self.on_crash();
                 return false;
             }
-            Ok(Probe::Alive) => self.on_response(since),
+            Ok(Probe::Alive) => drop(tokio::spawn(async move {
+                match probe_again(&self.endpoint).await {
+                    Probe::Refused => self.on_crash(),
+                    Probe::Alive => self.on_response(sent.elapsed()),
+                    Probe::Unknown => self.on_error_response(),
+                }
+            })),
             Ok(Probe::Unknown) | Err(_) => self.on_error_response(),
         }
         true
     }
 
+    /// Ends the call without a response at an endpoint that crashed.
+    fn on_crash(mut self) {
+        self.open = false;
+        let incarnation = self.endpoint.incarnation;
+        self.state.quarantine.on_unanswered(self.call(), incarnation);
+        self.state.quarantine.on_crash(incarnation, "refused");
+    }
+
     /// Ends the call with a response that shows only that the endpoint is alive.
     pub fn on_error_response(mut self) {
         self.open = false;
@@ -265,7 +279,13 @@
                 Probe::Refused => state.quarantine.on_crash(incarnation, "refused"),
                 // The network path may have lost the state of all connections of that age.
                 Probe::Alive if silent => close_idle(&endpoint),
-                Probe::Alive => state.quarantine.on_alive(&call, incarnation),
+                Probe::Alive => drop(tokio::spawn(async move {
+                    match probe_again(&endpoint).await {
+                        Probe::Refused => state.quarantine.on_crash(incarnation, "refused"),
+                        Probe::Alive => state.quarantine.on_alive(&call, incarnation),
+                        Probe::Unknown => {}
+                    }
+                })),
                 Probe::Unknown => {}
             }
         });
@@ -308,6 +328,13 @@
     Unknown,
 }
 
+/// Probes an endpoint once more that accepted a connection. While a process ends, its connections may
+/// be closed before its listener is.
+async fn probe_again(endpoint: &Endpoint) -> Probe {
+    sleep(PROBE_INTERVAL).await;
+    probe(endpoint, Instant::now()).await
+}
+
 /// Opens a connection to the endpoint, or returns the result of a probe begun after `since`.
 async fn probe(endpoint: &Endpoint, since: Instant) -> Probe {
     let mut last = endpoint.stats.last_probe.lock().await;
