Log the software versions of interrupted, resumed and taken up streams

The lines of interrupted streams named the endpoint, not its version, and a stream that went on elsewhere, or that a caller took up, had no line.

--- a/crates/leader/tests/endpoint_orders.rs
+++ b/crates/leader/tests/endpoint_orders.rs
@@ -28,6 +28,7 @@
         service: "model".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
         zone: zone.into(),
+        version: "v1".into(),
         slots: 6,
         leaving: false,
         cold: Duration::ZERO,
--- a/crates/leader/tests/engine_stages.rs
+++ b/crates/leader/tests/engine_stages.rs
@@ -25,6 +25,7 @@
         service: "model".into(),
         address: ([10, 0, 0, i as u8], 80).into(),
         zone: ["a", "b", "c", "d"][i % 4].into(),
+        version: "v1".into(),
         slots: 6,
         leaving: false,
         cold: Duration::ZERO,
--- a/crates/relay/src/request_info.rs
+++ b/crates/relay/src/request_info.rs
@@ -54,6 +54,8 @@
     pub wait: Option<Duration>,
     /// Identifier of the last event that the caller has; the stream resumes after it.
     pub resume: Option<String>,
+    /// Identifier of the caller's request that brought the first event of the stream to resume.
+    pub resumes: Option<String>,
     /// Prompt of a model request; `None` for plain services.
     pub prompt: Option<Prompt>,
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -27,7 +27,7 @@
         link::IDLE_LIMIT,
         proof::{Grant, NotRunProof, Retryable},
     },
-    agate_view::table::Name,
+    agate_view::{Entry, table::Name},
     http::{Request, Response, header::CONTENT_LENGTH},
     http_body_util::Full,
     std::{sync::Arc, time::Duration},
@@ -121,6 +121,7 @@
             attempts.grant = None;
         }
         if job.route.kind.streams() && verdict == Verdict::Good {
+            log_taken_up(&job, &call.assignment);
             return Ok(stream::forward(state.clone(), job, call, attempts, guard));
         }
         match collect(state, &job, call).await {
@@ -408,6 +409,17 @@
     }
 }
 
+/// Logs that an endpoint goes on with a stream that the caller takes up.
+fn log_taken_up(job: &Job, assignment: &Assignment) {
+    let Some(after) = job.info.resume.as_deref() else { return };
+    let Entry { name, version, .. } = &assignment.endpoint.entry;
+    log::info!(
+        event = "stream_taken_up", request = job.info.id.as_str(),
+        resumes = job.info.resumes.as_deref(), after, endpoint = &**name, version = &**version;
+        "the endpoint goes on with the caller's stream"
+    );
+}
+
 fn on_invalid(state: &ProxyState, job: &Job, call: Call, why: &str) {
     let endpoint = &call.assignment.endpoint;
     call.guard.on_error_response();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,6 +17,7 @@
     agate_quarantine::Work,
     agate_route::health::ExchangeResult,
     agate_transport::in_flight::Guard,
+    agate_view::Entry,
     bytes::Bytes,
     futures_util::stream,
     http::{Response, StatusCode},
@@ -166,7 +167,8 @@
         log::info!(
             event = "stream_cut", request = self.job.info.id.as_str(),
             print = fingerprint_text(&self.job, Work::Run).as_str(), parts = parts_text(&self.job, Work::Run).as_str(),
-            endpoint = &*assignment.endpoint.entry.name, cause = why, silent,
+            endpoint = &*assignment.endpoint.entry.name,
+            version = &*assignment.endpoint.entry.version, cause = why, silent,
             last_event = self.splitter.last_id();
             "the endpoint's stream was interrupted"
         );
@@ -184,6 +186,12 @@
         {
             Ok(call) if call.response.head.status.is_success() => {
                 self.state.metrics.resumed.inc();
+                let Entry { name, version, .. } = &call.assignment.endpoint.entry;
+                log::info!(
+                    event = "stream_resumed", request = self.job.info.id.as_str(), endpoint = &**name,
+                    version = &**version, after = resume.as_deref();
+                    "the stream goes on at another endpoint"
+                );
                 self.call = Some(call);
                 Next::Resumed
             }
--- a/crates/relay/tests/kept_signals.rs
+++ b/crates/relay/tests/kept_signals.rs
@@ -18,6 +18,7 @@
         service: "desk".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 6,
         leaving: false,
         cold: Duration::ZERO,
--- a/crates/sync/tests/forwarded_entries.rs
+++ b/crates/sync/tests/forwarded_entries.rs
@@ -14,6 +14,7 @@
         service: "desk".into(),
         address: ([10, 0, 0, 1], i).into(),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 6,
         leaving: false,
         cold: Duration::ZERO,
--- a/crates/sync/tests/large_fleets.rs
+++ b/crates/sync/tests/large_fleets.rs
@@ -26,6 +26,7 @@
         service: "huvo11a".into(),
         address: ([10, (i >> 16) as u8, (i >> 8) as u8, i as u8], 8080).into(),
         zone: "harju-a".into(),
+        version: "v1".into(),
         slots: 12,
         leaving: false,
         cold: Duration::ZERO,
--- a/crates/view/src/roster.rs
+++ b/crates/view/src/roster.rs
@@ -30,6 +30,8 @@
 
 /// Identifier of one incarnation of an endpoint.
 pub type EndpointName = Name;
+/// Version of an endpoint's software. The streams of two versions do not fit together.
+pub type Version = Name;
 
 /// Time after a store outage within which living endpoints have written their entries again; the
 /// operators' platform states about two seconds.
@@ -57,6 +59,8 @@
     pub address: SocketAddr,
     /// Availability zone of the endpoint.
     pub zone: Name,
+    /// Version of its software; empty if it states none.
+    pub version: Version,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is leaving and takes no new work.
@@ -75,9 +79,11 @@
     /// Hash of the fields on which instances must agree. The warm-up time is left out because it
     /// decreases constantly.
     fn fingerprint(&self) -> Fingerprint {
-        let Self { name, service, address, zone, slots, leaving, stage, born, spot, .. } = self;
+        let Self {
+            name, service, address, zone, version, slots, leaving, stage, born, spot, ..
+        } = self;
         let mut hasher = blake3::Hasher::new();
-        for text in [name, service, zone] {
+        for text in [name, service, zone, version] {
             hasher.update(&(text.len() as u64).to_le_bytes()).update(text.as_bytes());
         }
         hasher.update(address.to_string().as_bytes()).update(&slots.to_le_bytes());
--- a/crates/view/tests/known_endpoints.rs
+++ b/crates/view/tests/known_endpoints.rs
@@ -16,6 +16,7 @@
         service: "desk".into(),
         address: ([10, 0, 0, 1], port).into(),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 6,
         leaving: false,
         cold: Duration::ZERO,
