Follow and change shared records in one place

What the quarantine did with its record in the store (read, catch up with reported revisions, change by compare-and-swap, poll by role) is SharedRecord in crates/view now, which knows nothing of suspects. It also keeps how long ago no change was missing.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -17,7 +17,7 @@
         window,
     },
     agate_lease::Lease,
-    agate_quarantine::{Quarantine, Role},
+    agate_quarantine::Quarantine,
     agate_relay::{
         proxy_state::{self, ProxyState},
         ready::Monitor,
@@ -30,6 +30,7 @@
         LocalView,
         follow::{self, Followers, RefreshIntervals},
         peers::{self, Peer},
+        shared_record::Role,
     },
     eyre::{Result, WrapErr},
     flexi_logger::LoggerHandle,
@@ -103,7 +104,7 @@
             move |org| counting.count(org),
         );
         let known_view = view.clone();
-        tokio::spawn(quarantine.follow(move || quarantine_role(&known_view)));
+        tokio::spawn(quarantine.follow(move || Role::of(&known_view)));
         scrape::store_calls::register(proxy_state.metrics.registry(), &client);
         tokio::spawn(proxy_state.clone().follow());
         tokio::spawn(proxy_state.clone().report_retries());
@@ -276,15 +277,6 @@
     }
 }
 
-/// Role of this instance in sharing quarantine observations.
-fn quarantine_role(view: &LocalView) -> Role {
-    match view.is_coordinating() {
-        true => Role::Leader,
-        false if view.has_coordinator() => Role::Follower,
-        false => Role::Standalone,
-    }
-}
-
 fn proxy_settings(settings: &Settings) -> proxy_state::Settings {
     proxy_state::Settings {
         zone: settings.zone.as_str().into(),
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -32,7 +32,6 @@
 pub use {
     property::{Fingerprint, Property, Work, hash_parts, hex},
     quarantine::{Decision, Quarantine},
-    record::Role,
     trial::Trial,
 };
 
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -8,27 +8,23 @@
         hex,
         metrics::Metrics,
         property::kind,
-        record::Snapshot,
+        record::KEY,
         suspicion::{Observation, Suspicions},
-        table::TrialEnd,
+        table::{Table, TrialEnd},
         trial::Trial,
     },
     agate_core::{Mono, Wall},
     agate_store::Store,
-    agate_view::clock,
-    arc_swap::ArcSwap,
+    agate_view::{clock, shared_record::SharedRecord},
     indexmap::IndexSet,
     std::{
         sync::{
-            Arc, Mutex, MutexGuard,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            Arc, Mutex, MutexGuard, Weak,
+            atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
-    tokio::{
-        sync::{Mutex as AsyncMutex, Notify},
-        time::timeout,
-    },
+    tokio::time::timeout,
 };
 
 /// Maximum number of observations in one message between instances; they share a datagram with
@@ -65,39 +61,32 @@
     pub(crate) suspicions: Mutex<Suspicions>,
     /// Whether any suspect or suspicion exists; while not, requests need not be hashed.
     pub(crate) active: AtomicBool,
-    pub(crate) table: ArcSwap<Snapshot>,
-    /// Whether the record was read since the start.
-    pub(crate) loaded: AtomicBool,
-    /// Latest revision of the record that another instance reported.
-    pub(crate) reported_revision: AtomicU64,
-    pub(crate) wake: Notify,
-    /// Serialises changes of the record.
-    pub(crate) write_lock: AsyncMutex<()>,
-    pub(crate) store: Store,
+    pub(crate) record: SharedRecord<Table>,
     pub(crate) wall: Box<WallFn>,
 }
 
 impl Quarantine {
     /// Makes the quarantine; `wall` returns the wall-clock time on which the instances agree.
     pub fn new(store: Store, wall: impl Fn() -> Wall + Send + Sync + 'static) -> Arc<Self> {
-        Arc::new(Self {
-            metrics: Metrics::default(),
-            evidence: Mutex::default(),
-            suspicions: Mutex::default(),
-            active: AtomicBool::new(false),
-            table: ArcSwap::default(),
-            loaded: AtomicBool::new(false),
-            reported_revision: AtomicU64::new(0),
-            wake: Notify::new(),
-            write_lock: AsyncMutex::default(),
-            store,
-            wall: Box::new(wall),
+        Arc::new_cyclic(|own: &Weak<Self>| {
+            let own = own.clone();
+            let on_record = move |old: &Table, new: &Table| {
+                own.upgrade().inspect(|own| own.on_record(old, new));
+            };
+            Self {
+                metrics: Metrics::default(),
+                evidence: Mutex::default(),
+                suspicions: Mutex::default(),
+                active: AtomicBool::new(false),
+                record: SharedRecord::new(store, KEY, on_record),
+                wall: Box::new(wall),
+            }
         })
     }
 
     /// Whether the suspects are known. Before that, no request may be sent.
     pub fn is_loaded(&self) -> bool {
-        self.loaded.load(Ordering::Acquire)
+        self.record.is_loaded()
     }
 
     /// Whether any request is suspected or was in flight during a crash.
@@ -107,19 +96,19 @@
 
     /// Decides whether and how a request with these properties may be sent.
     pub fn check(&self, properties: &[Property]) -> Decision {
-        let record = self.table.load();
-        let proved = |print: Fingerprint| record.table.proved(print);
+        let record = self.record.load();
+        let proved = |print: Fingerprint| record.state.proved(print);
         let now = clock::now();
         let mut suspicions = self.suspicions();
         let prints = properties.iter().map(|p| p.print);
         let suspects: Vec<Fingerprint> = prints
-            .filter(|p| record.table.contains(*p) || suspicions.suspected(*p, proved, now))
+            .filter(|p| record.state.contains(*p) || suspicions.suspected(*p, proved, now))
             .collect();
         drop(suspicions);
         if suspects.is_empty() {
             return Decision::Allowed;
         }
-        match record.table.wait(&suspects, (self.wall)()) {
+        match record.state.wait(&suspects, (self.wall)()) {
             Some(wait) if !wait.is_zero() => Decision::Blocked { suspects, wait },
             _ => Decision::TrialOnly(suspects),
         }
@@ -129,7 +118,7 @@
     /// crashed.
     pub fn trial_exclusions(&self) -> Vec<EndpointHash> {
         let mut out: Vec<EndpointHash> = self.evidence().crashed().collect();
-        out.extend(self.table.load().table.on_trial((self.wall)()));
+        out.extend(self.record.load().state.on_trial((self.wall)()));
         out
     }
 
@@ -206,9 +195,9 @@
         }
         self.metrics.crash_calls.inc_by(calls.len() as u64);
         self.active.store(true, Ordering::Release);
-        let record = self.table.load();
-        let proved = |print: Fingerprint| record.table.proved(print);
-        let tried: Vec<Fingerprint> = record.table.tried_at(endpoint).collect();
+        let record = self.record.load();
+        let proved = |print: Fingerprint| record.state.proved(print);
+        let tried: Vec<Fingerprint> = record.state.tried_at(endpoint).collect();
         let mut suspicions = self.suspicions();
         // A crash during a trial was not caused by the calls beside it, unless they have suspects too.
         let mut caused = |call: &&Call| {
@@ -240,7 +229,7 @@
         if !on_trial.is_empty() {
             self.save_crash(on_trial, endpoint);
         }
-        self.wake.notify_one();
+        self.record.wake();
     }
 
     /// Records in the store that a trial of `suspects` crashed `endpoint`.
@@ -261,11 +250,11 @@
     pub fn on_response(self: &Arc<Self>, properties: &[Property], since: Duration) {
         let now = clock::now();
         let sent = now.saturating_sub(since);
-        let known = self.table.load();
+        let known = self.record.load();
         let mut tried = Vec::new();
         for Property { print, .. } in properties.iter().copied() {
             let cleared = self.suspicions().on_response(print, sent, now);
-            let suspect = known.table.contains(print);
+            let suspect = known.state.contains(print);
             if suspect {
                 tried.push(print);
             }
@@ -295,25 +284,23 @@
         } else {
             Vec::new()
         };
-        (self.table.load().revision, observations)
+        (self.record.load().revision, observations)
     }
 
     /// Merges the revision and observations sent by another instance.
     pub fn merge(&self, revision: u64, observations: &[Observation]) {
-        if revision > self.reported_revision.fetch_max(revision, Ordering::AcqRel) {
-            self.wake.notify_one();
-        }
+        self.record.report(revision, clock::now());
         if !observations.is_empty() {
             self.suspicions().merge(observations, clock::now());
             self.active.store(true, Ordering::Release);
-            self.wake.notify_one();
+            self.record.wake();
         }
     }
 
     pub(crate) fn prune(&self) {
         let mut suspicions = self.suspicions();
         suspicions.prune(clock::now());
-        let active = !suspicions.is_empty() || !self.table.load().table.is_empty();
+        let active = !suspicions.is_empty() || !self.record.load().state.is_empty();
         self.active.store(active, Ordering::Release);
     }
 
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -6,7 +6,6 @@
 use {
     crate::{EndpointHash, Fingerprint, property::is_part},
     agate_core::Wall,
-    agate_view::framing,
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -104,16 +103,6 @@
 }
 
 impl Table {
-    /// Encodes the table as the record's bytes.
-    pub fn encode(&self) -> Vec<u8> {
-        framing::encode(self)
-    }
-
-    /// Decodes a record; `None` if another build wrote it or it is corrupt.
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
-        framing::decode(bytes)
-    }
-
     /// Whether the property is a suspect.
     pub fn contains(&self, print: Fingerprint) -> bool {
         self.suspects.contains_key(&print)
--- a/crates/quarantine/tests/fleet_trials.rs
+++ b/crates/quarantine/tests/fleet_trials.rs
@@ -2,13 +2,14 @@
 
 use {
     agate_quarantine::{
-        Decision, Property, Quarantine, Role,
+        Decision, Property, Quarantine,
         evidence::{Call, Evidence},
         quarantine::MAX_OBSERVATIONS,
         suspicion::{Observation, REPORT_TIME, Suspicions},
         table::{CAPACITY, Table, TrialEnd},
     },
     agate_store::{Memory, Store},
+    agate_view::{framing, shared_record::Role},
     rstest::rstest,
     std::{sync::Arc, time::Duration},
 };
@@ -178,7 +179,7 @@
     }
     assert_eq!(table.counts(), (0, CAPACITY));
     assert!(table.contains(FINGERPRINT));
-    assert_eq!(Table::decode(&table.encode()), Some(table));
+    assert_eq!(framing::decode(&framing::encode(&table)), Some(table));
 }
 
 fn instance(store: &Store) -> Arc<Quarantine> {
--- a/crates/quarantine/tests/part_suspicion.rs
+++ b/crates/quarantine/tests/part_suspicion.rs
@@ -3,7 +3,7 @@
 
 use {
     agate_quarantine::{
-        Decision, Fingerprint, Property, Quarantine, Role, Work,
+        Decision, Fingerprint, Property, Quarantine, Work,
         evidence::Call,
         property::{hex, is_part, parse_hex},
         record,
@@ -11,6 +11,7 @@
         table::Table,
     },
     agate_store::{Memory, Store},
+    agate_view::shared_record::Role,
     rstest::rstest,
     std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod local_view;
 pub mod peers;
 pub mod roster;
+pub mod shared_record;
 mod store_health;
 pub mod table;
 
