Resume an interrupted stream at its software version only

Callers saw: a response whose stream broke off went on with events of an endpoint of another software version, with nothing to show it.

--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -119,7 +119,8 @@
         let staged = requirements.stage.is_none() || self.entry.stage == requirements.stage;
         let avoided = requirements.avoided.contains(&self.incarnation);
         let tried = requirements.tried.contains(&self.entry.name);
-        staged && self.takes_work() && !avoided && !tried
+        let compatible = requirements.version.is_none_or(|v| *v == self.entry.version);
+        staged && compatible && self.takes_work() && !avoided && !tried
     }
 
     /// Whether its incarnation still listens at its address and takes new work.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -21,7 +21,7 @@
     },
     agate_transport::link::Pool,
     agate_view::{
-        roster::{Entry, Stage},
+        roster::{Entry, Stage, Version},
         table::{Name, Table},
     },
     arc_swap::ArcSwap,
@@ -71,6 +71,8 @@
     pub workload: Workload,
     /// Stage that a model engine must have; `None` for plain services.
     pub stage: Option<Stage>,
+    /// Version of the software that the endpoint must have; `None` for any.
+    pub version: Option<&'a Version>,
     /// Endpoints that were already tried.
     pub tried: &'a [Name],
     /// Incarnations that must not be used now.
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -121,6 +121,7 @@
         service: &job.service,
         workload,
         stage,
+        version: None,
         tried,
         avoided: &avoided,
         zone: None,
--- a/crates/relay/src/requirements.rs
+++ b/crates/relay/src/requirements.rs
@@ -10,10 +10,11 @@
         placement::{ADMIT_FRACTION, Workload},
         prefill::{self, KvSource},
         proxy_state::ProxyState,
+        run::Attempts,
         serve::Job,
     },
     agate_quarantine::EndpointHash,
-    agate_view::{roster::Stage, table::Name},
+    agate_view::roster::Stage,
     std::time::Duration,
 };
 
@@ -31,10 +32,11 @@
     Some(if prompt.input >= prefill::MIN_TOKENS { PromptClass::Long } else { PromptClass::Short })
 }
 
-/// Requirements on the endpoint that runs the request, with or without a remote prefill (`source`).
+/// Requirements on the endpoint that runs the request after the `attempts` so far, with or without a
+/// remote prefill (`source`).
 pub fn requirements<'a>(
     job: &'a Job,
-    tried: &'a [Name],
+    attempts: &'a Attempts,
     avoided: &'a [EndpointHash],
     source: Option<&'a KvSource>,
 ) -> Requirements<'a> {
@@ -56,7 +58,8 @@
         service: &job.service,
         workload,
         stage,
-        tried,
+        version: attempts.version.as_ref(),
+        tried: &attempts.tried,
         avoided,
         zone: source.map(|s| &s.zone),
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -27,7 +27,7 @@
         link::IDLE_LIMIT,
         proof::{Grant, NotRunProof, Retryable},
     },
-    agate_view::{Entry, table::Name},
+    agate_view::{Entry, roster::Version, table::Name},
     http::{Request, Response, header::CONTENT_LENGTH},
     http_body_util::Full,
     std::{sync::Arc, time::Duration},
@@ -59,6 +59,8 @@
     grant: Option<Grant>,
     /// Endpoints already tried, which are not tried again.
     pub tried: Vec<Name>,
+    /// Version of the endpoints that may serve it, once it has events of one; `None` for any.
+    pub version: Option<Version>,
     /// Number of endpoints it was sent to; failed connects do not count.
     pub sent: u32,
     /// Its calls to endpoints, as the retry budget counts them.
@@ -91,6 +93,7 @@
     let mut attempts = Attempts {
         grant: Some(Grant::First(NotRunProof::accept())),
         tried: Vec::new(),
+        version: None,
         sent: 0,
         calls: CallTracker::default(),
         cause: Cause::Full,
@@ -254,7 +257,7 @@
 ) -> Result<(Assignment, Grant), Refused> {
     let grant = check_allowed(state, job, grant)?;
     let avoided = if suspected { state.quarantine.trial_exclusions() } else { Vec::new() };
-    let mut requirements = requirements(job, &attempts.tried, &avoided, source);
+    let mut requirements = requirements(job, attempts, &avoided, source);
     requirements.workload.isolated = suspected;
     match state.fleet.choose(&requirements) {
         Ok(assignment) => Ok((assignment, grant)),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -103,6 +103,8 @@
                 Ok(Some(bytes)) => {
                     if !self.started {
                         self.started = true;
+                        self.attempts.version =
+                            Some(call.assignment.endpoint.entry.version.clone());
                         call.assignment.on_first_token();
                         record::record_start(&self.state, &self.job, &call.assignment);
                     }
--- a/crates/relay/tests/kept_signals.rs
+++ b/crates/relay/tests/kept_signals.rs
@@ -37,6 +37,7 @@
         stage: None,
         tried: &[],
         avoided: &[],
+        version: None,
         zone: None,
     });
     chosen.map(drop)
