Decode prompts from KV caches of the same software version only

What two versions write does not fit together, and engines do not check it.

The prefill engine is chosen among those of a version that also has a free slot to decode, and its version goes with the KV cache. The stages of a service's engines are divided for each version by itself, with one decode engine at least: otherwise all engines of a version may prefill, and none decodes what they prefill (engine_stages::versions_divided). decode_target no longer panics for two engines.

--- a/crates/leader/src/stage.rs
+++ b/crates/leader/src/stage.rs
@@ -7,15 +7,17 @@
 use {
     agate_core::Mono,
     agate_view::{
-        roster::{Entry, Stage},
+        roster::{Entry, Stage, Version},
         table::{Name, Table},
     },
     indexmap::IndexMap,
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Minimum number of decode engines of a service.
+/// Minimum number of decode engines of a service, all of one version.
 const MIN_DECODE: usize = 2;
+/// Minimum number of decode engines of each version, if there are several.
+const MIN_DECODE_VERSION: usize = 1;
 /// Time, in addition to the engine's switch time, after which an order without visible effect is
 /// repeated.
 const RESEND_DELAY: Duration = Duration::from_secs(6);
@@ -113,12 +115,17 @@
 /// Number of `engines`, with `slots` slots each, that should decode. Without demand it is half of
 /// them.
 pub fn decode_target(engines: usize, slots: u32, demand: EngineDemand) -> usize {
+    bounded_target(engines, MIN_DECODE, slots, demand)
+}
+
+fn bounded_target(engines: usize, min: usize, slots: u32, demand: EngineDemand) -> usize {
     let decode = demand.slots / DECODE_UTILIZATION / f64::from(slots.max(1));
     let prefill = demand.prefill / PREFILL_UTILIZATION;
     let sum = decode + prefill;
     let part = if sum > 0.0 { decode / sum } else { 0.5 };
     let target = (engines as f64 * part).round() as usize;
-    target.clamp(MIN_DECODE.min(engines), engines.saturating_sub(1).max(1))
+    let min = min.min(engines);
+    target.clamp(min, engines.saturating_sub(1).max(min))
 }
 
 /// Stage changes to announce now.
@@ -138,13 +145,21 @@
             continue;
         }
         let peak = state.peak_demand(service, demand(service), now);
-        let target = decode_target(engines.len(), engine.slots, peak);
-        plan_service(state, engine.switch, &engines, target, now, &mut out);
+        // An engine cannot decode from the KV cache of another version.
+        let mut versions: IndexMap<&Version, Vec<&Entry>> = IndexMap::new();
+        for entry in engines {
+            versions.entry(&entry.version).or_default().push(entry);
+        }
+        let min = if versions.len() > 1 { MIN_DECODE_VERSION } else { MIN_DECODE };
+        for engines in versions.values() {
+            let target = bounded_target(engines.len(), min, engine.slots, peak);
+            plan_version(state, engine.switch, engines, target, now, &mut out);
+        }
     }
     out
 }
 
-fn plan_service(
+fn plan_version(
     state: &StageState,
     switch: Duration,
     engines: &[&Entry],
@@ -176,7 +191,9 @@
     }
     let to_prefill =
         engines.iter().filter(|e| pending(e) && e.stage == Some(Stage::Prefill)).count();
-    let shortage = target.saturating_sub(decode.len() + to_prefill + TOLERANCE);
+    // A version with no decode engine at all serves nothing.
+    let tolerance = TOLERANCE.min(target.saturating_sub(1));
+    let shortage = target.saturating_sub(decode.len() + to_prefill + tolerance);
     let prefill = engines.iter().filter(|e| e.stage == Some(Stage::Prefill) && !pending(e));
     let to_decode = prefill
         .take(shortage.min(limit.saturating_sub(to_prefill)))
--- a/crates/leader/tests/engine_stages.rs
+++ b/crates/leader/tests/engine_stages.rs
@@ -146,3 +146,34 @@
     assert_eq!(decode_target(16, 6, EngineDemand::default()), 8);
     assert_eq!(decode_target(1, 6, EngineDemand::default()), 1);
 }
+
+/// Guards against a software version whose engines are all in one stage: those of two versions cannot
+/// share the work of a prompt.
+#[rstest]
+#[case::all_prefill(3, 1)]
+#[case::all_decode(3, 0)]
+#[case::single_engine(1, 1)]
+fn versions_divided(#[case] engines_of: usize, #[case] prefill: usize) {
+    let mut entries = engines(4, 4);
+    let newer = engines(prefill * engines_of, (1 - prefill) * engines_of);
+    entries.extend(newer.into_iter().enumerate().map(|(i, e)| Entry {
+        name: format!("n{i}").into(),
+        version: "v2".into(),
+        ..e
+    }));
+    let (table, mut state) = (table(6), StageState::default());
+    for step in 0..40 {
+        let now = NOW + Duration::from_millis(500 * step);
+        for order in plan_stages(&mut state, &table, &entries, |_| PREFILL_HEAVY, now) {
+            state.on_sent(&order, now);
+            let entry = entries.iter_mut().find(|e| e.name == order.endpoint).expect("an engine");
+            entry.stage = Some(order.stage);
+        }
+    }
+    let count = |stage| {
+        let of = entries.iter().filter(|e| &*e.version == "v2" && e.stage == Some(stage));
+        of.count()
+    };
+    assert!(count(Stage::Decode) >= 1);
+    assert!(engines_of == 1 || count(Stage::Prefill) >= 1);
+}
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -16,7 +16,10 @@
         signals::SignalState,
     },
     agate_transport::link::Pool,
-    agate_view::{roster::Entry, table::Name},
+    agate_view::{
+        roster::{Entry, Stage, Version},
+        table::Name,
+    },
     std::{
         sync::{
             Arc, Mutex, MutexGuard,
@@ -123,6 +126,12 @@
         staged && compatible && self.takes_work() && !avoided && !tried
     }
 
+    /// Whether it takes work of `stage`, and has `version` if that is given.
+    pub(crate) fn serves(&self, stage: Stage, version: Option<&Version>) -> bool {
+        let compatible = version.is_none_or(|v| *v == self.entry.version);
+        self.entry.stage == Some(stage) && compatible && self.takes_work()
+    }
+
     /// Whether its incarnation still listens at its address and takes new work.
     pub(crate) fn takes_work(&self) -> bool {
         !self.stats.replaced.load(Relaxed) && !self.signals.leaving()
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -25,7 +25,7 @@
         table::{Name, Table},
     },
     arc_swap::ArcSwap,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     std::{
         sync::{
             Arc, Mutex, MutexGuard,
@@ -51,6 +51,8 @@
 /// All endpoints that this instance knows.
 pub struct Fleet {
     services: ArcSwap<Services>,
+    /// Versions of the endpoints that run requests, by service.
+    versions: ArcSwap<IndexMap<Name, Vec<Version>>>,
     latencies: Mutex<IndexMap<EndpointKind, SharedLatency>>,
     /// Hashes of endpoints that are about to change: by this instance, and by others.
     changing: [ArcSwap<Vec<u32>>; 2],
@@ -87,6 +89,7 @@
         let changing = [ArcSwap::default(), ArcSwap::default()];
         Self {
             services: ArcSwap::default(),
+            versions: ArcSwap::default(),
             latencies: Mutex::default(),
             changing,
             signals: Mutex::default(),
@@ -176,9 +179,15 @@
         let mut latencies = self.lock_latencies();
         latencies.retain(|(service, _), _| next.contains_key(service));
         drop(latencies);
+        self.versions.store(Arc::new(versions(&next)));
         self.services.store(Arc::new(next));
     }
 
+    /// Versions of the endpoints of `service` that run requests, and do not only prefill prompts.
+    pub fn versions(&self, service: &Name) -> Vec<Version> {
+        self.versions.load().get(service).cloned().unwrap_or_default()
+    }
+
     /// Whether the endpoint that `entry` lists or listed stated that it is leaving.
     pub fn leaving(&self, entry: &Entry) -> bool {
         self.lock_signals().leaving(entry)
@@ -248,8 +257,8 @@
         self.rate_shares.share(service, now)
     }
 
-    /// Whether a usable endpoint of `stage` has a free slot.
-    pub fn has_free_slot(&self, service: &Name, stage: Stage) -> bool {
+    /// Whether a usable endpoint of `stage`, and of `version` if there is one, has a free slot.
+    pub fn has_free_slot(&self, service: &Name, stage: Stage, version: Option<&Version>) -> bool {
         let (services, now) = (self.services.load(), self.now());
         let all = services.get(service).map_or(&[][..], Vec::as_slice);
         let share = self.rate_share(service, all, false);
@@ -257,14 +266,14 @@
             let c = self.candidate(e, &self.zone, share, now);
             c.healthy && !c.backing_off && c.withheld.is_none() && c.slot_usage() < 1.0
         };
-        all.iter().any(|e| e.entry.stage == Some(stage) && e.takes_work() && free(e))
+        all.iter().any(|e| e.serves(stage, version) && free(e))
     }
 
-    /// Number of endpoints of `service` with this `stage`.
-    pub fn count_stage(&self, service: &Name, stage: Stage) -> usize {
+    /// Number of endpoints of `service` with this `stage`, and of `version` if there is one.
+    pub fn count_stage(&self, service: &Name, stage: Stage, version: Option<&Version>) -> usize {
         let services = self.services.load();
         let all = services.get(service).into_iter().flatten();
-        all.filter(|e| e.entry.stage == Some(stage) && e.takes_work()).count()
+        all.filter(|e| e.serves(stage, version)).count()
     }
 
     /// Hash, open requests and queued prompt tokens of this instance at each endpoint with
@@ -356,6 +365,16 @@
     }
 }
 
+/// Versions of the endpoints that run requests, by service.
+fn versions(services: &Services) -> IndexMap<Name, Vec<Version>> {
+    let of = |endpoints: &Vec<Arc<Endpoint>>| {
+        let runs = endpoints.iter().filter(|e| e.entry.stage != Some(Stage::Prefill));
+        let distinct: IndexSet<Version> = runs.map(|e| e.entry.version.clone()).collect();
+        distinct.into_iter().collect()
+    };
+    services.iter().map(|(service, endpoints)| (service.clone(), of(endpoints))).collect()
+}
+
 /// Whether any of the endpoints limits its rate.
 fn is_rate_limited<'a>(endpoints: impl IntoIterator<Item = &'a Arc<Endpoint>>) -> bool {
     endpoints.into_iter().any(|e| e.lock_signals().rate_limit().is_some())
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -23,7 +23,11 @@
         exchange::{Failure, Step},
         proof::{Grant, Retryable},
     },
-    agate_view::{roster::Stage, table::Name},
+    agate_view::{
+        roster::{Stage, Version},
+        table::Name,
+    },
+    rand::seq::SliceRandom,
     std::{sync::Arc, time::Duration},
 };
 
@@ -45,10 +49,12 @@
     pub name: String,
     /// Availability zone of the engine that has it.
     pub zone: Name,
+    /// Version of that engine's software; one of another version cannot read it.
+    pub version: Version,
 }
 
-/// Has the prompt prefilled if that is worthwhile; `None` if one engine shall do prefill and
-/// decode.
+/// Has the prompt prefilled if that is worthwhile, by an engine of `version` if there is one; `None` if
+/// one engine shall do prefill and decode.
 ///
 /// # Errors
 ///
@@ -58,15 +64,20 @@
     state: &Arc<ProxyState>,
     job: &Arc<Job>,
     calls: &mut CallTracker,
+    version: Option<&Version>,
 ) -> Result<Option<KvSource>, Duration> {
-    let prefill_engines = state.fleet.count_stage(&job.service, Stage::Prefill);
-    if prompt_class(job) != Some(PromptClass::Long) || prefill_engines == 0 {
+    if prompt_class(job) != Some(PromptClass::Long) {
         return Ok(None);
     }
     // The prefill would be wasted if no engine can decode afterwards.
-    if !state.fleet.has_free_slot(&job.service, Stage::Decode) {
-        return Ok(None);
-    }
+    let usable = |v: &&Version| {
+        state.fleet.count_stage(&job.service, Stage::Prefill, Some(v)) > 0
+            && state.fleet.has_free_slot(&job.service, Stage::Decode, Some(v))
+    };
+    let mut versions =
+        version.map_or_else(|| state.fleet.versions(&job.service), |v| vec![v.clone()]);
+    versions.shuffle(&mut rand::rng());
+    let Some(version) = versions.iter().find(usable) else { return Ok(None) };
     let mut tried = Vec::new();
     while tried.len() < MAX_TRIES && job.remaining() > MIN_REMAINING {
         let Some(suspects) = crash::check_prefill(state, job) else { return Ok(None) };
@@ -75,7 +86,7 @@
         if !state.reserve_permits(&job.service, calls, needed) {
             return Ok(None);
         }
-        let assignment = match choose_engine(state, job, &tried, !suspects.is_empty()) {
+        let assignment = match choose_engine(state, job, version, &tried, !suspects.is_empty()) {
             Ok(assignment) => assignment,
             Err(Choice::Full(wait)) if tried.is_empty() => return Err(wait),
             // A decode engine may still be in time if it prefills the prompt itself.
@@ -97,7 +108,7 @@
         match prefill(state, job, assignment, trial, &admission).await {
             PrefillOutcome::Stored(name) => {
                 state.on_prefill_accepted(&job.service, calls, admission);
-                return Ok(Some(KvSource { name, zone }));
+                return Ok(Some(KvSource { name, zone, version: version.clone() }));
             }
             PrefillOutcome::Unsent => state.on_unsent(&job.service, calls, admission),
             PrefillOutcome::Failed => {}
@@ -109,6 +120,7 @@
 fn choose_engine(
     state: &ProxyState,
     job: &Job,
+    version: &Version,
     tried: &[Name],
     isolated: bool,
 ) -> Result<Assignment, Choice> {
@@ -121,7 +133,7 @@
         service: &job.service,
         workload,
         stage,
-        version: None,
+        version: Some(version),
         tried,
         avoided: &avoided,
         zone: None,
--- a/crates/relay/src/requirements.rs
+++ b/crates/relay/src/requirements.rs
@@ -58,7 +58,7 @@
         service: &job.service,
         workload,
         stage,
-        version: attempts.version.as_ref(),
+        version: source.map(|s| &s.version).or(attempts.version.as_ref()),
         tried: &attempts.tried,
         avoided,
         zone: source.map(|s| &s.zone),
@@ -80,7 +80,7 @@
 /// Policy by which a prefill engine takes a prompt that cannot meet its objective.
 pub fn late_policy(state: &ProxyState, job: &Job) -> LatePolicy {
     let usual = state.demand(&job.service, |d, _| d.usual_prefill());
-    let engines = state.fleet.count_stage(&job.service, Stage::Prefill);
+    let engines = state.fleet.count_stage(&job.service, Stage::Prefill, None);
     LatePolicy {
         limit: job.remaining().mul_f64(ADMIT_FRACTION),
         slack: job.route.objective.mul_f64(ADMIT_FRACTION).saturating_sub(usual),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -99,10 +99,13 @@
         cause: Cause::Full,
     };
     loop {
-        let source = match prefill::remote_prefill(state, &job, &mut attempts.calls).await {
-            Ok(source) => source,
-            Err(wait) => return Err(refuse_full(&mut attempts, wait)),
-        };
+        let version = attempts.version.clone();
+        let source =
+            match prefill::remote_prefill(state, &job, &mut attempts.calls, version.as_ref()).await
+            {
+                Ok(source) => source,
+                Err(wait) => return Err(refuse_full(&mut attempts, wait)),
+            };
         let resume = job.info.resume.as_deref();
         let call = open_call(state, &job, &mut attempts, resume, source.as_ref()).await?;
         let verdict = (state.dialect.classify_response)(&call.response.head);
