--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod budget;
 pub mod client;
 mod coalesce;
+pub mod era;
 pub mod memory;
 pub mod metrics;
 pub mod model;
--- a/crates/transport/src/call.rs
+++ b/crates/transport/src/call.rs
@@ -4,7 +4,7 @@
     crate::link::{Connection, Pool, open},
     bytes::Bytes,
     http::{
-        HeaderValue, Method, Request, StatusCode,
+        HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode,
         header::{CONTENT_TYPE, HOST},
     },
     http_body_util::{BodyExt, Full, Limited},
@@ -31,8 +31,16 @@
     max_body: usize,
 }
 
-/// Status and body of a response.
-pub type Response = (StatusCode, Bytes);
+/// A complete response.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
 
 impl ServiceClient {
     /// Creates a client for `peer` that accepts response bodies of at most `max_body` bytes.
@@ -67,7 +75,7 @@
         path: &str,
         body: Bytes,
         limit: Duration,
-        headers: &[(http::HeaderName, HeaderValue)],
+        headers: &[(HeaderName, HeaderValue)],
     ) -> Result<Response, Failure> {
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
@@ -119,13 +127,13 @@
         mut connection: Connection,
         response: http::Response<hyper::body::Incoming>,
     ) -> Result<Response, Failure> {
-        let status = response.status();
-        let body = Limited::new(response.into_body(), self.max_body).collect().await;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, self.max_body).collect().await;
         let body = body.map_err(|e| Failure { cause: e.to_string(), sent: true })?.to_bytes();
         // The sender is ready only once the HTTP library has finished the exchange.
         if connection.sender.ready().await.is_ok() {
             self.pool.put(connection);
         }
-        Ok((status, body))
+        Ok(Response { status: head.status, headers: head.headers, body })
     }
 }
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -128,6 +128,12 @@
         match store.get(Purpose::Config, source.config).await {
             Ok(Some(record)) => {
                 health.on_success();
+                if record.revision < known {
+                    log::warn!(
+                        event = "config_older", revision = record.revision, known;
+                        "the store has an older configuration than this instance"
+                    );
+                }
                 if record.revision <= known || install_config(&record, source, &view) {
                     known = known.max(record.revision);
                     view.config.confirm(sent);
