Compare the store's numbers within an era, and configurations by version

Cause: numbers of the store were compared across its lives. A record with a lower revision than the known one counted as known, and even confirmed the configuration in force; with an equal one nobody looked at its content.

Only a record with the same revision and content counts as known, and the document's version decides which of two configurations is newer, so that a reverted one is not put in force and confirms nothing, and so that it works if no era is stated.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -111,7 +111,7 @@
     /// Returns a store handle whose calls go through this client.
     pub fn store(&self) -> Store {
         let shared = self.shared.clone();
-        Store::new(move |purpose, call| {
+        self.shared.store.wrap(move |purpose, call| {
             let shared = shared.clone();
             Box::pin(async move { shared.call(purpose, call).await })
         })
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -1,11 +1,13 @@
 //! Typed interface to the key-value service.
 //!
 //! Callers rely on these invariants of the service: the revision of a key increases with each
-//! change and is never reused; a compare-and-swap is atomic for one key; a record attached to a
+//! change and is never reused, also if the service comes back from an older copy (see
+//! [`era`](crate::era)); a compare-and-swap is atomic for one key; a record attached to a
 //! lease is deleted when the lease ends. A call that fails with [`Error::Ambiguous`] may or may not
 //! have taken effect.
 
 use {
+    crate::era::{Era, NewestEra},
     futures_util::future::BoxFuture,
     serde::{Deserialize, Serialize},
     std::{fmt, sync::Arc, time::Duration},
@@ -235,6 +237,7 @@
 #[derive(Clone)]
 pub struct Store {
     call: Arc<CallFn>,
+    newest_era: Arc<NewestEra>,
 }
 
 impl fmt::Debug for Store {
@@ -251,7 +254,28 @@
         + Sync
         + 'static,
     ) -> Self {
-        Self { call: Arc::new(call) }
+        Self { call: Arc::new(call), newest_era: Arc::default() }
+    }
+
+    /// Returns the handle with the eras of the service that its calls see.
+    pub(crate) fn with_eras(self, newest_era: Arc<NewestEra>) -> Self {
+        Self { newest_era, ..self }
+    }
+
+    /// Returns a handle whose calls are executed by `call`, which passes them on to this one.
+    pub fn wrap(
+        &self,
+        call: impl Fn(Purpose, Call) -> BoxFuture<'static, Result<StoreResponse>>
+        + Send
+        + Sync
+        + 'static,
+    ) -> Self {
+        Self::new(call).with_eras(self.newest_era.clone())
+    }
+
+    /// Newest era of the service that a response stated.
+    pub fn era(&self) -> Era {
+        self.newest_era.get()
     }
 
     /// Executes one call.
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -101,7 +101,7 @@
     intervals: RefreshIntervals,
     view: Arc<LocalView>,
 ) {
-    let mut known = 0;
+    let mut known = None;
     let mut health = StoreHealth::new("configuration");
     let mut read = Instant::now() - intervals.config;
     wait_for_config(&store, source, &mut health).await;
@@ -111,44 +111,36 @@
         // Configurations in quick succession are covered by one read.
         sleep_until(read + intervals.config).await;
         read = Instant::now();
-        match read_reported(&store, source, &view, known).await {
-            // The next response of the instance that reported it confirms it.
-            Ok(Some(record)) if install_config(&record, source, &view) => {
-                known = record.revision;
-                continue;
-            }
-            Ok(_) => {}
+        let reported = match read_reported(&store, source, &view).await {
+            Ok(reported) => reported,
             Err(e) => {
                 health.on_failure(&e);
                 sleep(health.retry_delay(view.has_coordinator())).await;
                 continue;
             }
+        };
+        let shown = reported.map(|record| apply_config(record, &mut known, source, &view));
+        if shown == Some(Shown::Current) {
+            // The next response of the instance that reported it confirms it.
+            continue;
         }
         let sent = clock::now();
-        match store.get(Purpose::Config, source.config).await {
-            Ok(Some(record)) => {
-                health.on_success();
-                if record.revision < known {
-                    log::warn!(
-                        event = "config_older", revision = record.revision, known;
-                        "the store has an older configuration than this instance"
-                    );
-                }
-                if record.revision <= known || install_config(&record, source, &view) {
-                    known = known.max(record.revision);
-                    view.config.confirm(sent);
-                } else {
-                    sleep(intervals.config).await;
-                }
-            }
-            Ok(None) => {
-                health.on_success();
-                sleep(RETRY_DELAY).await;
-            }
+        let found = match store.get(Purpose::Config, source.config).await {
+            Ok(found) => found,
             Err(e) => {
                 health.on_failure(&e);
                 sleep(health.retry_delay(view.has_coordinator())).await;
+                continue;
             }
+        };
+        health.on_success();
+        let Some(record) = found else {
+            sleep(RETRY_DELAY).await;
+            continue;
+        };
+        match apply_config(record, &mut known, source, &view) {
+            Shown::Current => view.config.confirm(sent),
+            Shown::Older | Shown::Invalid => sleep(intervals.config).await,
         }
     }
 }
@@ -165,41 +157,68 @@
 }
 
 /// Reads a configuration that another instance has reported, with a cheap and possibly stale read.
-/// `None` if nothing newer than `known` was reported or the read shows an older one.
+/// `None` if nothing newer was reported or the read shows an older one.
 async fn read_reported(
     store: &Store,
     source: StoreLayout,
     view: &LocalView,
-    known: u64,
 ) -> Result<Option<Record>> {
-    let Some(newer) = view.newer_config(known) else { return Ok(None) };
+    let Some(newer) = view.newer_config() else { return Ok(None) };
     let found = store.get_stale(Purpose::Config, source.config).await?;
     Ok(found.filter(|record| record.revision >= newer))
 }
 
-/// Puts a configuration in force. Returns whether it could be parsed.
-fn install_config(record: &Record, source: StoreLayout, view: &LocalView) -> bool {
-    match (source.read_config)(&record.value) {
-        Ok(parts) => {
-            let table = Table::new(parts);
-            log::info!(
-                event = "config_in_force", version = table.version, revision = record.revision,
-                routes = table.routes.len(), organisations = table.orgs.len();
-                "a new configuration is in force"
-            );
-            view.table.store(Some(Arc::new(table)));
-            view.config_revision.store(record.revision, Ordering::Release);
-            view.notify_changed();
-            true
-        }
+/// What a read of the configuration showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shown {
+    /// The configuration in force, which it may have put in force.
+    Current,
+    /// An older version than the one in force: the store came back from an older copy.
+    Older,
+    /// One that could not be parsed.
+    Invalid,
+}
+
+/// Puts a configuration in force unless it is `known` to be or its version is older.
+fn apply_config(
+    record: Record,
+    known: &mut Option<Record>,
+    source: StoreLayout,
+    view: &LocalView,
+) -> Shown {
+    // The revision alone does not identify a configuration: a store that came back from an older
+    // copy may give it out again.
+    if known.as_ref() == Some(&record) {
+        return Shown::Current;
+    }
+    let revision = record.revision;
+    let table = match (source.read_config)(&record.value) {
+        Ok(parts) => Table::new(parts),
         Err(e) => {
             log::error!(
-                event = "config_refused", revision = record.revision, cause = e.as_str();
+                event = "config_refused", revision, cause = e.as_str();
                 "failed to parse the configuration; the previous one stays in force"
             );
-            false
+            return Shown::Invalid;
         }
+    };
+    if table.version < view.version() {
+        log::warn!(
+            event = "config_older", version = table.version, in_force = view.version(), revision;
+            "the store has an older configuration than this instance"
+        );
+        return Shown::Older;
     }
+    log::info!(
+        event = "config_in_force", version = table.version, revision,
+        routes = table.routes.len(), organisations = table.orgs.len();
+        "a new configuration is in force"
+    );
+    view.table.store(Some(Arc::new(table)));
+    view.config_revision.store(revision, Ordering::Release);
+    view.notify_changed();
+    *known = Some(record);
+    Shown::Current
 }
 
 async fn follow_entries(
--- a/crates/view/src/local_view.rs
+++ b/crates/view/src/local_view.rs
@@ -35,6 +35,11 @@
         self.nanos.fetch_max(nanos, Ordering::AcqRel);
     }
 
+    /// Withdraws all confirmations.
+    pub fn revoke(&self) {
+        self.nanos.store(0, Ordering::Release);
+    }
+
     /// Requests a read because another instance has a newer version or sent entries.
     pub fn request_refresh(&self) {
         self.refresh.notify_one();
@@ -139,10 +144,15 @@
         }
     }
 
-    /// Revision of a configuration newer than `known` that another instance has.
-    pub fn newer_config(&self, known: u64) -> Option<u64> {
+    /// Revision of a configuration newer than the one in force that another instance has.
+    pub fn newer_config(&self) -> Option<u64> {
         let reported = self.reported_revision.load(Ordering::Acquire);
-        (reported > known).then_some(reported)
+        (reported > self.config_revision.load(Ordering::Acquire)).then_some(reported)
+    }
+
+    /// Version of the configuration in force; zero before the first.
+    pub fn version(&self) -> u64 {
+        self.table.load().as_ref().map_or(0, |table| table.version)
     }
 
     /// Applies another instance's confirmation that the entries with `digest` were current at `at`.
--- a/crates/view/tests/reported_configuration.rs
+++ b/crates/view/tests/reported_configuration.rs
@@ -11,7 +11,7 @@
     rstest::rstest,
     std::{
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering::SeqCst},
         },
         time::Duration,
@@ -28,6 +28,8 @@
     newest: AtomicU64,
     /// Revision that stale reads show.
     shown: AtomicU64,
+    /// Version of the configuration; its revision if `None`.
+    text: Mutex<Option<u64>>,
     linearizable: AtomicU64,
     stale: AtomicU64,
     /// Whether reads of the configuration are refused, and how many were.
@@ -42,7 +44,11 @@
     }
 
     fn respond(&self, call: &Call) -> StoreResponse {
-        let record = |revision: u64| Record { value: revision.to_string().into(), revision };
+        let version = *self.text.lock().expect("not poisoned");
+        let record = |revision: u64| Record {
+            value: version.unwrap_or(revision).to_string().into(),
+            revision,
+        };
         match call {
             Call::Get { key } if key == KEY => {
                 self.linearizable.fetch_add(1, SeqCst);
@@ -183,3 +189,27 @@
     let attempts = fake.refused.load(SeqCst) - before;
     assert!((1..=most).contains(&attempts), "{attempts} attempts in three seconds");
 }
+
+/// A configuration that is older than the one in force is neither put in force nor confirms that one,
+/// also if it has a higher revision. The next version is put in force, also if it has the revision of
+/// an earlier one.
+#[rstest]
+#[case(9, 4)]
+#[case(3, 8)]
+#[tokio::test]
+async fn older_version(#[case] older: u64, #[case] next: u64) {
+    let (fake, view) = (Arc::<Fake>::default(), LocalView::new());
+    fake.put(8, 8);
+    let _followers = follow(&fake, &view);
+    until(|| version(&view) == 8 && view.config.age().is_some()).await;
+    *fake.text.lock().expect("not poisoned") = Some(7);
+    fake.put(older, older);
+    view.config.revoke();
+    let reads = fake.linearizable.load(SeqCst);
+    view.config.request_refresh();
+    until(|| fake.linearizable.load(SeqCst) > reads + 3).await;
+    assert_eq!((version(&view), view.config.age()), (8, None));
+    *fake.text.lock().expect("not poisoned") = Some(10);
+    fake.put(next, next);
+    until(|| version(&view) == 10 && view.config.age().is_some()).await;
+}
