Keep the secret of the instances across a store rollback

Seen in a test of a rollback: an instance that started afterwards could not talk to the others at all, so nobody told it of the newer configuration. The copy was older than the shared secret, the instance wrote one of its own, and the others kept theirs: the secret was read once, at the start. Instances look at it again when the era of the store has risen, write theirs if there is none, and change to the stored one otherwise.

--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -9,14 +9,15 @@
         message::{LoadReport, Message, Request, Response, Suspects, Usage, VersionAge},
         poller::{Confirmation, Poller},
         reassembly::Reassembly,
+        secret::SharedKeys,
     },
     agate_core::{Mono, Wall},
-    agate_store::{Purpose, Store},
+    agate_store::Store,
     agate_view::{
         Entry, LocalView, clock,
         peers::{self, Peer},
     },
-    agate_wire::{Context, Keys, MAX_DATAGRAM, SealError, open, seal},
+    agate_wire::{Context, MAX_DATAGRAM, SealError, open, seal},
     indexmap::IndexMap,
     std::{
         io,
@@ -27,20 +28,12 @@
     tokio::{
         net::UdpSocket,
         task::JoinHandle,
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep_until},
     },
 };
 
 /// Number of instances that act as coordinators.
 pub const COORDINATORS: usize = 3;
-/// Store key of the secret that authenticates messages between instances.
-const SECRET_KEY: &str = "agate/secret";
-/// Length of the secret in bytes.
-const SECRET_BYTES: usize = 32;
-/// Minimum delay between two reads of the secret.
-const SECRET_RETRY: Duration = Duration::from_millis(100);
-/// Upper bound of the random delay added to it; many times as long as a write takes.
-const SECRET_JITTER: Duration = Duration::from_millis(500);
 /// Minimum time between two polls of one instance.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Poll interval for each known instance; it bounds a coordinator's work in large fleets.
@@ -110,7 +103,7 @@
 ) -> io::Result<SyncHandle> {
     let socket = UdpSocket::bind(own.address).await?;
     let task = tokio::spawn(async move {
-        let keys = fetch_secret(&store).await;
+        let keys = SharedKeys::open(store).await;
         let sync = SyncLoop {
             socket,
             keys,
@@ -132,47 +125,6 @@
     Ok(SyncHandle { task })
 }
 
-/// Reads the secret; the first instance creates it. The secret never changes, so a stale read is
-/// enough.
-async fn fetch_secret(store: &Store) -> Keys {
-    let mut waited = false;
-    loop {
-        let found = match store.get_stale(Purpose::Config, SECRET_KEY).await {
-            Ok(Some(record)) => Some(record.value),
-            Ok(None) if waited => create_secret(store).await,
-            Ok(None) => None,
-            Err(e) => {
-                log::debug!("failed to read the shared secret: {e}");
-                None
-            }
-        };
-        match found.map(|value| Keys::new(&[&value])) {
-            Some(Ok(keys)) => return keys,
-            Some(Err(e)) => {
-                log::error!(event = "secret_refused", cause:% = e; "the shared secret of the instances is invalid")
-            }
-            None => {}
-        }
-        // Instances that start together wait for different times, so that one writes and the others
-        // read.
-        sleep(SECRET_RETRY + SECRET_JITTER.mul_f64(rand::random())).await;
-        waited = true;
-    }
-}
-
-/// Writes a new secret unless there is one. Returns the stored one, or `None` if the store fails.
-async fn create_secret(store: &Store) -> Option<Vec<u8>> {
-    let secret: [u8; SECRET_BYTES] = rand::random();
-    match store.swap(Purpose::Lease, SECRET_KEY, 0, secret.to_vec()).await {
-        Ok(Ok(_)) => Some(secret.to_vec()),
-        Ok(Err(found)) => found.map(|record| record.value),
-        Err(e) => {
-            log::debug!("failed to write the shared secret: {e}");
-            None
-        }
-    }
-}
-
 /// Which version of the own usage was sent to one coordinator, and which it acknowledged.
 #[derive(Clone, Copy, Debug, Default)]
 struct UsagePush {
@@ -183,7 +135,7 @@
 
 struct SyncLoop {
     socket: UdpSocket,
-    keys: Keys,
+    keys: SharedKeys,
     own: Peer,
     incarnation: String,
     view: Arc<LocalView>,
@@ -337,7 +289,7 @@
 
     async fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
         let context = Context::Datagram(self.own.address);
-        let message = match open::<Message>(&self.keys, bytes, context) {
+        let message = match open::<Message>(&self.keys.load(), bytes, context) {
             Ok(message) => message,
             Err(e) => return log::debug!("rejected a datagram from {from}: {e:?}"),
         };
@@ -444,11 +396,12 @@
     /// Sends a message. If it does not fit into a datagram, the smallest loads are dropped: an
     /// instance without responses would read everything from the store.
     async fn send(&self, message: &Message, to: SocketAddr) {
-        let mut sealed = seal(&self.keys, message, Context::Datagram(to));
+        let keys = self.keys.load();
+        let mut sealed = seal(&keys, message, Context::Datagram(to));
         if matches!(sealed, Err(SealError::Large { .. })) {
             let mut shorter = message.clone();
             while matches!(sealed, Err(SealError::Large { .. })) && shorter.shorten() {
-                sealed = seal(&self.keys, &shorter, Context::Datagram(to));
+                sealed = seal(&keys, &shorter, Context::Datagram(to));
             }
         }
         match sealed {
