Refuse requests with a configuration older than other instances have

Instances tell each other the version that they have in force, in both directions, and the one that ranks first asks the others when it starts, since nobody polls it yet. A linearizable read that was sent after such a report and shows an older version proves that the store lacks one; its confirmation is withdrawn then, so the instance refuses requests and is not ready.

The field stands at the end of both messages, so that a build before this one still reads them; this one cannot read those of a build before and gets along without a coordinator until all are replaced.

--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -126,6 +126,8 @@
     pub clock: Option<Vote>,
     /// Report of the sender.
     pub figures: LoadReport,
+    /// Version of the configuration that the sender has in force; zero before the first.
+    pub in_force: u64,
 }
 
 /// Version that a coordinator knows, and how long ago it was confirmed to be current.
@@ -152,6 +154,8 @@
     pub roster: Option<VersionAge>,
     /// Sum of the reports of all other instances.
     pub figures: LoadReport,
+    /// Version of the configuration that the coordinator has in force; zero before the first.
+    pub in_force: u64,
 }
 
 /// One message of a full set of endpoint entries.
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -42,6 +42,11 @@
 const USAGE_INTERVAL: Duration = Duration::from_millis(500);
 /// Age of the own confirmation from which a coordinator no longer forwards its entries.
 const MAX_FORWARD_AGE: Duration = Duration::from_millis(1_500);
+/// Time after its start in which an instance without a better coordinator asks the others for the
+/// configuration that they have; longer than between two reads of the instances.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(3);
+/// Number of such a request.
+const INTRODUCTION: Round = 0;
 /// Usage rows in one message; they fit into a datagram.
 const CHUNK_ROWS: usize = 40;
 
@@ -119,6 +124,7 @@
             coordinator: Coordinator::default(),
             pushes: IndexMap::new(),
             round: 0,
+            started: Instant::now(),
         };
         sync.run().await;
     });
@@ -150,6 +156,7 @@
     coordinator: Coordinator,
     pushes: IndexMap<String, UsagePush>,
     round: u64,
+    started: Instant,
 }
 
 impl SyncLoop {
@@ -191,6 +198,13 @@
         // A coordinator polls only those ranked before it; the first one reads the store itself.
         let better = &coordinators[..own.unwrap_or(coordinators.len())];
         let names: Vec<&str> = better.iter().map(|p| p.name.as_str()).collect();
+        if better.is_empty() && self.introducing() {
+            // Nobody polls this instance before its record is read, so it asks the others itself
+            // which configuration they have.
+            for peer in coordinators.iter().filter(|p| p.name != self.own.name) {
+                self.send_request(peer.address, INTRODUCTION).await;
+            }
+        }
         let requests = self.poller.poll(&names, clock::now());
         let active = own.is_some() && !self.poller.has_fresh_target();
         self.view.set_coordination(active, self.poller.has_target());
@@ -204,6 +218,11 @@
         }
     }
 
+    /// Whether this instance has just started and has not heard of another one's configuration.
+    fn introducing(&self) -> bool {
+        self.view.accepted_version() == 0 && self.started.elapsed() < INTRODUCTION_TIME
+    }
+
     /// Applies the reports that this instance collected as coordinator, when no better coordinator
     /// responds.
     fn apply_own(&mut self) {
@@ -227,7 +246,8 @@
         let (_, kept) = (self.callbacks.clock)();
         let clock = self.poller.clock_offset().map(|offset| Vote::new(offset, kept));
         let suspects = (self.callbacks.suspects)();
-        let request = Request { from, round, roster, suspects, clock, figures };
+        let in_force = self.view.version();
+        let request = Request { from, round, roster, suspects, clock, figures, in_force };
         self.send(&Message::Request(request), address).await;
     }
 
@@ -328,6 +348,7 @@
         let now = clock::now();
         self.coordinator.on_request(request, now);
         (self.callbacks.on_suspects)(&request.suspects);
+        self.view.report_version(request.in_force);
         let known = |(version, age): (u64, Duration)| {
             let age = age.as_micros().try_into().ok()?;
             (version != 0).then_some(VersionAge { version, age })
@@ -341,6 +362,7 @@
             clock: self.clock(),
             suspects: (self.callbacks.suspects)(),
             figures: self.coordinator.totals(&request.from, &(self.callbacks.own_report)(), now),
+            in_force: view.version(),
         };
         self.send(&Message::Response(response), from).await;
         self.forward_entries(request.roster, from).await;
@@ -368,6 +390,7 @@
     }
 
     fn on_response(&mut self, response: &Response) {
+        self.view.report_version(response.in_force);
         let Some(outcome) =
             self.poller.on_response(response, (self.callbacks.clock)().0, clock::now())
         else {
--- a/crates/sync/tests/agreed_clock.rs
+++ b/crates/sync/tests/agreed_clock.rs
@@ -32,6 +32,7 @@
         suspects: Default::default(),
         clock: Some(clock),
         figures,
+        in_force: 0,
     }
 }
 
@@ -44,6 +45,7 @@
         suspects: Default::default(),
         roster: None,
         figures: LoadReport::default(),
+        in_force: 0,
     }
 }
 
--- a/crates/sync/tests/large_fleets.rs
+++ b/crates/sync/tests/large_fleets.rs
@@ -56,7 +56,15 @@
     let changing = Vec::new();
     let figures = LoadReport { loads, demands, changing, holder: None, rates, instances: 1 };
     let from = format!("front-harju-a-{from}");
-    Request { from, round, roster: 0, suspects: Default::default(), clock: None, figures }
+    Request {
+        from,
+        round,
+        roster: 0,
+        suspects: Default::default(),
+        clock: None,
+        figures,
+        in_force: 0,
+    }
 }
 
 /// A coordinator with reports of `instances` on load at `endpoints`; endpoint `u32::MAX` has the
@@ -88,8 +96,15 @@
     let known = agate_sync::message::VersionAge { version: u64::MAX, age: u64::MAX };
     let (config, roster) = (Some(known), Some(known));
     let (round, suspects) = (u64::MAX, Default::default());
-    let mut message =
-        Message::Response(Response { round, config, clock: None, suspects, roster, figures });
+    let mut message = Message::Response(Response {
+        round,
+        config,
+        clock: None,
+        suspects,
+        roster,
+        figures,
+        in_force: u64::MAX,
+    });
     while !fits(&message) {
         assert!(message.shorten(), "nothing is left to drop");
     }
--- a/crates/sync/tests/polled_coordinators.rs
+++ b/crates/sync/tests/polled_coordinators.rs
@@ -23,6 +23,7 @@
         suspects: Default::default(),
         roster: None,
         figures: LoadReport::default(),
+        in_force: 0,
     }
 }
 
--- a/crates/sync/tests/summed_reports.rs
+++ b/crates/sync/tests/summed_reports.rs
@@ -23,6 +23,7 @@
         suspects: Default::default(),
         clock: None,
         figures,
+        in_force: 0,
     }
 }
 
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -124,7 +124,7 @@
             // The next response of the instance that reported it confirms it.
             continue;
         }
-        let sent = clock::now();
+        let (sent, accepted) = (clock::now(), view.accepted_version());
         let found = match store.get(Purpose::Config, source.config).await {
             Ok(found) => found,
             Err(e) => {
@@ -139,7 +139,15 @@
             continue;
         };
         match apply_config(record, &mut known, source, &view) {
-            Shown::Current => view.config.confirm(sent),
+            Shown::Current if view.version() >= accepted => view.config.confirm(sent),
+            Shown::Current => {
+                log::warn!(
+                    event = "config_behind", version = view.version(), accepted;
+                    "the store lacks a configuration that other instances have; refusing requests"
+                );
+                view.config.revoke();
+                sleep(RETRY_DELAY).await;
+            }
             Shown::Older | Shown::Invalid => sleep(intervals.config).await,
         }
     }
--- a/crates/view/src/local_view.rs
+++ b/crates/view/src/local_view.rs
@@ -73,6 +73,8 @@
     pub config_revision: AtomicU64,
     /// Latest revision of that record reported by a coordinator.
     reported_revision: AtomicU64,
+    /// Newest version of the configuration that another instance reported to have in force.
+    accepted_version: AtomicU64,
     /// Latest time at which no newer configuration had been acknowledged by the store.
     pub config: LastConfirmed,
     /// Endpoint entries in force.
@@ -105,6 +107,7 @@
             table: ArcSwapOption::empty(),
             config_revision: AtomicU64::new(0),
             reported_revision: AtomicU64::new(0),
+            accepted_version: AtomicU64::new(0),
             config: LastConfirmed::default(),
             entries: ArcSwap::default(),
             roster_digest: AtomicU64::new(0),
@@ -155,6 +158,20 @@
         self.table.load().as_ref().map_or(0, |table| table.version)
     }
 
+    /// Records the version of the configuration that another instance has in force.
+    pub fn report_version(&self, version: u64) {
+        let known = self.accepted_version.fetch_max(version, Ordering::AcqRel);
+        if version > known.max(self.version()) {
+            self.config.request_refresh();
+        }
+    }
+
+    /// Newest version that another instance reported to have in force; zero for none. Unlike a
+    /// revision, it does not depend on what the store still has.
+    pub fn accepted_version(&self) -> u64 {
+        self.accepted_version.load(Ordering::Acquire)
+    }
+
     /// Applies another instance's confirmation that the entries with `digest` were current at `at`.
     /// It counts only if this instance has the same entries.
     pub fn confirm_roster(&self, digest: u64, at: Mono) {
--- a/crates/view/tests/reported_configuration.rs
+++ b/crates/view/tests/reported_configuration.rs
@@ -213,3 +213,16 @@
     fake.put(next, next);
     until(|| version(&view) == 10 && view.config.age().is_some()).await;
 }
+
+/// An instance does not confirm a configuration that is older than the one of another instance.
+#[tokio::test]
+async fn version_of_others() {
+    let (fake, view) = (Arc::<Fake>::default(), LocalView::new());
+    fake.put(5, 5);
+    let _followers = follow(&fake, &view);
+    until(|| version(&view) == 5 && view.config.age().is_some()).await;
+    view.report_version(6);
+    until(|| view.config.age().is_none()).await;
+    fake.put(6, 6);
+    until(|| version(&view) == 6 && view.config.age().is_some()).await;
+}
