Keep fencing tokens rising, and holders apart, across a store rollback

Tokens begin above those of earlier eras now, and an instance that sees the record gone, or from another era, waits a whole time to live before it claims. An instance that starts after the rollback and finds no record at all cannot know that there was one; this takes a copy from before the first lease. The in-memory store can be copied and come back.

--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -11,6 +11,10 @@
 //! not used. The only requirement is that two monotonic clocks drift apart by no more than `margin`
 //! within `ttl`.
 //!
+//! A store that comes back from an older copy has lost the latest writes, so its record may name an
+//! earlier holder or none. The machine then waits a whole `ttl`, and tokens begin above those of
+//! earlier eras.
+//!
 //! A lost response needs no special handling. The machine writes again on the revision that it
 //! knows. If the first write took effect, the conflict returns the machine's own record, recognised
 //! by its write number.
@@ -18,7 +22,7 @@
 use {
     crate::record::LeaseRecord,
     agate_core::{FenceToken, Mono},
-    agate_store::Revision,
+    agate_store::{Revision, era::era_of},
     std::time::Duration,
 };
 
@@ -185,14 +189,20 @@
 fn on_record(s: &mut State, found: Option<StoredRecord>, now: Mono, out: &mut Vec<Action>) {
     let Some(StoredRecord { revision, body }) = found else {
         end_term(s, out);
+        if matches!(s.observed, Observed::Present { .. }) {
+            s.lost_at = Some(now);
+        }
         s.observed = Observed::Absent;
         return;
     };
-    if let Observed::Present { revision: known, .. } = s.observed
-        && revision < known
-    {
-        // A response that arrived after a later one.
-        return;
+    if let Observed::Present { revision: known, .. } = s.observed {
+        if revision < known {
+            // A response that arrived after a later one.
+            return;
+        }
+        if era_of(revision) > era_of(known) {
+            s.lost_at = Some(now);
+        }
     }
     let replaced_ttl = previous_ttl(s);
     s.max_token = s.max_token.max(body.token);
@@ -261,12 +271,16 @@
 
 /// Revision to expect and token to use if the lease can be acquired at `now`; `None` otherwise.
 fn claimable(s: &State, now: Mono) -> Option<(Revision, FenceToken)> {
+    if s.lost_at.is_some_and(|at| now < at + s.settings.ttl) {
+        return None;
+    }
+    let token = (s.max_token + 1).max(s.min_token);
     match &s.observed {
         Observed::Unknown => None,
-        Observed::Absent => Some((0, s.max_token + 1)),
+        Observed::Absent => Some((0, token)),
         Observed::Present { revision, body, since } => {
             let available = body.holder.is_empty() || body.holder == s.settings.holder;
-            (available || now >= *since + body.ttl).then_some((*revision, s.max_token + 1))
+            (available || now >= *since + body.ttl).then_some((*revision, token))
         }
     }
 }
--- a/crates/lease/src/runner.rs
+++ b/crates/lease/src/runner.rs
@@ -24,6 +24,9 @@
     },
 };
 
+/// Bits of a fencing token below the era in which its term began.
+const TOKEN_BITS: u32 = 24;
+
 /// Counters of one lease.
 #[derive(Debug, Default)]
 pub struct Counters {
@@ -113,7 +116,7 @@
     /// succeeded or was given up.
     pub async fn release(&self) {
         let mut token = self.follow();
-        let actions = machine::step(&mut self.shared.state(), Input::Release, self.shared.now());
+        let actions = self.shared.step(Input::Release);
         self.shared.execute(actions);
         let _ = self.shared.inputs.send(Input::Tick);
         let released = async {
@@ -150,7 +153,7 @@
             Some(input) = inputs.recv() => input,
             () = sleep => Input::Tick,
         };
-        let actions = machine::step(&mut shared.state(), input, shared.now());
+        let actions = shared.step(input);
         shared.execute(actions);
     }
 }
@@ -164,6 +167,12 @@
         self.state.lock().expect("the lock of the lease state is not poisoned")
     }
 
+    fn step(&self, input: Input) -> Vec<Action> {
+        let mut state = self.state();
+        state.min_token = self.store.era() << TOKEN_BITS;
+        machine::step(&mut state, input, self.now())
+    }
+
     fn execute(self: &Arc<Self>, actions: Vec<Action>) {
         for action in actions {
             match action {
--- a/crates/lease/src/state.rs
+++ b/crates/lease/src/state.rs
@@ -132,6 +132,12 @@
     pub unknown_writes: Vec<UnknownWrite>,
     /// Greatest token seen in any record.
     pub max_token: FenceToken,
+    /// Lower bound of new tokens, which rises with the era of the store: a store that came back from
+    /// an older copy has lost the greatest token.
+    pub min_token: FenceToken,
+    /// When the record was found to be gone, or to be from an older copy of the store. Its holder may
+    /// act for a whole time to live from then on.
+    pub lost_at: Option<Mono>,
     /// Token of the last term that ended; it never becomes valid again.
     pub ended_token: FenceToken,
     /// Time of the next call.
@@ -221,6 +227,8 @@
             pending_call: None,
             unknown_writes: Vec::new(),
             max_token: 0,
+            min_token: 0,
+            lost_at: None,
             ended_token: 0,
             next_call: Mono::ZERO,
             last_call: 0,
--- a/crates/lease/tests/lease_runner.rs
+++ b/crates/lease/tests/lease_runner.rs
@@ -66,6 +66,42 @@
     until(|| a.counters().gained.load(Ordering::Relaxed) > first).await;
 }
 
+/// After the store came back from an older copy no token is given out again, and nobody acts before
+/// the holder that the store has forgotten has stopped.
+#[rstest]
+#[case::record_lost(true)]
+#[case::earlier_holder(false)]
+#[tokio::test]
+async fn store_rollback(#[case] lost: bool) {
+    let memory = Memory::open(|| Duration::ZERO);
+    let mut copy = memory.copy();
+    let a = Lease::spawn(memory.store(), settings("a"));
+    until(|| a.may_act().is_some()).await;
+    if !lost {
+        copy = memory.copy();
+    }
+    a.release().await;
+    let b = Lease::spawn(memory.store(), settings("b"));
+    until(|| b.may_act().is_some()).await;
+    let token = b.may_act().or(*b.follow().borrow());
+    a.set_candidate(true);
+    memory.come_back(copy);
+    let mut holders = vec![b, a, Lease::spawn(memory.store(), settings("c"))];
+    // An instance that starts now has no memory of the former holder, and the record of the copy
+    // makes it wait unless that is lost as well.
+    if lost {
+        holders.pop();
+    }
+    let mut next = None;
+    while next.is_none() {
+        let acting: Vec<_> = holders.iter().filter_map(Lease::may_act).collect();
+        assert!(acting.len() <= 1, "{acting:?} act at once");
+        next = acting.into_iter().find(|t| Some(*t) != token);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert!(next > token, "{next:?} after {token:?}");
+}
+
 #[rstest]
 #[case::garbage(b"not a record".to_vec())]
 #[case::version(br#"{"version":2,"holder":"z","more":1}"#.to_vec())]
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         Call, Error, Purpose, Result, Store, StoreResponse,
+        era::{self, Era},
         metrics::{Counts, Kind},
         model::Model,
     },
@@ -40,6 +41,7 @@
 
 struct State {
     model: Model,
+    era: Era,
     faults: Faults,
     counts: Counts,
 }
@@ -59,8 +61,12 @@
 impl Memory {
     /// Creates an empty service whose leases expire on `clock`.
     pub fn open(clock: impl Fn() -> Duration + Send + Sync + 'static) -> Self {
-        let state =
-            State { model: Model::new(), faults: Faults::default(), counts: Counts::default() };
+        let state = State {
+            model: Model::new(),
+            era: 0,
+            faults: Faults::default(),
+            counts: Counts::default(),
+        };
         let shared = Shared {
             clock: Box::new(clock),
             state: Mutex::new(state),
@@ -72,12 +78,28 @@
     /// Returns a store handle whose calls this service executes.
     pub fn store(&self) -> Store {
         let shared = self.shared.clone();
-        Store::new(move |purpose, call| {
+        era::open(move |purpose, call| {
             let shared = shared.clone();
-            Box::pin(async move { shared.call(purpose, call).await })
+            Box::pin(async move {
+                let result = shared.call(purpose, call).await;
+                let era = shared.lock().era;
+                (Some(era), result)
+            })
         })
     }
 
+    /// Copy of the content.
+    pub fn copy(&self) -> Model {
+        self.shared.lock().model.clone()
+    }
+
+    /// Replaces the content by `copy`, which begins a new era.
+    pub fn come_back(&self, copy: Model) {
+        let mut state = self.shared.lock();
+        state.model = copy;
+        state.era += 1;
+    }
+
     /// Current faults.
     pub fn faults(&self) -> Faults {
         self.shared.lock().faults
