Write shared records again that a store rollback has lost

Instances took over what the store still had, so the suspects of the last seconds were released as if an operator had done so (shared_record: [] instead of [b], [a, c] instead of [a, b, c] with the check of this change taken out). The first instance that finds a record of a newer era merges it with what it knows and writes that; followers do so only if no other instance reports a revision of that era. A suspect that was cleared within the lost seconds has to be cleared again.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -78,7 +78,7 @@
                 evidence: Mutex::default(),
                 suspicions: Mutex::default(),
                 active: AtomicBool::new(false),
-                record: SharedRecord::new(store, KEY, on_record),
+                record: SharedRecord::new(store, KEY, Table::merge, on_record),
                 wall: Box::new(wall),
             }
         })
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -30,7 +30,7 @@
 ///
 /// Returns the store's error.
 pub async fn read(store: &Store) -> Result<Table> {
-    let record = SharedRecord::new(store.clone(), KEY, |_: &Table, _| {});
+    let record = SharedRecord::new(store.clone(), KEY, Table::merge, |_, _| {});
     record.read().await?;
     Ok(record.load().state.clone())
 }
@@ -42,7 +42,7 @@
 ///
 /// Returns the store's error, or `Unavailable` if instances won every race.
 pub async fn release(store: &Store, print: Fingerprint) -> Result<bool> {
-    let record = SharedRecord::new(store.clone(), KEY, |_: &Table, _| {});
+    let record = SharedRecord::new(store.clone(), KEY, Table::merge, |_, _| {});
     record.read().await?;
     record
         .change(|table: &mut Table| {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -172,6 +172,16 @@
         true
     }
 
+    /// Adds the suspects of an older copy that are missing. One that was cleared since has to be
+    /// cleared again.
+    pub fn merge(&mut self, copy: &Self) {
+        for (print, suspect) in &copy.suspects {
+            if self.suspects.len() < CAPACITY {
+                self.suspects.entry(*print).or_insert_with(|| suspect.clone());
+            }
+        }
+    }
+
     /// Removes a suspect after a response to a request of it that was sent at `sent`; returns
     /// whether it was one. A request sent before the last crash clears nothing.
     pub fn clear(&mut self, print: Fingerprint, sent: Wall) -> bool {
--- a/crates/view/src/shared_record.rs
+++ b/crates/view/src/shared_record.rs
@@ -1,12 +1,13 @@
 //! A record in the store that all instances share.
 //!
 //! Instances tell each other its revision and read it when they miss one. They change it by
-//! compare-and-swap and apply a change again if another instance was faster.
+//! compare-and-swap and apply a change again if another instance was faster. What a store loses that
+//! comes back from an older copy is written again by the first of them that notices.
 
 use {
     crate::{LocalView, framing, local_view::LastConfirmed},
     agate_core::Mono,
-    agate_store::{Error, Purpose, Record, Result, Store},
+    agate_store::{Error, Purpose, Record, Result, Store, era},
     arc_swap::{ArcSwap, Guard},
     serde::{Serialize, de::DeserializeOwned},
     std::{
@@ -54,7 +55,7 @@
     }
 }
 
-/// The record as last read; revision zero means that it does not exist.
+/// The record as last read; the lowest revision of an era means that it does not exist.
 #[derive(Debug, Default)]
 pub struct Snapshot<T> {
     /// Its content.
@@ -65,6 +66,8 @@
 
 /// Called with the former and the new content whenever the content is replaced.
 type OnInstall<T> = dyn Fn(&T, &T) + Send + Sync;
+/// Adds what an older copy of the content has to the newer one.
+pub type MergeFn<T> = fn(&mut T, &T);
 
 /// The record, as one instance knows it.
 pub struct SharedRecord<T> {
@@ -79,6 +82,7 @@
     wake: Notify,
     /// Serialises changes.
     write_lock: AsyncMutex<()>,
+    merge: MergeFn<T>,
     on_install: Box<OnInstall<T>>,
 }
 
@@ -89,11 +93,12 @@
 }
 
 impl<T: Clone + Default + Serialize + DeserializeOwned> SharedRecord<T> {
-    /// Makes the record at `key`, not read yet. `on_install` is called with the former and the new
-    /// content whenever the content is replaced.
+    /// Makes the record at `key`, not read yet. `merge` adds what an older copy has to the content.
+    /// `on_install` is called with the former and the new content whenever the content is replaced.
     pub fn new(
         store: Store,
         key: &'static str,
+        merge: MergeFn<T>,
         on_install: impl Fn(&T, &T) + Send + Sync + 'static,
     ) -> Self {
         Self {
@@ -105,6 +110,7 @@
             confirmed: LastConfirmed::default(),
             wake: Notify::new(),
             write_lock: AsyncMutex::default(),
+            merge,
             on_install: Box::new(on_install),
         }
     }
@@ -155,7 +161,9 @@
     pub async fn next(&self, polls: &mut u32, role: impl Fn() -> Role) -> Result<()> {
         let woken = timeout(POLL_INTERVAL, self.wake.notified()).await.is_ok();
         *polls += u32::from(!woken);
-        let behind = self.reported.load(Ordering::Acquire) > self.known.load().revision;
+        let known = self.known.load().revision;
+        let returned = self.store.era() > era::era_of(known) && role() != Role::Follower;
+        let behind = self.reported.load(Ordering::Acquire) > known || returned;
         // A poll finds changes that nobody reported and costs a fraction of a full read.
         let polling = !woken
             && match role() {
@@ -177,12 +185,11 @@
     /// revision.
     async fn catch_up(&self) -> Result<()> {
         let found = self.store.get_stale(Purpose::Record, self.key).await?;
-        let revision = found.as_ref().map_or(0, |r| r.revision);
-        if revision < self.reported.load(Ordering::Acquire) {
+        let found = self.decode(found);
+        if found.revision < self.reported.load(Ordering::Acquire) {
             return self.read().await;
         }
-        self.install(self.decode(found));
-        Ok(())
+        self.adopt(found).await
     }
 
     /// Reads the record.
@@ -193,13 +200,44 @@
     pub async fn read(&self) -> Result<()> {
         let sent = crate::clock::now();
         let found = self.store.get(Purpose::Record, self.key).await?;
-        self.install(self.decode(found));
+        self.adopt(self.decode(found)).await?;
         self.confirmed.confirm(sent);
         Ok(())
     }
 
+    /// Applies a record that was read. If it is what the store still had when it came back from an
+    /// older copy, writes what was lost first.
+    async fn adopt(&self, found: Snapshot<T>) -> Result<()> {
+        let known = self.known.load_full();
+        let returned = era::era_of(found.revision) > era::era_of(known.revision);
+        let reported = self.reported.load(Ordering::Acquire);
+        // Instances report a revision only after they have written what was lost.
+        let restored = era::era_of(reported) == era::era_of(found.revision);
+        if !returned || restored || !self.is_loaded() {
+            self.install(found);
+            return Ok(());
+        }
+        let mut state = known.state.clone();
+        (self.merge)(&mut state, &found.state);
+        let value = framing::encode(&state);
+        if value == framing::encode(&found.state) {
+            self.install(found);
+            return Ok(());
+        }
+        match self.store.swap(Purpose::Record, self.key, found.revision, value).await? {
+            Ok(revision) => {
+                log::warn!(event = "record_restored", key = self.key, revision; "wrote a shared record again that the store had lost");
+                self.install(Snapshot { state, revision });
+            }
+            Err(faster) => self.install(self.decode(faster)),
+        }
+        Ok(())
+    }
+
     fn decode(&self, record: Option<Record>) -> Snapshot<T> {
-        let Some(Record { revision, value }) = record else { return Snapshot::default() };
+        let Some(Record { revision, value }) = record else {
+            return Snapshot { revision: era::floor(self.store.era()), ..Snapshot::default() };
+        };
         let state = framing::decode(&value);
         if state.is_none() {
             let key = self.key;
@@ -239,7 +277,7 @@
                     self.install(Snapshot { state, revision });
                     return Ok(out);
                 }
-                Err(found) => self.install(self.decode(found)),
+                Err(found) => self.adopt(self.decode(found)).await?,
             }
         }
         Err(Error::Unavailable {
