Retain endpoints that a store rollback has forgotten

A store that comes back from an older copy lacks the entries of endpoints that registered since, and shows others as they were: instances dropped the former as gone, which also counts as a crash, and sent requests to ones that had said that they leave (known_endpoints::rollback_grace: [y, z] usable instead of [x, y] with the check of this change taken out). A new era of the store counts as an outage: missing entries are retained for the same grace, and an incarnation that was leaving stays so in that time.

--- a/crates/sync/tests/forwarded_entries.rs
+++ b/crates/sync/tests/forwarded_entries.rs
@@ -27,7 +27,7 @@
 
 fn digest(entries: &[Entry]) -> u64 {
     let mut roster = Roster::default();
-    roster.step(Input::Read { entries: entries.to_vec(), sent: AT }, AT);
+    roster.step(Input::Read { entries: entries.to_vec(), sent: AT, era: 0 }, AT);
     roster.digest()
 }
 
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -246,7 +246,7 @@
                 None => continue,
             },
         };
-        let input = Input::Read { entries, sent };
+        let input = Input::Read { entries, sent, era: store.era() };
         if let Some(age) = view.roster.age() {
             roster.confirm(clock::now().saturating_sub(age));
         }
--- a/crates/view/src/roster.rs
+++ b/crates/view/src/roster.rs
@@ -1,12 +1,14 @@
 //! Decides which endpoints may be used, from the entries that they keep in the store.
 //!
 //! An endpoint whose entry is gone or marked as leaving gets no new work. One exception: during a
-//! store outage entries may expire although their endpoints live, so entries that are missing right
-//! after an outage are retained for [`REREGISTRATION_GRACE`].
+//! store outage entries may expire although their endpoints live, and a store may come back from a copy
+//! that lacks them, so entries that are missing right after an outage or a rollback are retained for
+//! [`REREGISTRATION_GRACE`]. An endpoint that was leaving before is not used in that time.
 
 use {
     crate::table::Name,
     agate_core::Mono,
+    agate_store::era::Era,
     indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
@@ -109,6 +111,8 @@
         entries: Vec<Entry>,
         /// Time before the read was sent.
         sent: Mono,
+        /// Era of the store.
+        era: Era,
     },
     /// The read failed.
     Failed,
@@ -127,17 +131,20 @@
     known: IndexMap<EndpointName, KnownEntry>,
     last_read: Option<Mono>,
     outage_end: Option<Mono>,
+    era: Era,
 }
 
 impl Roster {
     /// Applies a read; returns whether the set of endpoints or an entry changed. A read that is
     /// older than the latest one is ignored.
     pub fn step(&mut self, input: Input, now: Mono) -> bool {
-        let Input::Read { entries, sent } = input else { return false };
+        let Input::Read { entries, sent, era } = input else { return false };
         if self.last_read.is_some_and(|p| sent < p) {
             return false;
         }
-        let after_outage = self.last_read.is_some_and(|p| sent.saturating_sub(p) > MIN_OUTAGE);
+        let away = |p: Mono| sent.saturating_sub(p) > MIN_OUTAGE || era > self.era;
+        let after_outage = self.last_read.is_some_and(away);
+        self.era = self.era.max(era);
         if after_outage {
             self.outage_end = Some(now);
         }
@@ -145,7 +152,9 @@
         let in_grace =
             self.outage_end.is_some_and(|at| now.saturating_sub(at) < REREGISTRATION_GRACE);
         let mut next: IndexMap<EndpointName, KnownEntry> = IndexMap::with_capacity(entries.len());
-        for entry in entries {
+        for mut entry in entries {
+            // The entry may be of an older copy of the store, and leaving is final.
+            entry.leaving |= in_grace && self.is_known_leaving(&entry);
             let fingerprint = self.fingerprint_of(&entry);
             next.insert(entry.name.clone(), KnownEntry { entry, fingerprint, missing: false });
         }
@@ -160,6 +169,12 @@
         !same
     }
 
+    /// Whether this incarnation was leaving when it was last read.
+    fn is_known_leaving(&self, entry: &Entry) -> bool {
+        let known = self.known.get(&entry.name).filter(|_| entry.born.is_some());
+        known.is_some_and(|k| k.entry.leaving && k.entry.same_incarnation(entry))
+    }
+
     /// Hash of an entry; the hash of an unchanged entry is reused.
     fn fingerprint_of(&self, entry: &Entry) -> Fingerprint {
         let same = self.known.get(&entry.name).filter(|k| k.entry == *entry);
--- a/crates/view/tests/confirmed_entries.rs
+++ b/crates/view/tests/confirmed_entries.rs
@@ -37,8 +37,11 @@
 fn own_outage() {
     let (view, mut roster) = (LocalView::new(), Roster::default());
     assert!(view.confirmed_roster().is_none(), "nothing is known");
-    let read =
-        |entries: Vec<Entry>, at: u64| Input::Read { entries, sent: Duration::from_secs(at) };
+    let read = |entries: Vec<Entry>, at: u64| Input::Read {
+        entries,
+        sent: Duration::from_secs(at),
+        era: 0,
+    };
     roster.step(read(vec![entry("x", 1), entry("y", 2)], 100), Duration::from_secs(100));
     install_roster(&view, &roster);
     assert_eq!(view.confirmed_roster().map(|(digest, _)| digest), Some(roster.digest()));
--- a/crates/view/tests/known_endpoints.rs
+++ b/crates/view/tests/known_endpoints.rs
@@ -27,7 +27,11 @@
 }
 
 fn read(entries: &[Entry], at: u64) -> Input {
-    Input::Read { entries: entries.to_vec(), sent: ms(at) }
+    read_in(1, entries, at)
+}
+
+fn read_in(era: u64, entries: &[Entry], at: u64) -> Input {
+    Input::Read { entries: entries.to_vec(), sent: ms(at), era }
 }
 
 fn names(roster: &Roster) -> Vec<String> {
@@ -62,6 +66,27 @@
     assert_eq!(names(&roster), ["y"], "after the grace period the list counts");
 }
 
+/// Entries that a store lacks after it came back from an older copy are retained like those that
+/// expired in an outage, and an endpoint that was leaving is not used again.
+#[test]
+fn rollback_grace() {
+    let mut roster = Roster::default();
+    let leaving = Entry { leaving: true, ..entry("z", 3) };
+    roster.step(read(&[entry("x", 1), entry("y", 2), leaving.clone()], 0), ms(0));
+    let copy = [entry("y", 2), entry("z", 3)];
+    roster.step(read_in(2, &copy, 600), ms(600));
+    let usable = |roster: &Roster| {
+        let usable = roster.entries().filter(|e| !e.leaving);
+        usable.map(|e| e.name.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(usable(&roster), ["y", "x"]);
+    let mut restarted = entry("z", 3);
+    restarted.born = Some(2);
+    let written = [entry("x", 1), entry("y", 2), restarted];
+    roster.step(read_in(2, &written, 1_200), ms(1_200));
+    assert_eq!(usable(&roster), ["x", "y", "z"]);
+}
+
 /// An endpoint that was seen after an outage and then leaves within the grace period must not be
 /// retained.
 #[test]
