Connect to endpoints through another instance while the path to them is broken

Cause: an instance believes only its own path. Connections that do not open and responses that never come count as failures of the endpoints, which are all marked offline, and requests are refused one after the other (hypothesis A); requests on open connections wait until their deadlines (B). Nothing goes by another way.

The request stays with the instance that accepted it, so deadline, retry budget, permits, usage and evidence are counted once. A check every 400 ms at most decides whether the path is broken: only if the other instance has a connection that this one cannot open. It follows 400 ms without a byte from an endpoint with open requests, retires connections that hang, and sends idempotent requests on them again. A direct connection ends it. Not one refusal alone counts as a crash.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -17,15 +17,21 @@
         window,
     },
     agate_lease::Lease,
+    agate_path::{self as path, DialFn, Paths, Relay},
     agate_quarantine::Quarantine,
     agate_relay::{
+        path_watch,
         proxy_state::{self, ProxyState},
         ready::Monitor,
         retry_budget::RetryLimits,
         server::HttpServer,
     },
     agate_store::{Client, Store, breaker, client},
-    agate_sync::runner::{COORDINATORS, SyncHandle, bind},
+    agate_sync::{
+        runner::{COORDINATORS, SyncHandle, bind},
+        secret::SharedKeys,
+    },
+    agate_transport::link,
     agate_view::{
         LocalView,
         follow::{self, Followers, RefreshIntervals},
@@ -34,6 +40,7 @@
     },
     eyre::{Result, WrapErr},
     flexi_logger::LoggerHandle,
+    futures_util::FutureExt,
     settings::Settings,
     std::{net::SocketAddr, path::Path, process::ExitCode, sync::Arc, time::Duration},
     tokio::{
@@ -75,6 +82,7 @@
 pub struct Edge {
     proxy_state: Arc<ProxyState>,
     server: HttpServer,
+    relay: Relay,
     tasks: LeaderTasks,
     stop_limit: Duration,
     _sync: SyncHandle,
@@ -88,6 +96,13 @@
     ///
     /// Errors: an address cannot be bound.
     pub async fn spawn(settings: &Settings) -> Result<Self> {
+        Self::spawn_with(settings, Arc::new(|address| link::connect(address).boxed())).await
+    }
+
+    /// Starts an instance that opens connections to endpoints and other instances with `dial`.
+    ///
+    /// Errors: an address cannot be bound.
+    pub async fn spawn_with(settings: &Settings, dial: Arc<DialFn>) -> Result<Self> {
         let view = LocalView::new();
         let client = open_store(settings);
         let store = client.store();
@@ -96,18 +111,39 @@
         let counting = counter.clone();
         let timing = counter.clone();
         let quarantine = Quarantine::new(store.clone(), move || timing.wall());
+        let keys = SharedKeys::open(store.clone());
+        let (known, secret) = (view.clone(), keys.clone());
+        let path_metrics = path::metrics::Metrics::default();
+        let paths = Paths::new(
+            settings.name.as_str(),
+            dial.clone(),
+            move || secret.load(),
+            move || known.peers.load_full(),
+            path_metrics.clone(),
+        );
         let proxy_state = ProxyState::new(
             headers::dialect(),
             view.clone(),
             proxy_settings(settings),
             quarantine.clone(),
+            paths,
             move |org| counting.count(org),
         );
+        let (finding, secret) = (proxy_state.clone(), keys.clone());
+        let relay = Relay::bind(
+            settings.peers,
+            move || secret.load(),
+            move |name| finding.fleet.path_to(name),
+            dial,
+            path_metrics,
+        );
+        let relay = relay.await.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
         let known_view = view.clone();
         tokio::spawn(quarantine.follow(move || Role::of(&known_view)));
         scrape::store_calls::register(proxy_state.metrics.registry(), &client);
         tokio::spawn(proxy_state.clone().follow());
         tokio::spawn(proxy_state.clone().report_retries());
+        tokio::spawn(path_watch::watch(proxy_state.clone()));
         let own = Peer {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -117,8 +153,7 @@
         let candidate = Arc::<LeaderCandidate>::default();
         let callbacks =
             sync_callbacks::callbacks(&proxy_state, &counter, &candidate, &settings.name);
-        let sync =
-            bind(own.clone(), incarnation.clone(), store.clone(), view.clone(), callbacks).await;
+        let sync = bind(own.clone(), incarnation.clone(), keys, view.clone(), callbacks).await;
         let sync = sync.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
         let candidacy = tokio::spawn(follow_rank(
             candidate.clone(),
@@ -155,6 +190,7 @@
         Ok(Self {
             proxy_state,
             server,
+            relay,
             tasks,
             stop_limit,
             _sync: sync,
@@ -183,6 +219,7 @@
         let end = begun + self.stop_limit.saturating_sub(STOP_MARGIN);
         log::info!(event = "stopping", open = self.proxy_state.flight.open(); "instance stopping");
         self.proxy_state.announce_stop();
+        self.relay.stop_accepting();
         sleep(ACCEPT_TIME).await;
         self.server.close();
         let left = self.server.wait_closed(end.saturating_duration_since(Instant::now())).await;
--- a/crates/flow/src/model.rs
+++ b/crates/flow/src/model.rs
@@ -175,7 +175,8 @@
             self.tried.push(target.id);
             let begin = state.now();
             let limit = dispatch::time_left(state, &self.job).min(state.limits().first);
-            let time_limits = TimeLimits { fresh: limit, reused: limit, max_idle: self.max_idle };
+            let time_limits =
+                TimeLimits { fresh: limit, reused: limit, max_idle: self.max_idle, abandon: false };
             let request = self.request();
             let sent = exchange::send(
                 &target.connections,
--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -195,7 +195,8 @@
         true => (left / REUSED_WAIT_DIVISOR, IDLE_LIMIT),
         false => (left, UNSAFE_IDLE_LIMIT),
     };
-    TimeLimits { fresh: left, reused, max_idle: if silent { Duration::ZERO } else { rest } }
+    let max_idle = if silent { Duration::ZERO } else { rest };
+    TimeLimits { fresh: left, reused, max_idle, abandon: false }
 }
 
 fn request(job: &Job) -> Request<Full<Bytes>> {
--- a/crates/flow/tests/endless_events.rs
+++ b/crates/flow/tests/endless_events.rs
@@ -61,7 +61,7 @@
     });
     let request = Request::new(Full::new(Bytes::from("x")));
     let grant = Grant::Again(Retryable::generation());
-    let time_limits = TimeLimits { fresh: LIMIT, reused: LIMIT, max_idle: LIMIT };
+    let time_limits = TimeLimits { fresh: LIMIT, reused: LIMIT, max_idle: LIMIT, abandon: false };
     let response =
         send(&pool, request, "x", &RESPONSE_MARKERS, grant, time_limits).await.expect("a head");
     let mut tokens = TokenStream::open(response, 0, LIMIT, LIMIT);
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -27,7 +27,9 @@
     /// Adds a request with `tokens` to prefill to the load of `endpoint`.
     pub(crate) fn new(endpoint: Arc<Endpoint>, tokens: u32) -> Self {
         let ahead = endpoint.prefill_load().ahead(tokens, endpoint.concurrent());
-        endpoint.stats.open.fetch_add(1, Relaxed);
+        if endpoint.stats.open.fetch_add(1, Relaxed) == 0 {
+            endpoint.pool.touch();
+        }
         endpoint.stats.lock_prefill_queue().own += u64::from(tokens);
         Self { endpoint, tokens, ahead, since: Instant::now(), prefilling: true }
     }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -18,7 +18,6 @@
     agate_route::ranking::{mix, name_hash},
     agate_transport::{
         exchange::{Failure, Step},
-        link,
         proof::Grant,
     },
     agate_view::Entry,
@@ -342,7 +341,7 @@
         return result;
     }
     let at = Instant::now();
-    let result = match link::open(endpoint.entry.address).await {
+    let result = match endpoint.pool.open().await {
         Ok(link) => {
             endpoint.pool.put(link);
             Probe::Alive
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -10,6 +10,7 @@
         signal_store::SharedSignals,
     },
     agate_core::Mono,
+    agate_path::Path,
     agate_quarantine::EndpointHash,
     agate_route::{
         health::{self, Health},
@@ -47,6 +48,8 @@
     pub hash: u64,
     /// Hash of its name and start time.
     pub incarnation: EndpointHash,
+    /// Path to it.
+    pub path: Arc<Path>,
     /// Connection pool.
     pub pool: Arc<Pool>,
     /// Load and health, kept when the entry changes.
@@ -126,6 +129,12 @@
         staged && compatible && self.takes_work() && !avoided && !tried
     }
 
+    /// Forgets failures, which were those of the path to it.
+    pub(crate) fn clear_failures(&self) {
+        health::reset(&self.stats.health);
+        self.stats.lock_backoff().until = Mono::ZERO;
+    }
+
     /// Whether it takes work of `stage`, and has `version` if that is given.
     pub(crate) fn serves(&self, stage: Stage, version: Option<&Version>) -> bool {
         let compatible = version.is_none_or(|v| *v == self.entry.version);
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -13,6 +13,7 @@
         signal_store::SignalStore,
     },
     agate_core::Mono,
+    agate_path::{Path, Paths},
     agate_quarantine::EndpointHash,
     agate_route::{
         health::{self, ExchangeResult, Health},
@@ -62,6 +63,7 @@
     rate_limited: AtomicBool,
     origin: Instant,
     zone: Name,
+    paths: Paths,
 }
 
 /// Requirements of a request on its endpoint.
@@ -86,6 +88,11 @@
 impl Fleet {
     /// Makes an empty fleet for an instance in `zone`.
     pub fn new(zone: Name) -> Self {
+        Self::with_paths(zone, Paths::default())
+    }
+
+    /// Makes an empty fleet for an instance in `zone` that reaches endpoints by `paths`.
+    pub fn with_paths(zone: Name, paths: Paths) -> Self {
         let changing = [ArcSwap::default(), ArcSwap::default()];
         Self {
             services: ArcSwap::default(),
@@ -97,6 +104,7 @@
             rate_limited: AtomicBool::new(false),
             origin: Instant::now(),
             zone,
+            paths,
         }
     }
 
@@ -158,19 +166,29 @@
                 continue;
             }
             let previous = existing.get(&*entry.name).filter(|e| e.entry.same_incarnation(entry));
-            let (pool, stats) = match previous {
-                Some(e) if e.entry.stage == entry.stage => (e.pool.clone(), e.stats.clone()),
-                Some(e) => (e.pool.clone(), Arc::default()),
-                None => (Arc::new(Pool::new(entry.address)), Arc::default()),
+            let (path, pool) = match previous {
+                Some(e) => (e.path.clone(), e.pool.clone()),
+                None => self.open_pool(entry),
             };
+            let kept = previous.filter(|e| e.entry.stage == entry.stage);
+            let stats = kept.map_or_else(Arc::default, |e| e.stats.clone());
             let service = table.and_then(|t| t.services.get(&entry.service));
             let max_open =
                 connection_share(service.map_or(DEFAULT_CONNECTIONS, |s| s.connections), instances);
             let hash = name_hash(&entry.name);
             let incarnation = crash::incarnation_hash(entry);
             let (entry, latency) = (entry.clone(), self.latency(entry));
-            let endpoint =
-                Endpoint { entry, hash, incarnation, pool, stats, signals, max_open, latency };
+            let endpoint = Endpoint {
+                entry,
+                hash,
+                incarnation,
+                path,
+                pool,
+                stats,
+                signals,
+                max_open,
+                latency,
+            };
             next.entry(endpoint.entry.service.clone()).or_default().push(Arc::new(endpoint));
         }
         known.end_list(now);
@@ -183,6 +201,28 @@
         self.services.store(Arc::new(next));
     }
 
+    fn open_pool(&self, entry: &Entry) -> (Arc<Path>, Arc<Pool>) {
+        let path = self.paths.to(entry.name.clone(), entry.address);
+        let opening = path.clone();
+        let pool = Pool::opened_by(entry.address, move || {
+            let path = opening.clone();
+            Box::pin(async move { path.open().await })
+        });
+        (path, Arc::new(pool))
+    }
+
+    /// Paths to the endpoints.
+    pub fn paths(&self) -> &Paths {
+        &self.paths
+    }
+
+    /// Path to the endpoint `name` if it takes requests.
+    pub fn path_to(&self, name: &str) -> Option<Arc<Path>> {
+        let services = self.services.load();
+        let found = services.values().flatten().find(|e| &*e.entry.name == name)?;
+        found.takes_work().then(|| found.path.clone())
+    }
+
     /// Versions of the endpoints of `service` that run requests, and do not only prefill prompts.
     pub fn versions(&self, service: &Name) -> Vec<Version> {
         self.versions.load().get(service).cloned().unwrap_or_default()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod latency;
 pub mod load;
 pub mod metrics;
+pub mod path_watch;
 pub mod placement;
 pub mod prefill;
 pub mod proxy_state;
--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -13,6 +13,7 @@
         retry_budget::{Counts, Permit, RetryBudget, RetryLimits},
     },
     agate_core::Mono,
+    agate_path::Paths,
     agate_quarantine::Quarantine,
     agate_route::ranking::name_hash,
     agate_transport::in_flight::InFlight,
@@ -81,22 +82,24 @@
 }
 
 impl ProxyState {
-    /// Makes the shared state; `on_started` is called with the organisation of each started
+    /// Makes the shared state of an instance that reaches endpoints by `paths`; `on_started` is called with the organisation of each started
     /// request.
     pub fn new(
         dialect: Dialect,
         view: Arc<LocalView>,
         settings: Settings,
         quarantine: Arc<Quarantine>,
+        paths: Paths,
         on_started: impl Fn(&Name) + Send + Sync + 'static,
     ) -> Arc<Self> {
         let instance_count = InstanceCount::new(settings.retry_limits.window, clock::now());
         let metrics = Metrics::default();
         quarantine.metrics.register(metrics.registry());
+        paths.metrics().register(metrics.registry());
         Arc::new(Self {
             dialect,
             view,
-            fleet: Fleet::new(settings.zone.clone()),
+            fleet: Fleet::with_paths(settings.zone.clone(), paths),
             quarantine,
             settings,
             flight: InFlight::default(),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -321,8 +321,12 @@
         *request.uri_mut() = job.uri.clone();
         *request.headers_mut() = (state.dialect.request_headers)(&job.headers, outgoing);
         request.headers_mut().remove(CONTENT_LENGTH);
-        let time_limits =
-            TimeLimits { fresh: job.remaining(), reused: job.remaining(), max_idle: IDLE_LIMIT };
+        let time_limits = TimeLimits {
+            fresh: job.remaining(),
+            reused: job.remaining(),
+            max_idle: IDLE_LIMIT,
+            abandon: job.route.kind.retryable(),
+        };
         let sent =
             exchange::send(pool, request, &job.info.id, &state.dialect.markers, grant, time_limits)
                 .await;
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -110,6 +110,12 @@
     }
 }
 
+/// Forgets all results.
+pub fn reset(health: &Health) {
+    *health.window.lock().expect("detector mutex is never poisoned") = Window::default();
+    health.offline_until.store(0, Relaxed);
+}
+
 /// Brings endpoints back online, those nearest to the end of their offline period first, until
 /// [`USABLE_PERCENT`] of `pool` are usable.
 pub fn return_early(pool: &[&Health], now: Mono) {
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod poller;
 pub mod reassembly;
 pub mod runner;
-mod secret;
+pub mod secret;
 pub mod sums;
 
 /// Hash of an endpoint's name.
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -12,7 +12,6 @@
         secret::SharedKeys,
     },
     agate_core::{Mono, Wall},
-    agate_store::Store,
     agate_view::{
         Entry, LocalView, clock,
         peers::{self, Peer},
@@ -102,13 +101,13 @@
 pub async fn bind(
     own: Peer,
     incarnation: String,
-    store: Store,
+    keys: Arc<SharedKeys>,
     view: Arc<LocalView>,
     callbacks: Callbacks,
 ) -> io::Result<SyncHandle> {
     let socket = UdpSocket::bind(own.address).await?;
     let task = tokio::spawn(async move {
-        let keys = SharedKeys::open(store).await;
+        keys.wait_loaded().await;
         let sync = SyncLoop {
             socket,
             keys,
@@ -141,7 +140,7 @@
 
 struct SyncLoop {
     socket: UdpSocket,
-    keys: SharedKeys,
+    keys: Arc<SharedKeys>,
     own: Peer,
     incarnation: String,
     view: Arc<LocalView>,
@@ -309,7 +308,8 @@
 
     async fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
         let context = Context::Datagram(self.own.address);
-        let message = match open::<Message>(&self.keys.load(), bytes, context) {
+        let Some(keys) = self.keys.load() else { return };
+        let message = match open::<Message>(&keys, bytes, context) {
             Ok(message) => message,
             Err(e) => return log::debug!("rejected a datagram from {from}: {e:?}"),
         };
@@ -419,7 +419,7 @@
     /// Sends a message. If it does not fit into a datagram, the smallest loads are dropped: an
     /// instance without responses would read everything from the store.
     async fn send(&self, message: &Message, to: SocketAddr) {
-        let keys = self.keys.load();
+        let Some(keys) = self.keys.load() else { return };
         let mut sealed = seal(&keys, message, Context::Datagram(to));
         if matches!(sealed, Err(SealError::Large { .. })) {
             let mut shorter = message.clone();
--- a/crates/sync/src/secret.rs
+++ b/crates/sync/src/secret.rs
@@ -1,11 +1,12 @@
 //! Secret that authenticates messages between instances, kept in the store.
 
 use {
-    agate_store::{Purpose, Store, era::Era},
+    agate_store::{Purpose, Store},
     agate_wire::Keys,
-    arc_swap::{ArcSwap, Guard},
+    arc_swap::ArcSwapOption,
     std::{sync::Arc, time::Duration},
     tokio::{
+        sync::watch,
         task::JoinHandle,
         time::{interval, sleep},
     },
@@ -24,8 +25,10 @@
 
 /// Keys derived from the stored secret. The secret changes only if the store came back from a copy
 /// that is older than it and another instance wrote its own first.
+#[derive(Debug)]
 pub struct SharedKeys {
-    keys: Arc<ArcSwap<Keys>>,
+    keys: Arc<ArcSwapOption<Keys>>,
+    ready: watch::Receiver<bool>,
     task: JoinHandle<()>,
 }
 
@@ -36,18 +39,31 @@
 }
 
 impl SharedKeys {
-    /// Reads the secret, with retries until that succeeds; the first instance creates it.
-    pub async fn open(store: Store) -> Self {
-        let (secret, keys) = fetch(&store).await;
-        let era = store.era();
-        let keys = Arc::new(ArcSwap::from_pointee(keys));
-        let task = tokio::spawn(restore(store, era, secret, keys.clone()));
-        Self { keys, task }
+    /// Begins to read the secret, with retries until that succeeds; the first instance creates it.
+    pub fn open(store: Store) -> Arc<Self> {
+        let keys = Arc::<ArcSwapOption<Keys>>::default();
+        let (loaded, ready) = watch::channel(false);
+        let shared = keys.clone();
+        let task = tokio::spawn(async move {
+            let (secret, derived) = fetch(&store).await;
+            shared.store(Some(Arc::new(derived)));
+            loaded.send_replace(true);
+            restore(&store, secret, &shared).await;
+        });
+        Arc::new(Self { keys, ready, task })
     }
 
-    /// The present keys.
-    pub fn load(&self) -> Guard<Arc<Keys>> {
-        self.keys.load()
+    /// The present keys; `None` until the secret was read.
+    pub fn load(&self) -> Option<Arc<Keys>> {
+        self.keys.load_full()
+    }
+
+    /// Waits until the secret was read.
+    pub async fn wait_loaded(&self) {
+        let mut ready = self.ready.clone();
+        if ready.wait_for(|loaded| *loaded).await.is_err() {
+            log::error!(event = "secret_task_ended"; "the task that follows the shared secret has ended");
+        }
     }
 }
 
@@ -93,7 +109,8 @@
 }
 
 /// Writes the secret again whenever the store came back from a copy without it; never returns.
-async fn restore(store: Store, mut era: Era, mut secret: Vec<u8>, keys: Arc<ArcSwap<Keys>>) {
+async fn restore(store: &Store, mut secret: Vec<u8>, keys: &ArcSwapOption<Keys>) {
+    let mut era = store.era();
     let mut checks = interval(CHECK_INTERVAL);
     loop {
         checks.tick().await;
@@ -102,11 +119,11 @@
             continue;
         }
         let own = Some(secret.clone());
-        let Some(stored) = read_or_create(&store, own).await else { continue };
+        let Some(stored) = read_or_create(store, own).await else { continue };
         if stored != secret {
             let Some(derived) = derive(&stored) else { continue };
             log::warn!(event = "secret_changed"; "another instance wrote a new shared secret");
-            keys.store(Arc::new(derived));
+            keys.store(Some(Arc::new(derived)));
             secret = stored;
         }
         era = newest;
--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        link::{Connection, Pool, open},
+        link::{Connection, Pool},
         proof::{Declared, Grant},
     },
     bytes::Bytes,
@@ -94,6 +94,7 @@
     body: Incoming,
     connection: Connection,
     pool: Arc<Pool>,
+    abandon: bool,
 }
 
 /// Time limits of an exchange, and the idle time of its connection.
@@ -106,6 +107,8 @@
     pub reused: Duration,
     /// Longest idle time of a connection that may be reused.
     pub max_idle: Duration,
+    /// Whether to give up, as after a timeout, once the path to the endpoint is found broken.
+    pub abandon: bool,
 }
 
 /// Markers in the responses of an endpoint interface.
@@ -133,7 +136,7 @@
     let peer = pool.address();
     let (mut connection, limit) = match pool.take(time_limits.max_idle) {
         Some(connection) => (connection, time_limits.reused),
-        None => match open(peer).await {
+        None => match pool.open().await {
             Ok(connection) => (connection, time_limits.fresh),
             Err(e) => {
                 let refused = e.kind() == io::ErrorKind::ConnectionRefused;
@@ -145,11 +148,15 @@
     };
     let before = connection.written.load(Ordering::Acquire);
     connection.head.begin();
-    let sent = timeout(limit, connection.sender.try_send_request(request)).await;
+    let opened = connection.opened_at;
+    let sent = tokio::select! {
+        sent = timeout(limit, connection.sender.try_send_request(request)) => sent.ok(),
+        () = pool.wait_cut(opened), if time_limits.abandon => None,
+    };
     let written = connection.written.load(Ordering::Acquire) - before;
     let response = match sent {
-        Ok(Ok(response)) => response,
-        Ok(Err(mut e)) => {
+        Some(Ok(response)) => response,
+        Some(Err(mut e)) => {
             // Two conditions prove that nothing was written: hyper returns the request, so it will
             // not write it later, and the byte count is unchanged, so it has not written any of it
             // before.
@@ -157,13 +164,14 @@
             let step = if held && written == 0 { Step::Write } else { Step::Head };
             return Err(fail(step, peer, e.error(), grant.after(if held { written } else { 1 })));
         }
-        Err(_) => {
+        None => {
             let mut failure = fail(Step::Head, peer, io::ErrorKind::TimedOut, grant.after(1));
             failure.silent = true;
             return Err(failure);
         }
     };
     connection.head.end();
+    pool.touch();
     let (head, body) = response.into_parts();
     if head.headers.get(&markers.id).is_some_and(|v| v.as_bytes() != id.as_bytes()) {
         return Err(fail(Step::Match, peer, "response to another request", grant.after(1)));
@@ -175,7 +183,8 @@
         failure.head = Some(Box::new(head));
         return Err(failure);
     }
-    Ok(EndpointResponse { head, peer, body, connection, pool: pool.clone() })
+    let (pool, abandon) = (pool.clone(), time_limits.abandon);
+    Ok(EndpointResponse { head, peer, body, connection, pool, abandon })
 }
 
 impl EndpointResponse {
@@ -199,11 +208,18 @@
             // first.
             let timed = match limit.is_zero() {
                 true => Err(()),
-                false => timeout(limit, self.body.frame()).await.map_err(|_| ()),
+                false => tokio::select! {
+                    frame = timeout(limit, self.body.frame()) => frame.map_err(|_| ()),
+                    () = self.pool.wait_cut(self.connection.opened_at), if self.abandon => Err(()),
+                },
             };
+
             let frame = match timed {
                 Ok(None) => return Ok(None),
-                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Ok(frame))) => {
+                    self.pool.touch();
+                    frame
+                }
                 Ok(Some(Err(e))) => return Err(fail(Step::Body, self.peer, e, None)),
                 Err(()) => {
                     let mut failure = fail(Step::Body, self.peer, io::ErrorKind::TimedOut, None);
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -3,11 +3,13 @@
 //! A connection carries one exchange at a time. It returns to the pool only after a complete
 //! response; after a cancellation, a timeout or an error it is closed. Connections opened before a
 //! purge are never reused, so that all connections of an endpoint that stopped responding are
-//! retired together.
+//! retired together. A relayed connection leads through another instance and is reused for a short
+//! time only.
 
 use {
     crate::counting_stream::{CountingStream, HeadLimit, WrittenBytes},
     bytes::Bytes,
+    futures_util::future::BoxFuture,
     http::HeaderMap,
     http_body_util::Full,
     hyper::client::conn::http1::{SendRequest, handshake},
@@ -16,10 +18,13 @@
     std::{
         fmt, io,
         net::SocketAddr,
-        sync::Mutex,
+        sync::{
+            Mutex, MutexGuard,
+            atomic::{AtomicU64, Ordering::Relaxed},
+        },
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
+    tokio::{net::TcpStream, sync::watch, task::JoinHandle, time::timeout},
 };
 
 /// Longest time to open a connection.
@@ -34,6 +39,9 @@
 pub const IDLE_LIMIT: Duration = Duration::from_secs(15);
 /// Margin by which a connection is closed before the idle time announced by the peer ends.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+/// Time after its opening for which a relayed connection is reused; much shorter than the time in
+/// which an instance stops.
+const RELAYED_LIFETIME: Duration = Duration::from_secs(2);
 /// Most idle connections kept for one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -49,6 +57,8 @@
     pub opened_at: Instant,
     /// Longest idle time after which it may be reused.
     pub max_idle: Duration,
+    /// Whether it leads through another instance.
+    pub relayed: bool,
     driver: JoinHandle<()>,
 }
 
@@ -75,15 +85,28 @@
 ///
 /// Errors: the operating system's error, or `TimedOut` after the connect limit.
 pub async fn open(address: SocketAddr) -> io::Result<Connection> {
-    let io = timeout(CONNECT_LIMIT, TcpStream::connect(address))
-        .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    wrap(connect(address).await?, false).await
+}
+
+/// Opens a TCP connection to `address`.
+///
+/// Errors: the operating system's error, or `TimedOut` after the connect limit.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let connected = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+    connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+/// Makes a connection for HTTP of an open one, which leads through another instance if `relayed`.
+///
+/// Errors: the operating system's error.
+pub async fn wrap(io: TcpStream, relayed: bool) -> io::Result<Connection> {
     configure(&io)?;
+    let peer = io.peer_addr()?;
     let (stream, written, head) = CountingStream::wrap(io);
     let (sender, conn) = handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         if let Err(e) = conn.await {
-            log::trace!("connection to endpoint {address} ended: {e}");
+            log::trace!("connection to {peer} ended: {e}");
         }
     });
     Ok(Connection {
@@ -92,6 +115,7 @@
         head,
         opened_at: Instant::now(),
         max_idle: IDLE_LIMIT,
+        relayed,
         driver,
     })
 }
@@ -117,12 +141,31 @@
     idle: Vec<Idle>,
     /// Connections opened at or before this time are not reused.
     purged: Option<Instant>,
+    /// Relayed connections opened at or before this time are not reused.
+    restored: Option<Instant>,
 }
 
+impl State {
+    fn is_stale(&self, conn: &Connection) -> bool {
+        let before = |at: Option<Instant>| at.is_some_and(|at| conn.opened_at <= at);
+        let relayed = before(self.restored) || conn.opened_at.elapsed() >= RELAYED_LIFETIME;
+        before(self.purged) || conn.relayed && relayed
+    }
+}
+
+type OpenFn = dyn Fn() -> BoxFuture<'static, io::Result<Connection>> + Send + Sync;
+
 /// Pool of idle connections to one endpoint.
 pub struct Pool {
     address: SocketAddr,
+    open: Box<OpenFn>,
     state: Mutex<State>,
+    origin: Instant,
+    /// When the endpoint was last heard, or was sent the first of its open requests, in milliseconds
+    /// since the origin.
+    active: AtomicU64,
+    /// When the path to the endpoint was last found broken.
+    cut: watch::Sender<Option<Instant>>,
 }
 
 impl fmt::Debug for Pool {
@@ -132,9 +175,43 @@
 }
 
 impl Pool {
-    /// Creates an empty pool for `address`.
+    /// Creates an empty pool for `address`, which opens direct connections.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, state: Mutex::default() }
+        Self::opened_by(address, move || Box::pin(open(address)))
+    }
+
+    /// Creates an empty pool for `address`, whose connections `open` opens.
+    pub fn opened_by(
+        address: SocketAddr,
+        open: impl Fn() -> BoxFuture<'static, io::Result<Connection>> + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            address,
+            open: Box::new(open),
+            state: Mutex::default(),
+            origin: Instant::now(),
+            active: AtomicU64::new(0),
+            cut: watch::Sender::new(None),
+        }
+    }
+
+    /// Opens a connection, which belongs to the caller.
+    ///
+    /// Errors: that of the operating system or of the way in which connections are opened.
+    pub async fn open(&self) -> io::Result<Connection> {
+        (self.open)().await
+    }
+
+    /// Records that the endpoint was heard, or is sent the first of its open requests.
+    pub fn touch(&self) {
+        let millis = self.origin.elapsed().as_millis();
+        self.active.store(millis.try_into().unwrap_or(u64::MAX), Relaxed);
+    }
+
+    /// Time since the last [`Pool::touch`].
+    pub fn silence(&self) -> Duration {
+        let active = Duration::from_millis(self.active.load(Relaxed));
+        self.origin.elapsed().saturating_sub(active)
     }
 
     /// Address of the endpoint.
@@ -145,8 +222,13 @@
     /// Takes the most recently used idle connection, if one is usable and was idle for at most
     /// `max_idle`.
     pub fn take(&self, max_idle: Duration) -> Option<Connection> {
-        let mut state = self.state.lock().expect("no panic under the pool lock");
-        state.idle.retain(|i| i.since.elapsed() < i.conn.max_idle && i.conn.sender.is_ready());
+        let mut state = self.lock_state();
+        let mut idle = std::mem::take(&mut state.idle);
+        idle.retain(|i| {
+            let usable = i.since.elapsed() < i.conn.max_idle && i.conn.sender.is_ready();
+            usable && !state.is_stale(&i.conn)
+        });
+        state.idle = idle;
         let last = state.idle.pop_if(|i| i.since.elapsed() <= max_idle);
         last.map(|i| i.conn)
     }
@@ -154,9 +236,11 @@
     /// Returns a connection after a complete response. It is closed if it is unusable or the pool
     /// is full.
     pub fn put(&self, conn: Connection) {
-        let mut state = self.state.lock().expect("no panic under the pool lock");
-        let stale = state.purged.is_some_and(|t| conn.opened_at <= t);
-        if !stale && !conn.sender.is_closed() && state.idle.len() < MAX_IDLE_CONNECTIONS {
+        let mut state = self.lock_state();
+        if !state.is_stale(&conn)
+            && !conn.sender.is_closed()
+            && state.idle.len() < MAX_IDLE_CONNECTIONS
+        {
             state.idle.push(Idle { conn, since: Instant::now() });
         }
     }
@@ -164,15 +248,49 @@
     /// Closes every idle connection and prevents the return of those opened until now. Returns the
     /// number of idle connections closed.
     pub fn purge(&self) -> usize {
-        let mut state = self.state.lock().expect("no panic under the pool lock");
+        let mut state = self.lock_state();
         state.purged = Some(Instant::now());
         let n = state.idle.len();
         state.idle.clear();
         n
     }
 
+    /// Retires the connections opened until `until`, since when the path to the endpoint is known to be
+    /// broken: closes the idle ones and ends the waits of [`Pool::wait_cut`] for the others. Returns
+    /// the number of idle connections closed.
+    pub fn cut(&self, until: Instant) -> usize {
+        let mut state = self.lock_state();
+        state.purged = state.purged.max(Some(until));
+        let before = state.idle.len();
+        state.idle.retain(|i| i.conn.opened_at > until);
+        let closed = before - state.idle.len();
+        drop(state);
+        self.cut.send_replace(Some(until));
+        closed
+    }
+
+    /// Waits until [`Pool::cut`] retires connections opened at `opened`.
+    pub async fn wait_cut(&self, opened: Instant) {
+        let mut cut = self.cut.subscribe();
+        if cut.wait_for(|at| at.is_some_and(|at| at >= opened)).await.is_err() {
+            // The sender is dropped with the pool, so this is never reached.
+            std::future::pending().await
+        }
+    }
+
+    /// Closes the idle relayed connections and prevents the return of the others opened until now.
+    pub fn retire_relayed(&self) {
+        let mut state = self.lock_state();
+        state.restored = Some(Instant::now());
+        state.idle.retain(|i| !i.conn.relayed);
+    }
+
     /// Number of idle connections.
     pub fn idle(&self) -> usize {
-        self.state.lock().expect("no panic under the pool lock").idle.len()
+        self.lock_state().idle.len()
+    }
+
+    fn lock_state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic under the pool lock")
     }
 }
