Convert numbers from outside to times without panics

Operators reported an odd entry of endpoints that ended the loops of all instances. It happened here: with coldLeftMs 1e30 or 1e308 the task that follows the endpoints ended without a line (odd_numbers::odd_entry_listed: 20 of 20 requests to an endpoint that was leaving); a configuration with such a timeout ended the task that follows the configurations, so no later one came into force (odd_configuration); a request with such a Deadline-Ms got no response (odd_deadline, status 0). Duration::from_secs_f64 panics on numbers that do not fit.

agate_core::time::seconds clamps to a year, so that the result can be added to any time.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -16,7 +16,7 @@
 use {
     self::org::{Key, Org},
     crate::rate::Rate,
-    agate_core::{Mono, OrgId, Refusal},
+    agate_core::{Mono, OrgId, Refusal, time},
     indexmap::IndexMap,
     std::{
         collections::{BTreeSet, VecDeque},
@@ -236,7 +236,7 @@
         o.rate.close_sample(now);
         let share = f64::from(weight.max(1)) / self.weight as f64;
         let own = o.rate.per_second(now).unwrap_or(rate * share);
-        Duration::from_secs_f64(
+        time::seconds(
             (o.ahead(Key::new(Ticket::MAX, deadline, now)) as f64 / own)
                 .min(MAX_WAIT.as_secs_f64()),
         )
--- a/crates/config/src/spread/reader.rs
+++ b/crates/config/src/spread/reader.rs
@@ -11,7 +11,7 @@
 //! estimate also holds at the start, when each instance knows no other and considers itself the
 //! first.
 
-use {super::State, std::time::Duration};
+use {super::State, agate_core::time, std::time::Duration};
 
 /// Maximum time for which an idle reader accumulates unused rate.
 const MAX_CREDIT: Duration = Duration::from_millis(100);
@@ -41,7 +41,7 @@
 
 /// Returns the interval between two chunks that this instance reads.
 pub fn read_interval(s: &State) -> Duration {
-    Duration::from_secs_f64(read_slot(s).readers as f64 / s.settings.chunk_rate)
+    time::seconds(read_slot(s).readers as f64 / s.settings.chunk_rate)
 }
 
 /// Returns whether this instance may read all chunks of the running fetch.
--- a/crates/config/src/spread/step.rs
+++ b/crates/config/src/spread/step.rs
@@ -5,7 +5,7 @@
         Action, Call, HeadSummary, Input, Peer, Proof, Source, State, fetch_steps, reader,
         watchers::watchers,
     },
-    agate_core::{Generation, Mono},
+    agate_core::{Generation, Mono, time},
     rand::{RngExt, seq::IndexedRandom},
     std::time::Duration,
 };
@@ -210,7 +210,7 @@
 /// few and do not wait for others.
 pub fn poll_delay(s: &mut State) -> Duration {
     let pollers = if s.is_watcher() { 1 } else { s.fleet };
-    let rate_limited = Duration::from_secs_f64(pollers as f64 / s.settings.poll_rate);
+    let rate_limited = time::seconds(pollers as f64 / s.settings.poll_rate);
     let mean = rate_limited.max(s.settings.poll_interval);
     jitter(s, mean)
 }
--- a/crates/config/tests/support/sim.rs
+++ b/crates/config/tests/support/sim.rs
@@ -339,7 +339,8 @@
         };
         let instance = &mut self.instances[from];
         instance.bytes_out += size;
-        instance.sent = instance.sent.max(self.now) + Duration::from_secs_f64(size as f64 / UPLINK);
+        instance.sent =
+            instance.sent.max(self.now) + agate_core::time::seconds(size as f64 / UPLINK);
         let queued = instance.sent - self.now;
         let datagram = matches!(packet, Packet::Query(_) | Packet::Digest(..));
         let lost = datagram && self.loss > 0.0 && self.rng.random_bool(self.loss);
--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -16,7 +16,7 @@
         share::{Exchange, Share},
     },
     agate_config::snapshot::Current,
-    agate_core::{Mono, OrgId, PoolId},
+    agate_core::{Mono, OrgId, PoolId, time},
     agate_route::{
         retry::Budget,
         table::{FreeSlots, Table},
@@ -319,7 +319,7 @@
 /// Latest useful time for a grant: the deadline minus the predicted run time.
 fn latest_grant(unit_time: f64, entry: &Entry, now: Mono) -> Mono {
     let left = entry.deadline.saturating_sub(now);
-    let run = Duration::from_secs_f64((unit_time * f64::from(entry.cost)).min(left.as_secs_f64()));
+    let run = time::seconds((unit_time * f64::from(entry.cost)).min(left.as_secs_f64()));
     now + (left - run.min(left)).max(left / MIN_WAIT_DIVISOR)
 }
 
--- a/crates/idempotency/examples/write_cost.rs
+++ b/crates/idempotency/examples/write_cost.rs
@@ -94,7 +94,7 @@
     let mut calls = tokio::task::JoinSet::new();
     let (mut at, mut n) = (Duration::ZERO, 0u64);
     while at < SPAN {
-        at += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / case.rate);
+        at += agate_core::time::seconds(-(1.0 - rng.random::<f64>()).ln() / case.rate);
         sleep_until(start + at).await;
         let once = fleet[rng.random_range(0..case.instances)].clone();
         calls.spawn(claim_and_finish(once, n, results.clone()));
--- a/crates/lab/src/workload.rs
+++ b/crates/lab/src/workload.rs
@@ -1,7 +1,7 @@
 //! Seeded random workloads.
 
 use {
-    agate_core::{Mono, OrgId},
+    agate_core::{Mono, OrgId, time},
     agate_route::{prefix::BLOCK_TOKENS, ranking::mix},
     rand::{Rng, RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -84,7 +84,7 @@
 /// Draws an exponentially distributed time between arrivals.
 fn interarrival(rate: f64, rng: &mut impl Rng) -> Duration {
     let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
-    Duration::from_secs_f64((-uniform.ln() / rate).min(1e6))
+    time::seconds((-uniform.ln() / rate).min(1e6))
 }
 
 fn draw_request(source: &Source, at: Mono, entries: usize, rng: &mut impl Rng) -> Request {
--- a/crates/leader/tests/usage_windows.rs
+++ b/crates/leader/tests/usage_windows.rs
@@ -17,7 +17,7 @@
 };
 
 fn s(n: f64) -> Duration {
-    Duration::from_secs_f64(n)
+    agate_core::time::seconds(n)
 }
 
 /// A clock jump that is undone later must not move counts to another window.
--- a/crates/load/src/mix.rs
+++ b/crates/load/src/mix.rs
@@ -122,7 +122,7 @@
         let bounds = &mix.shares[share];
         out.push(Arrival {
             number: out.len() as u64,
-            at: Duration::from_secs_f64(at),
+            at: Duration::try_from_secs_f64(at).unwrap_or(Duration::MAX),
             organisation,
             share,
             prompt: rng.random_range(bounds.prompt.0..=bounds.prompt.1),
--- a/crates/member/examples/fleet.rs
+++ b/crates/member/examples/fleet.rs
@@ -121,7 +121,7 @@
 /// Returns the rates per member-hour of running members declared failed, and of failed probes.
 fn false_rates(net: &mut Net) -> (f64, f64) {
     let members = net.instances.len() as f64;
-    let span = Duration::from_secs_f64((MEMBER_HOURS / members * 3600.0).max(60.0));
+    let span = agate_core::time::seconds((MEMBER_HOURS / members * 3600.0).max(60.0));
     let failures = |n: &Net| n.instances.iter().map(|n| n.state.counts().failures).sum::<u64>();
     let (log_start, before) = (net.log.len(), failures(net));
     net.run_for(span);
--- a/crates/relay/src/demand.rs
+++ b/crates/relay/src/demand.rs
@@ -4,7 +4,11 @@
 //! arrives, served or not, so that engines are assigned to stages by what callers ask for instead
 //! of what the present assignment lets through. The cost of a request is learned from served ones.
 
-use {agate_core::Mono, agate_route::rate_meter::RateMeter, std::time::Duration};
+use {
+    agate_core::{Mono, time},
+    agate_route::rate_meter::RateMeter,
+    std::time::Duration,
+};
 
 /// Time constant of the average over arrivals; about half the time that a change of stage takes.
 pub const TIME_CONSTANT: Duration = Duration::from_millis(1_500);
@@ -84,7 +88,7 @@
 
     /// Average engine time of a prefill.
     pub fn usual_prefill(&self) -> Duration {
-        Duration::from_secs_f64(self.prefill_time)
+        time::seconds(self.prefill_time)
     }
 
     /// Demand averaged over the time before `now`.
--- a/crates/relay/src/load.rs
+++ b/crates/relay/src/load.rs
@@ -5,7 +5,7 @@
 //! [`crate::latency`] learns how fast an engine's kind prefills; this module, how the engine
 //! differs.
 
-use {crate::latency::LatencyModel, std::time::Duration};
+use {crate::latency::LatencyModel, agate_core::time, std::time::Duration};
 
 /// Decay of the sums with each sample; an engine's relative speed averages about 50 samples.
 const DECAY: f64 = 0.98;
@@ -58,7 +58,7 @@
     /// Load of an idle engine whose kind has `latency`, at speed `rate` relative to it.
     pub fn new(latency: &LatencyModel, rate: &SpeedRatio) -> Self {
         let factor = rate.factor();
-        let base = Duration::from_secs_f64(latency.base() / factor / 1e3);
+        let base = time::seconds(latency.base() / factor / 1e3);
         Self { own: 0, others: 0, base, speed: latency.speed() * factor }
     }
 
@@ -90,6 +90,6 @@
     }
 
     fn time_for(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.speed / 1e3)
+        time::seconds(tokens as f64 / self.speed / 1e3)
     }
 }
--- a/crates/relay/tests/instance_count.rs
+++ b/crates/relay/tests/instance_count.rs
@@ -5,7 +5,7 @@
 const WINDOW: Duration = Duration::from_secs(10);
 
 fn s(seconds: f64) -> Duration {
-    Duration::from_secs_f64(seconds)
+    agate_core::time::seconds(seconds)
 }
 
 /// The maximum count of the window applies, whatever the list shows meanwhile.
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -7,6 +7,7 @@
         text,
     },
     crate::server::{self, HttpRequest},
+    agate_core::time,
     bytes::Bytes,
     futures_util::stream::unfold,
     http::StatusCode,
@@ -228,7 +229,7 @@
     let s = shared.lock();
     let e = &s.log[entry];
     let fresh = e.prompt.saturating_sub(e.cached);
-    Duration::from_secs_f64(fresh as f64 / shared.settings.prefill_rate)
+    time::seconds(fresh as f64 / shared.settings.prefill_rate)
 }
 
 /// Generates all tokens and responds with one JSON document.
--- a/crates/store/src/backoff.rs
+++ b/crates/store/src/backoff.rs
@@ -1,6 +1,6 @@
 //! Delays between attempts, and before the first call after a start.
 
-use std::time::Duration;
+use {agate_core::time, std::time::Duration};
 
 /// Maximum delay before attempt `round` (from zero): `base`, doubled each round, at most `max`.
 pub fn ceiling(round: u32, base: Duration, max: Duration) -> Duration {
@@ -21,5 +21,5 @@
 /// its peers, and reads the store itself only if none has answered when the delay has passed.
 pub fn start_delay(instances: usize, calls: u32, rate: u32, draw: f64) -> Duration {
     let window = instances as f64 * f64::from(calls) / f64::from(rate.max(1));
-    Duration::from_secs_f64(window * draw)
+    time::seconds(window * draw)
 }
--- a/crates/sync/tests/agreed_clock.rs
+++ b/crates/sync/tests/agreed_clock.rs
@@ -15,7 +15,7 @@
 const NOW: Duration = Duration::from_secs(100);
 
 fn s(n: f64) -> Duration {
-    Duration::from_secs_f64(n)
+    agate_core::time::seconds(n)
 }
 
 /// A vote of a clock that is `off` seconds ahead of the coordinator's.
