Log panics, and start background tasks again that panic

A panic in one loop ended what it does for good, and nothing told: no log line, no count, readiness unchanged until the view was too old. The tasks of an instance that follow the configuration, the endpoints, the instances, the own record, the quarantine, the retries, the paths, the ranks, the other instances, and those that write usage and lead, run under a supervisor that logs the panic, counts it by task and starts the task again after 250 ms (task::panicking_tasks). Every panic of the process is logged with its place. Not supervised: accepts, the lease and the own interface's loops; their panics are logged on edge instances.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -31,6 +31,7 @@
         runner::{COORDINATORS, SyncHandle, bind},
         secret::SharedKeys,
     },
+    agate_task::Supervisor,
     agate_transport::link,
     agate_view::{
         LocalView,
@@ -139,11 +140,19 @@
         );
         let relay = relay.await.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
         let known_view = view.clone();
-        tokio::spawn(quarantine.follow(move || Role::of(&known_view)));
+        let supervisor = Supervisor::default();
+        supervisor.register(proxy_state.metrics.registry());
+        tokio::spawn(supervisor.clone().run("quarantine", move || {
+            let view = known_view.clone();
+            quarantine.clone().follow(move || Role::of(&view))
+        }));
         scrape::store_calls::register(proxy_state.metrics.registry(), &client);
-        tokio::spawn(proxy_state.clone().follow());
-        tokio::spawn(proxy_state.clone().report_retries());
-        tokio::spawn(path_watch::watch(proxy_state.clone()));
+        let state = proxy_state.clone();
+        tokio::spawn(supervisor.clone().run("fleet", move || state.clone().follow()));
+        let state = proxy_state.clone();
+        tokio::spawn(supervisor.clone().run("retries", move || state.clone().report_retries()));
+        let state = proxy_state.clone();
+        tokio::spawn(supervisor.clone().run("paths", move || path_watch::watch(state.clone())));
         let own = Peer {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -153,17 +162,25 @@
         let candidate = Arc::<LeaderCandidate>::default();
         let callbacks =
             sync_callbacks::callbacks(&proxy_state, &counter, &candidate, &settings.name);
-        let sync = bind(own.clone(), incarnation.clone(), keys, view.clone(), callbacks).await;
-        let sync = sync.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
-        let candidacy = tokio::spawn(follow_rank(
-            candidate.clone(),
-            view.clone(),
-            store.clone(),
-            settings.name.clone(),
+        let sync = bind(
+            own.clone(),
             incarnation.clone(),
-        ));
+            keys,
+            view.clone(),
+            callbacks,
+            supervisor.clone(),
+        )
+        .await;
+        let sync = sync.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
+        let (running, shared, from) = (candidate.clone(), view.clone(), store.clone());
+        let (name, own_incarnation) = (settings.name.clone(), incarnation.clone());
+        let candidacy = tokio::spawn(supervisor.clone().run("candidacy", move || {
+            let (running, shared, from) = (running.clone(), shared.clone(), from.clone());
+            follow_rank(running, shared, from, name.clone(), own_incarnation.clone())
+        }));
+        let intervals = RefreshIntervals::default();
         let followers =
-            follow::spawn(store.clone(), SOURCE, RefreshIntervals::default(), own, view.clone());
+            follow::spawn(store.clone(), SOURCE, intervals, own, view.clone(), &supervisor);
         let monitor = Monitor::bind(settings.monitor, PATHS, proxy_state.clone()).await;
         let monitor = monitor.wrap_err_with(|| format!("binding monitor {}", settings.monitor))?;
         let server = HttpServer::bind(settings.listen, proxy_state.clone()).await;
@@ -185,6 +202,7 @@
             counter,
             windows,
             incarnation,
+            supervisor,
         });
         let stop_limit = settings.stop.limit;
         Ok(Self {
@@ -239,6 +257,7 @@
     let (mut term, mut hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let settings = settings::open(file)?;
     let logs = json_log::open(&settings.log.level)?;
+    agate_task::log_panics();
     log::info!(
         event = "starting", version = env!("CARGO_PKG_VERSION"), settings:? = settings;
         "instance starting"
--- a/crates/leader/src/runner.rs
+++ b/crates/leader/src/runner.rs
@@ -12,6 +12,7 @@
     },
     agate_core::FenceToken,
     agate_store::{Call, Freshness, Purpose, Store, StoreResponse},
+    agate_task::Supervisor,
     agate_view::{LocalView, clock, table::Name},
     futures_util::future::BoxFuture,
     indexmap::{IndexMap, IndexSet},
@@ -84,6 +85,8 @@
     pub windows: window::Settings,
     /// Name of this incarnation of the instance.
     pub incarnation: String,
+    /// Starts the tasks again if they panic.
+    pub supervisor: Supervisor,
 }
 
 /// Handle of the running tasks, which end when it is dropped.
@@ -99,8 +102,12 @@
     let mut tasks = JoinSet::new();
     let key = format!("{}{}", count::PREFIX, parts.incarnation);
     let (store, counter) = (parts.store.clone(), parts.counter.clone());
-    tasks.spawn(write_counts(store.clone(), counter.clone(), key.clone()));
-    tasks.spawn(run_leader(parts));
+    let supervisor = parts.supervisor.clone();
+    let (own_store, own_counter, own_key) = (store.clone(), counter.clone(), key.clone());
+    let counts = move || write_counts(own_store.clone(), own_counter.clone(), own_key.clone());
+    tasks.spawn(supervisor.clone().run("usage_counts", counts));
+    let parts = Arc::new(parts);
+    tasks.spawn(supervisor.run("leader", move || run_leader(parts.clone())));
     LeaderTasks { _tasks: tasks, store, counter, key }
 }
 
@@ -162,7 +169,7 @@
 }
 
 struct LeaderLoop {
-    parts: Dependencies,
+    parts: Arc<Dependencies>,
     reported: IndexSet<Window>,
     orders: order::OrderState,
     stages: stage::StageState,
@@ -170,7 +177,7 @@
     last_cleanup: Window,
 }
 
-async fn run_leader(parts: Dependencies) {
+async fn run_leader(parts: Arc<Dependencies>) {
     let mut leader = LeaderLoop {
         parts,
         reported: IndexSet::new(),
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -12,6 +12,7 @@
         secret::SharedKeys,
     },
     agate_core::{Mono, Wall},
+    agate_task::Supervisor,
     agate_view::{
         Entry, LocalView, clock,
         peers::{self, Peer},
@@ -104,29 +105,28 @@
     keys: Arc<SharedKeys>,
     view: Arc<LocalView>,
     callbacks: Callbacks,
+    supervisor: Supervisor,
 ) -> io::Result<SyncHandle> {
-    let socket = UdpSocket::bind(own.address).await?;
-    let task = tokio::spawn(async move {
-        keys.wait_loaded().await;
-        let sync = SyncLoop {
-            socket,
-            keys,
-            own,
-            incarnation,
-            view,
-            callbacks,
-            poller: Poller::default(),
-            reassembly: Reassembly::default(),
-            history: History::default(),
-            holder: None,
-            roster_confirmation: None,
-            coordinator: Coordinator::default(),
-            pushes: IndexMap::new(),
-            round: 0,
-            started: Instant::now(),
-        };
-        sync.run().await;
-    });
+    let socket = Arc::new(UdpSocket::bind(own.address).await?);
+    let callbacks = Arc::new(callbacks);
+    let make = move || SyncLoop {
+        socket: socket.clone(),
+        keys: keys.clone(),
+        own: own.clone(),
+        incarnation: incarnation.clone(),
+        view: view.clone(),
+        callbacks: callbacks.clone(),
+        poller: Poller::default(),
+        reassembly: Reassembly::default(),
+        history: History::default(),
+        holder: None,
+        roster_confirmation: None,
+        coordinator: Coordinator::default(),
+        pushes: IndexMap::new(),
+        round: 0,
+        started: Instant::now(),
+    };
+    let task = tokio::spawn(supervisor.run("sync", move || make().run()));
     Ok(SyncHandle { task })
 }
 
@@ -139,12 +139,12 @@
 }
 
 struct SyncLoop {
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     keys: Arc<SharedKeys>,
     own: Peer,
     incarnation: String,
     view: Arc<LocalView>,
-    callbacks: Callbacks,
+    callbacks: Arc<Callbacks>,
     poller: Poller,
     reassembly: Reassembly,
     history: History,
@@ -160,6 +160,7 @@
 
 impl SyncLoop {
     async fn run(mut self) {
+        self.keys.wait_loaded().await;
         let mut buffer = vec![0; MAX_DATAGRAM + 1];
         let (mut next_poll, mut next_push) = (Instant::now(), Instant::now());
         loop {
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -15,6 +15,7 @@
     },
     agate_core::Mono,
     agate_store::{Freshness, Item, Purpose, Record, Result, Store},
+    agate_task::Supervisor,
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -86,12 +87,23 @@
     intervals: RefreshIntervals,
     own: Peer,
     view: Arc<LocalView>,
+    supervisor: &Supervisor,
 ) -> Followers {
     let mut tasks = JoinSet::new();
-    tasks.spawn(follow_config(store.clone(), source, intervals, view.clone()));
-    tasks.spawn(follow_entries(store.clone(), source, intervals, view.clone()));
-    tasks.spawn(announce::follow_instances(store.clone(), own.name.clone(), intervals.peers, view));
-    tasks.spawn(announce::maintain_record(store, own, intervals.record_ttl));
+    let (from, shared) = (store.clone(), view.clone());
+    let configs = move || follow_config(from.clone(), source, intervals, shared.clone());
+    tasks.spawn(supervisor.clone().run("configuration", configs));
+    let (from, shared) = (store.clone(), view.clone());
+    let entries = move || follow_entries(from.clone(), source, intervals, shared.clone());
+    tasks.spawn(supervisor.clone().run("endpoints", entries));
+    let (from, name) = (store.clone(), own.name.clone());
+    let instances = move || {
+        announce::follow_instances(from.clone(), name.clone(), intervals.peers, view.clone())
+    };
+    tasks.spawn(supervisor.clone().run("instances", instances));
+    let record =
+        move || announce::maintain_record(store.clone(), own.clone(), intervals.record_ttl);
+    tasks.spawn(supervisor.clone().run("own_record", record));
     Followers { _tasks: tasks }
 }
 
--- a/crates/view/tests/reported_configuration.rs
+++ b/crates/view/tests/reported_configuration.rs
@@ -2,6 +2,7 @@
 
 use {
     agate_store::{Call, Error, Freshness, Item, Page, Record, Store, StoreResponse},
+    agate_task::Supervisor,
     agate_view::{
         LocalView, clock,
         follow::{self, Followers, RefreshIntervals, StoreLayout},
@@ -102,7 +103,7 @@
     };
     let address = "127.0.0.1:1".parse().expect("an address");
     let own = Peer { name: "own".into(), zone: "a".into(), address, weight: 1 };
-    follow::spawn(store, source, intervals, own, view.clone())
+    follow::spawn(store, source, intervals, own, view.clone(), &Supervisor::default())
 }
 
 async fn until(condition: impl Fn() -> bool) {
