Take no request in a planned stop that the stop may cut off

Operators reported requests that came late in the grace period, were passed on and cut without an answer. It happens here where a route allows more time than is left: late_requests::slow_requests, routes of 8 s and a grace of 5 s, endpoints that do not answer: 26 of 26 requests that must not run twice were passed on and cut off. A request that may last longer than what is left is refused at once now, as not run, unless it may be repeated; others get what is left as their deadline, so that they are answered before the end. Now 0 cut, 0 run, 26 refused.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -236,7 +236,7 @@
         let begun = Instant::now();
         let end = begun + self.stop_limit.saturating_sub(STOP_MARGIN);
         log::info!(event = "stopping", open = self.proxy_state.flight.open(); "instance stopping");
-        self.proxy_state.announce_stop();
+        self.proxy_state.announce_stop(end.into_std());
         self.relay.stop_accepting();
         sleep(ACCEPT_TIME).await;
         self.server.close();
--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -23,10 +23,7 @@
     },
     indexmap::IndexMap,
     std::{
-        sync::{
-            Arc, Mutex, MutexGuard,
-            atomic::{AtomicBool, Ordering::Relaxed},
-        },
+        sync::{Arc, Mutex, MutexGuard, OnceLock},
         time::{Duration, Instant},
     },
     tokio::time::sleep,
@@ -34,6 +31,8 @@
 
 /// Log reports on retries per window.
 const REPORTS_PER_WINDOW: u32 = 2;
+/// Time before the end of a stop by which the last responses have to begin.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 /// Maximum time between two updates of the fleet when no change is announced.
 const MAX_POLL: Duration = Duration::from_secs(60);
 
@@ -73,7 +72,8 @@
     /// Called once for each request that began to run, with its organisation.
     pub on_started: Box<StartedFn>,
     origin: Instant,
-    stopping: AtomicBool,
+    /// When requests in progress are cut off, once a stop is announced.
+    stop_end: OnceLock<Instant>,
     budgets: Mutex<IndexMap<Name, RetryBudget>>,
     instance_count: Mutex<InstanceCount>,
     demands: Mutex<IndexMap<Name, Demand>>,
@@ -106,7 +106,7 @@
             metrics,
             on_started: Box::new(on_started),
             origin: Instant::now(),
-            stopping: AtomicBool::new(false),
+            stop_end: OnceLock::new(),
             budgets: Mutex::default(),
             instance_count: Mutex::new(instance_count),
             demands: Mutex::default(),
@@ -168,12 +168,21 @@
 
     /// Whether [`Self::announce_stop`] was called.
     pub fn stopping(&self) -> bool {
-        self.stopping.load(Relaxed)
+        self.stop_end.get().is_some()
     }
 
-    /// Makes the readiness check fail and responses close their connections.
-    pub fn announce_stop(&self) {
-        self.stopping.store(true, Relaxed);
+    /// Makes the readiness check fail and responses close their connections. Requests in progress are
+    /// cut off at `end`.
+    pub fn announce_stop(&self, end: Instant) {
+        if self.stop_end.set(end).is_err() {
+            log::debug!("the stop was announced already");
+        }
+    }
+
+    /// Time that a request has which arrives now; `None` if the instance is not stopping.
+    pub fn stop_left(&self) -> Option<Duration> {
+        let end = *self.stop_end.get()?;
+        Some(end.saturating_duration_since(Instant::now()).saturating_sub(RESPONSE_MARGIN))
     }
 
     /// Counts a caller's request to `service`, in the metrics and for the retry budget.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -134,7 +134,14 @@
     let found = table.route(host, head.uri.path()).cloned();
     let route = found.ok_or_else(|| not_run(Cause::RouteUnknown, None))?;
     let org = authenticate(state, &table, &route, &info)?;
-    let wait = info.wait.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let mut wait = info.wait.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    if let Some(left) = state.stop_left() {
+        // It may still run when the instance ends, and must not run again elsewhere then.
+        if wait > left && !route.kind.retryable() {
+            return Err(not_run(Cause::Stopping, Some(RETRY_AFTER)));
+        }
+        wait = wait.min(left);
+    }
     let deadline = arrived + wait;
     let service = pick_service(&route).ok_or_else(|| not_run(Cause::NoEndpoint, None))?;
     state.count_request(&service, route.kind);
