Resume a stream with signed responses only

Callers saw the text of a response without a signature in their streams, ended as complete: a resumption accepted any 2xx, while the first response of a stream has to be valid.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,6 +6,7 @@
         assignment::Assignment,
         crash::{fingerprint_text, parts_text},
         demand::{self, PromptClass},
+        dialect::Verdict,
         events::Splitter,
         proxy_state::ProxyState,
         record,
@@ -186,7 +187,10 @@
         match run::open_call(&self.state, &self.job, &mut self.attempts, resume.as_deref(), None)
             .await
         {
-            Ok(call) if call.response.head.status.is_success() => {
+            Ok(call)
+                if (self.state.dialect.classify_response)(&call.response.head) == Verdict::Good
+                    && call.response.head.status.is_success() =>
+            {
                 self.state.metrics.resumed.inc();
                 let Entry { name, version, .. } = &call.assignment.endpoint.entry;
                 log::info!(
