--- a/crates/path/src/paths.rs
+++ b/crates/path/src/paths.rs
@@ -15,8 +15,10 @@
     agate_wire::Keys,
     futures_util::FutureExt,
     std::{
-        fmt, io,
+        fmt,
+        io::{self, ErrorKind},
         net::SocketAddr,
+        pin::pin,
         sync::{Arc, Mutex, MutexGuard},
         time::Duration,
     },
@@ -127,6 +129,15 @@
     Failed(io::Error),
 }
 
+/// Result of a direct connection that failed with `error`, and of asking another instance.
+fn settle(error: io::Error, relayed: Result<TcpStream, Option<Reply>>) -> Opened {
+    match relayed {
+        Ok(io) => Opened::Relayed(io),
+        Err(Some(Reply::Refused)) => Opened::Failed(ErrorKind::ConnectionRefused.into()),
+        Err(_) => Opened::Failed(error),
+    }
+}
+
 impl Path {
     /// Opens a connection: directly, or through another instance if the path is broken or the
     /// direct one does not open.
@@ -200,57 +211,38 @@
 
     /// Opens a connection through another instance, or a direct one if that fails.
     async fn open_broken(&self) -> Opened {
-        match self.open_relayed().await {
-            Ok(io) => return Opened::Relayed(io),
-            Err(Some(Reply::Refused)) => {
-                return Opened::Failed(io::ErrorKind::ConnectionRefused.into());
+        // A refusal on a broken path does not show that the endpoint is down.
+        match settle(ErrorKind::TimedOut.into(), self.open_relayed().await) {
+            Opened::Failed(e) if e.kind() == ErrorKind::TimedOut => {
+                match timeout(DIRECT_HEAD_START, (self.shared.dial)(self.address)).await {
+                    Ok(Ok(io)) => Opened::Direct(io),
+                    Ok(Err(_)) | Err(_) => Opened::Failed(e),
+                }
             }
-            Err(_) => {}
-        }
-        match timeout(DIRECT_HEAD_START, (self.shared.dial)(self.address)).await {
-            Ok(Ok(io)) => Opened::Direct(io),
-            // A refusal on a broken path does not show that the endpoint is down.
-            Ok(Err(_)) | Err(_) => Opened::Failed(io::ErrorKind::TimedOut.into()),
+            settled => settled,
         }
     }
 
     /// Opens a direct connection, and asks another instance if it fails or takes long.
     async fn open_either(&self) -> Opened {
         let mut direct = (self.shared.dial)(self.address);
-        let failed = match timeout(DIRECT_HEAD_START, &mut direct).await {
+        let early = timeout(DIRECT_HEAD_START, &mut direct).await;
+        let mut relayed = pin!(self.open_relayed());
+        match early {
             Ok(Ok(io)) => return Opened::Direct(io),
-            Ok(Err(e)) => Some(e),
-            Err(_) => None,
-        };
-        let relayed = self.open_relayed();
-        let failed = match failed {
-            Some(e) => match relayed.await {
-                Ok(io) => return Opened::Relayed(io),
-                Err(Some(Reply::Refused)) => io::ErrorKind::ConnectionRefused.into(),
-                Err(_) => e,
+            Ok(Err(e)) => return settle(e, relayed.await),
+            Err(_) => {}
+        }
+        tokio::select! {
+            io = &mut direct => match io {
+                Ok(io) => Opened::Direct(io),
+                Err(e) => settle(e, relayed.await),
             },
-            None => {
-                let mut relayed = std::pin::pin!(relayed);
-                tokio::select! {
-                    io = &mut direct => match (io, relayed) {
-                        (Ok(io), _) => return Opened::Direct(io),
-                        (Err(e), relayed) => match relayed.await {
-                            Ok(io) => return Opened::Relayed(io),
-                            Err(_) => e,
-                        },
-                    },
-                    io = &mut relayed => match io {
-                        Ok(io) => return Opened::Relayed(io),
-                        Err(Some(Reply::Refused)) => io::ErrorKind::ConnectionRefused.into(),
-                        Err(_) => match direct.await {
-                            Ok(io) => return Opened::Direct(io),
-                            Err(e) => e,
-                        },
-                    },
-                }
-            }
-        };
-        Opened::Failed(failed)
+            found = &mut relayed => match found {
+                Ok(_) | Err(Some(Reply::Refused)) => settle(ErrorKind::TimedOut.into(), found),
+                Err(_) => direct.await.map_or_else(Opened::Failed, Opened::Direct),
+            },
+        }
     }
 
     /// Opens a connection through another instance; the error is its last reply, if any.
