Keep the store's numbers whole when the era is added to them

Numbers of leases were cut to 44 bits, and a service may give out any 64-bit ones. Leases are sent as they are now, with the era of their grant remembered; the era is added to revisions, which is the same for small numbers and loses nothing for large ones (store_eras::large_numbers fails on the code before).

--- a/crates/store/src/era.rs
+++ b/crates/store/src/era.rs
@@ -1,13 +1,13 @@
 //! Eras of the service.
 //!
 //! A service that comes back from an older copy has lost what it acknowledged since, and numbers
-//! changes and leases from there again. It states a higher era from then on. [`open`] makes the era
-//! the upper part of each revision and lease number, so that they rise across eras and are never
-//! given out twice:
+//! changes and leases from there again. It states a higher era from then on. [`open`] adds a multiple
+//! of the era to each revision, so that revisions rise across eras, are never given out twice, and
+//! are the same for all instances:
 //!
 //! - A write on a revision of an earlier era is not sent, since the number may belong to another
 //!   write by now. It conflicts with what the key has in this era.
-//! - A lease of an earlier era counts as ended.
+//! - A lease that was granted in an earlier era counts as ended.
 //! - A response of an earlier era that arrives late changes nothing.
 //!
 //! What remains: a conditional write that is on its way while the service comes back may meet the
@@ -16,11 +16,12 @@
 use {
     crate::{
         Call, Error, Item, Page, Purpose, Record, Result, Revision, Store, StoreResponse,
-        metrics::Kind,
+        metrics::Kind, port::LeaseId,
     },
     futures_util::future::BoxFuture,
+    indexmap::IndexMap,
     std::sync::{
-        Arc,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
 };
@@ -28,21 +29,22 @@
 /// Number of an era of the service; zero if it states none.
 pub type Era = u64;
 
-/// Bits of a revision or lease number below its era.
-const NUMBER_BITS: u32 = 44;
-/// Largest number that the service may give out in one era.
-const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
+/// Binary digits by which revisions of consecutive eras are apart; far more changes than a service
+/// can lose.
+const ERA_SHIFT: u32 = 44;
 /// Largest era.
-const MAX_ERA: Era = u64::MAX >> NUMBER_BITS;
+const MAX_ERA: Era = 1 << 18;
+/// Maximum number of leases remembered.
+const MAX_LEASES: usize = 64;
 
-/// Era of a revision.
+/// Era of a revision, if the service gives out numbers below 2 to the power of 44.
 pub fn era_of(revision: Revision) -> Era {
-    revision >> NUMBER_BITS
+    revision >> ERA_SHIFT
 }
 
 /// Revision below all that are given out in `era`. As an expectation it means that the key is absent.
 pub fn floor(era: Era) -> Revision {
-    era.min(MAX_ERA) << NUMBER_BITS
+    era.min(MAX_ERA) << ERA_SHIFT
 }
 
 /// Response of the service, with the era that it stated.
@@ -70,40 +72,52 @@
     }
 }
 
+/// Leases that this process was granted, with their eras.
+#[derive(Debug, Default)]
+struct Leases(Mutex<IndexMap<LeaseId, Era>>);
+
+impl Leases {
+    fn record(&self, lease: LeaseId, era: Era) {
+        let mut leases = self.lock();
+        leases.shift_remove(&lease);
+        if leases.len() >= MAX_LEASES {
+            leases.shift_remove_index(0);
+        }
+        leases.insert(lease, era);
+    }
+
+    fn is_outdated(&self, lease: LeaseId, newest: Era) -> bool {
+        self.lock().get(&lease).is_some_and(|era| *era < newest)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<LeaseId, Era>> {
+        self.0.lock().expect("the lock of the leases is not poisoned")
+    }
+}
+
 /// Returns a store whose calls `execute` carries out, with the numbers that the service gives out.
 pub fn open(
     execute: impl Fn(Purpose, Call) -> BoxFuture<'static, Answer> + Send + Sync + 'static,
 ) -> Store {
     let newest = Arc::<NewestEra>::default();
-    let (service, execute) = (newest.clone(), Arc::new(execute));
+    let shared = Arc::new(Shared {
+        newest: newest.clone(),
+        leases: Leases::default(),
+        execute: Box::new(execute),
+    });
     let store = Store::new(move |purpose, call| {
-        let (newest, execute) = (service.clone(), execute.clone());
-        Box::pin(async move { run(&newest, &*execute, purpose, call).await })
+        let shared = shared.clone();
+        Box::pin(async move { shared.run(purpose, call).await })
     });
     store.with_eras(newest)
 }
 
-async fn run(
-    newest: &NewestEra,
-    execute: &(impl Fn(Purpose, Call) -> BoxFuture<'static, Answer> + ?Sized),
-    purpose: Purpose,
-    call: Call,
-) -> Result<StoreResponse> {
-    let sent_in = newest.get();
-    let call = match narrow(call, sent_in) {
-        Narrowed::Send(call) => call,
-        Narrowed::LeaseGone => return Ok(StoreResponse::LeaseGone),
-        Narrowed::Outdated { key } => {
-            let get = Call::Get { key };
-            let (stated, result) = execute(purpose, get.clone()).await;
-            return match widen(newest, sent_in, &get, stated, result)? {
-                StoreResponse::Value(found) => Ok(StoreResponse::Conflict(found)),
-                other => Ok(other),
-            };
-        }
-    };
-    let (stated, result) = execute(purpose, call.clone()).await;
-    widen(newest, sent_in, &call, stated, result)
+type ExecuteFn = dyn Fn(Purpose, Call) -> BoxFuture<'static, Answer> + Send + Sync;
+
+struct Shared {
+    newest: Arc<NewestEra>,
+    leases: Leases,
+    execute: Box<ExecuteFn>,
 }
 
 /// A call with the numbers that the service knows.
@@ -117,57 +131,82 @@
     },
 }
 
-fn narrow(call: Call, era: Era) -> Narrowed {
-    let earlier = |number: u64| number & MAX_NUMBER != 0 && era_of(number) < era;
-    let number = |number: u64| number & MAX_NUMBER;
-    Narrowed::Send(match call {
-        Call::Swap { lease: Some(lease), .. } | Call::Renew { lease } | Call::Revoke { lease }
-            if earlier(lease) =>
-        {
-            return Narrowed::LeaseGone;
-        }
-        Call::Swap { key, expect, .. } if earlier(expect) => return Narrowed::Outdated { key },
-        Call::Swap { key, expect, value, lease } => {
-            Call::Swap { key, expect: number(expect), value, lease: lease.map(number) }
-        }
-        Call::Watch { key, after, wait } => {
-            Call::Watch { key, after: if earlier(after) { 0 } else { number(after) }, wait }
+impl Shared {
+    async fn run(&self, purpose: Purpose, call: Call) -> Result<StoreResponse> {
+        let sent_in = self.newest.get();
+        let (call, outdated) = match self.narrow(call, sent_in) {
+            Narrowed::Send(call) => (call, false),
+            Narrowed::Outdated { key } => (Call::Get { key }, true),
+            Narrowed::LeaseGone => return Ok(StoreResponse::LeaseGone),
+        };
+        let (stated, result) = (self.execute)(purpose, call.clone()).await;
+        match self.widen(sent_in, &call, stated, result)? {
+            StoreResponse::Value(found) if outdated => Ok(StoreResponse::Conflict(found)),
+            response => Ok(response),
         }
-        Call::Renew { lease } => Call::Renew { lease: number(lease) },
-        Call::Revoke { lease } => Call::Revoke { lease: number(lease) },
-        call @ (Call::Get { .. } | Call::List { .. } | Call::Range { .. } | Call::Grant { .. }) => {
-            call
-        }
-    })
-}
+    }
 
-/// Adds the era to the numbers of a response to `call`, which was sent in the era `sent_in`.
-fn widen(
-    newest: &NewestEra,
-    sent_in: Era,
-    call: &Call,
-    stated: Option<Era>,
-    result: Result<StoreResponse>,
-) -> Result<StoreResponse> {
-    let era = newest.observe(stated);
-    let response = result?;
-    let conditional = matches!(call, Call::Swap { expect, .. } if *expect != 0);
-    let by_chance = conditional && matches!(response, StoreResponse::Swapped(_)) && era != sent_in;
-    if era < newest.get() || by_chance {
-        return Err(crossed(call));
+    fn narrow(&self, call: Call, era: Era) -> Narrowed {
+        let base = floor(era);
+        Narrowed::Send(match call {
+            Call::Swap { lease: Some(lease), .. }
+            | Call::Renew { lease }
+            | Call::Revoke { lease }
+                if self.leases.is_outdated(lease, era) =>
+            {
+                return Narrowed::LeaseGone;
+            }
+            Call::Swap { key, expect, value, lease } => match (expect, expect.checked_sub(base)) {
+                (0, _) => Call::Swap { key, expect, value, lease },
+                (_, Some(expect)) => Call::Swap { key, expect, value, lease },
+                (_, None) => return Narrowed::Outdated { key },
+            },
+            Call::Watch { key, after, wait } => {
+                Call::Watch { key, after: after.saturating_sub(base), wait }
+            }
+            call @ (Call::Get { .. }
+            | Call::List { .. }
+            | Call::Range { .. }
+            | Call::Grant { .. }
+            | Call::Renew { .. }
+            | Call::Revoke { .. }) => call,
+        })
     }
-    let record = |r: Record| Record { revision: floor(era) | r.revision, ..r };
-    Ok(match response {
-        StoreResponse::Value(found) => StoreResponse::Value(found.map(record)),
-        StoreResponse::Conflict(found) => StoreResponse::Conflict(found.map(record)),
-        StoreResponse::Page(Page { items, truncated }) => {
-            let items = items.into_iter().map(|i| Item { record: record(i.record), ..i });
-            StoreResponse::Page(Page { items: items.collect(), truncated })
+
+    /// Adds the era to the numbers of a response to `call`, which was sent in the era `sent_in`.
+    fn widen(
+        &self,
+        sent_in: Era,
+        call: &Call,
+        stated: Option<Era>,
+        result: Result<StoreResponse>,
+    ) -> Result<StoreResponse> {
+        let era = self.newest.observe(stated);
+        let response = result?;
+        let conditional = matches!(call, Call::Swap { expect, .. } if *expect != 0);
+        let swapped = matches!(response, StoreResponse::Swapped(_));
+        if era < self.newest.get() || conditional && swapped && era != sent_in {
+            return Err(crossed(call));
         }
-        StoreResponse::Swapped(revision) => StoreResponse::Swapped(floor(era) | revision),
-        StoreResponse::Granted(lease) => StoreResponse::Granted(floor(era) | lease),
-        other @ (StoreResponse::Keys(_) | StoreResponse::Done | StoreResponse::LeaseGone) => other,
-    })
+        let number = |revision: Revision| floor(era).saturating_add(revision);
+        let record = |r: Record| Record { revision: number(r.revision), ..r };
+        Ok(match response {
+            StoreResponse::Value(found) => StoreResponse::Value(found.map(record)),
+            StoreResponse::Conflict(found) => StoreResponse::Conflict(found.map(record)),
+            StoreResponse::Page(Page { items, truncated }) => {
+                let items = items.into_iter().map(|i| Item { record: record(i.record), ..i });
+                StoreResponse::Page(Page { items: items.collect(), truncated })
+            }
+            StoreResponse::Swapped(revision) => StoreResponse::Swapped(number(revision)),
+            StoreResponse::Granted(lease) => {
+                self.leases.record(lease, era);
+                StoreResponse::Granted(lease)
+            }
+            other @ (StoreResponse::Keys(_) | StoreResponse::Done | StoreResponse::LeaseGone) => {
+                other
+            }
+        })
+    }
 }
 
 /// Error of a call that was on its way while the service came back.
--- a/crates/store/tests/store_eras.rs
+++ b/crates/store/tests/store_eras.rs
@@ -104,12 +104,43 @@
     let granted = store.call(Purpose::Lease, grant.clone()).await;
     let Ok(StoreResponse::Granted(lease)) = granted else { panic!("{granted:?}") };
     come_back(&service, &empty);
-    let again = store.call(Purpose::Lease, grant).await;
-    assert!(matches!(again, Ok(StoreResponse::Granted(l)) if l > lease), "{again:?}");
+    // Another instance is granted the lease with that number.
+    service.lock().expect("not poisoned").model.apply(&grant, Duration::ZERO).expect("granted");
+    assert_eq!(store.get(Purpose::Record, "a").await, Ok(None));
     let renewed = store.call(Purpose::Lease, Call::Renew { lease }).await;
     assert_eq!(renewed, Ok(StoreResponse::LeaseGone));
 }
 
+/// Guards against numbers that are cut: a service may give out any 64-bit ones.
+#[tokio::test]
+async fn large_numbers() {
+    for era in [None, Some(0), Some(3)] {
+        let large = u64::MAX / 2;
+        let store = era::open(move |_, call| {
+            let response = match call {
+                Call::Grant { .. } => StoreResponse::Granted(large),
+                Call::Swap { expect, lease, .. } if expect == 0 && lease == Some(large) => {
+                    StoreResponse::Swapped(large)
+                }
+                Call::Swap { expect, .. } if expect == large => StoreResponse::Swapped(large + 1),
+                Call::Renew { lease } if lease == large => StoreResponse::Done,
+                _ => StoreResponse::LeaseGone,
+            };
+            Box::pin(async move { (era, Ok(response)) })
+        });
+        let grant = Call::Grant { ttl: Duration::from_secs(1) };
+        let granted = store.call(Purpose::Lease, grant).await;
+        let Ok(StoreResponse::Granted(lease)) = granted else { panic!("{granted:?}") };
+        let (key, value) = ("a".to_owned(), Some(vec![1]));
+        let write = Call::Swap { key, expect: 0, value, lease: Some(lease) };
+        let written = store.call(Purpose::Lease, write).await;
+        let Ok(StoreResponse::Swapped(first)) = written else { panic!("{written:?}") };
+        assert!(put(&store, "a", first).await.is_ok_and(|second| second > first));
+        let renewed = store.call(Purpose::Lease, Call::Renew { lease }).await;
+        assert_eq!(renewed, Ok(StoreResponse::Done));
+    }
+}
+
 /// What happens to the service or is done by one of two clients.
 #[derive(Clone, Copy, Debug)]
 enum Step {
