Report no usage window with other counts after a store rollback

The instance that sealed a window writes the record again when the era of the store has risen; a holder whose term began after a window had ended reports, of the windows that ended before the rollback was noticed, only those whose record the store has.

The assembly of an edge instance is split.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -17,7 +17,7 @@
         window,
     },
     agate_lease::Lease,
-    agate_path::{self as path, DialFn, Paths, Relay},
+    agate_path::{DialFn, Paths, Relay, metrics::Metrics},
     agate_quarantine::Quarantine,
     agate_relay::{
         path_watch,
@@ -113,21 +113,13 @@
         let timing = counter.clone();
         let quarantine = Quarantine::new(store.clone(), move || timing.wall());
         let keys = SharedKeys::open(store.clone());
-        let (known, secret) = (view.clone(), keys.clone());
-        let path_metrics = path::metrics::Metrics::default();
-        let paths = Paths::new(
-            settings.name.as_str(),
-            dial.clone(),
-            move || secret.load(),
-            move || known.peers.load_full(),
-            path_metrics.clone(),
-        );
+        let paths = open_paths(settings, &view, &keys, dial.clone());
         let proxy_state = ProxyState::new(
             headers::dialect(),
             view.clone(),
             proxy_settings(settings),
             quarantine.clone(),
-            paths,
+            paths.clone(),
             move |org| counting.count(org),
         );
         let (finding, secret) = (proxy_state.clone(), keys.clone());
@@ -136,23 +128,13 @@
             move || secret.load(),
             move |name| finding.fleet.path_to(name),
             dial,
-            path_metrics,
+            paths.metrics().clone(),
         );
         let relay = relay.await.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
-        let known_view = view.clone();
+        scrape::store_calls::register(proxy_state.metrics.registry(), &client);
         let supervisor = Supervisor::default();
         supervisor.register(proxy_state.metrics.registry());
-        tokio::spawn(supervisor.clone().run("quarantine", move || {
-            let view = known_view.clone();
-            quarantine.clone().follow(move || Role::of(&view))
-        }));
-        scrape::store_calls::register(proxy_state.metrics.registry(), &client);
-        let state = proxy_state.clone();
-        tokio::spawn(supervisor.clone().run("fleet", move || state.clone().follow()));
-        let state = proxy_state.clone();
-        tokio::spawn(supervisor.clone().run("retries", move || state.clone().report_retries()));
-        let state = proxy_state.clone();
-        tokio::spawn(supervisor.clone().run("paths", move || path_watch::watch(state.clone())));
+        spawn_background(&supervisor, &proxy_state, quarantine);
         let own = Peer {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -307,6 +289,37 @@
     Client::open(store::open(settings.store), config, rand::random())
 }
 
+/// Paths of an instance that authenticates with `keys` and opens direct connections with `dial`.
+fn open_paths(
+    settings: &Settings,
+    view: &Arc<LocalView>,
+    keys: &Arc<SharedKeys>,
+    dial: Arc<DialFn>,
+) -> Paths {
+    let (view, keys) = (view.clone(), keys.clone());
+    let peers = move || view.peers.load_full();
+    Paths::new(settings.name.as_str(), dial, move || keys.load(), peers, Metrics::default())
+}
+
+/// Starts the tasks that keep the state of the request path up to date.
+fn spawn_background(
+    supervisor: &Supervisor,
+    proxy_state: &Arc<ProxyState>,
+    quarantine: Arc<Quarantine>,
+) {
+    let view = proxy_state.view.clone();
+    tokio::spawn(supervisor.clone().run("quarantine", move || {
+        let view = view.clone();
+        quarantine.clone().follow(move || Role::of(&view))
+    }));
+    let state = proxy_state.clone();
+    tokio::spawn(supervisor.clone().run("fleet", move || state.clone().follow()));
+    let state = proxy_state.clone();
+    tokio::spawn(supervisor.clone().run("retries", move || state.clone().report_retries()));
+    let state = proxy_state.clone();
+    tokio::spawn(supervisor.clone().run("paths", move || path_watch::watch(state.clone())));
+}
+
 /// Runs for the leader lease while this instance ranks among the coordinators.
 async fn follow_rank(
     candidate: Arc<LeaderCandidate>,
--- a/crates/leader/src/runner.rs
+++ b/crates/leader/src/runner.rs
@@ -10,8 +10,8 @@
         stage::{self, EngineDemand, StageOrder},
         window::{self, Sealed},
     },
-    agate_core::FenceToken,
-    agate_store::{Call, Freshness, Purpose, Store, StoreResponse},
+    agate_core::{FenceToken, Wall},
+    agate_store::{Call, Freshness, Purpose, Store, StoreResponse, era::Era},
     agate_task::Supervisor,
     agate_view::{LocalView, clock, table::Name},
     futures_util::future::BoxFuture,
@@ -175,6 +175,24 @@
     stages: stage::StageState,
     token: FenceToken,
     last_cleanup: Window,
+    /// Windows that this instance sealed.
+    sealed: IndexMap<Window, Sealed>,
+    /// Era of the store; `None` before the first round.
+    era: Option<Era>,
+    /// When the present term was noticed.
+    term_began: Wall,
+    /// When the store was last noticed to have come back from an older copy.
+    lost_at: Wall,
+}
+
+/// Result of sealing a window.
+enum Seal {
+    /// The counts that every report of the window contains.
+    Counts(Sealed),
+    /// A former holder may have sealed it in a record that the store has lost.
+    Lost,
+    /// The store failed; try again.
+    Failed,
 }
 
 async fn run_leader(parts: Arc<Dependencies>) {
@@ -185,15 +203,21 @@
         stages: stage::StageState::default(),
         token: 0,
         last_cleanup: 0,
+        sealed: IndexMap::new(),
+        era: None,
+        term_began: Wall::ZERO,
+        lost_at: Wall::ZERO,
     };
     loop {
         sleep(ROUND_INTERVAL).await;
+        leader.check_era().await;
         let Some(token) = leader.parts.candidate.may_act() else {
             (leader.parts.on_changing)(&[]);
             continue;
         };
         if token != leader.token {
             leader.token = token;
+            leader.term_began = leader.parts.counter.wall();
             leader.reported.clear();
             leader.orders = order::OrderState::default();
             leader.stages = stage::StageState::default();
@@ -213,8 +237,9 @@
         if due.is_empty() {
             return;
         }
-        let store = &self.parts.store;
-        let tallies = match store
+        let tallies = match self
+            .parts
+            .store
             .range(Purpose::Report, count::PREFIX, Freshness::Linearizable)
             .await
         {
@@ -225,9 +250,19 @@
         };
         let stored: IndexMap<String, Option<Tally>> =
             tallies.into_iter().map(|i| (i.key, Tally::decode(&i.record.value))).collect();
+        // The read may be the first one of a new era.
+        self.check_era().await;
         let tallies = self.gather_tallies(&stored);
         for window in due {
-            let Some(sealed) = self.seal_window(window, &tallies).await else { return };
+            let sealed = match self.seal_window(window, &tallies).await {
+                Seal::Counts(sealed) => sealed,
+                Seal::Lost => {
+                    log::warn!(event = "usage_lost", window; "not reporting a window that a former holder may have reported");
+                    self.reported.insert(window);
+                    continue;
+                }
+                Seal::Failed => return,
+            };
             let Some(token) = self.parts.candidate.may_act() else { return };
             let reported = (self.parts.calls.report)(token, window, sealed.clone()).await;
             log::info!(
@@ -255,22 +290,59 @@
         out
     }
 
-    /// Seals a window, or reads the record that sealed it before.
-    async fn seal_window(
+    /// Writes the sealed records again that the store has lost, if it came back from an older copy.
+    async fn check_era(&mut self) {
+        let newest = self.parts.store.era();
+        if *self.era.get_or_insert(newest) == newest {
+            return;
+        }
+        self.lost_at = self.parts.counter.wall();
+        for (window, sealed) in &self.sealed {
+            if let Err(e) = self.write_sealed(*window, sealed).await {
+                return log::info!(event = "usage_unsealed", window, cause:% = e; "failed to seal a window again; will retry");
+            }
+        }
+        self.era = Some(newest);
+    }
+
+    /// Writes the record of a sealed window unless there is one; returns the stored one.
+    async fn write_sealed(
         &self,
         window: Window,
-        tallies: &IndexMap<String, Tally>,
-    ) -> Option<Sealed> {
-        let own = Sealed::new(&count::window_sum(tallies.values(), window));
+        sealed: &Sealed,
+    ) -> agate_store::Result<Option<Sealed>> {
         let store = &self.parts.store;
-        let key = window::key(window);
-        match store.swap(Purpose::Report, key, 0, own.encode()).await {
-            Ok(Ok(_)) => Some(own),
-            Ok(Err(Some(found))) => Sealed::decode(&found.value),
-            Ok(Err(None)) => None,
+        match store.swap(Purpose::Report, window::key(window), 0, sealed.encode()).await? {
+            Ok(_) => Ok(Some(sealed.clone())),
+            Err(found) => Ok(found.and_then(|r| Sealed::decode(&r.value))),
+        }
+    }
+
+    /// Seals a window, or reads the record that sealed it before.
+    async fn seal_window(&mut self, window: Window, tallies: &IndexMap<String, Tally>) -> Seal {
+        let own = match self.sealed.get(&window) {
+            Some(sealed) => sealed.clone(),
+            None => Sealed::new(&count::window_sum(tallies.values(), window)),
+        };
+        let end = end_of(window, self.parts.windows.length);
+        let may_be_lost = end <= self.term_began.min(self.lost_at);
+        let stored = match may_be_lost && !self.sealed.contains_key(&window) {
+            true => {
+                let found = self.parts.store.get(Purpose::Report, window::key(window)).await;
+                found.map(|found| found.and_then(|r| Sealed::decode(&r.value)))
+            }
+            false => self.write_sealed(window, &own).await,
+        };
+        match stored {
+            Ok(Some(sealed)) => {
+                self.sealed.insert(window, sealed.clone());
+                Seal::Counts(sealed)
+            }
+            Ok(None) if may_be_lost => Seal::Lost,
+            Ok(None) => Seal::Failed,
             Err(e) => {
                 log::info!(event = "usage_unsealed", window, cause:% = e; "failed to seal a window; will retry");
-                None
+                Seal::Failed
             }
         }
     }
@@ -293,7 +365,9 @@
         for key in keys {
             self.delete_record(key).await;
         }
-        self.reported.retain(|w| now < end_of(*w, settings.length) + settings.late * 2);
+        let recent = |w: Window| now < end_of(w, settings.length) + settings.late * 2;
+        self.reported.retain(|w| recent(*w));
+        self.sealed.retain(|w, _| recent(*w));
     }
 
     async fn delete_record(&self, key: String) {
--- a/crates/native/tests/cut_heads.rs
+++ b/crates/native/tests/cut_heads.rs
@@ -18,7 +18,7 @@
     tokio::spawn(async move {
         while let Ok((mut io, _)) = listener.accept().await {
             tokio::spawn(async move {
-                io.read(&mut [0; 4_096]).await?;
+                let _ = io.read(&mut [0; 4_096]).await?;
                 io.write_all(text.as_bytes()).await?;
                 io.shutdown().await
             });
--- a/crates/transport/tests/cut_heads.rs
+++ b/crates/transport/tests/cut_heads.rs
@@ -23,7 +23,7 @@
 
 /// Head of a response, whose body has a length, chunks or ends with the connection.
 fn head(framing: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-seal: s\r\n{framing}\r\n")
+    format!("HTTP/1.1 200 OK\r\nid: r1\r\n{framing}\r\n")
 }
 
 /// Server that answers each connection with `text` and closes it, after a whole response to a first
@@ -37,11 +37,11 @@
             tokio::spawn(async move {
                 let mut request = [0; 4_096];
                 if requests == 2 {
-                    io.read(&mut request).await?;
+                    let _ = io.read(&mut request).await?;
                     let whole = format!("{}{BODY}", head("content-length: 5\r\n"));
                     io.write_all(whole.as_bytes()).await?;
                 }
-                io.read(&mut request).await?;
+                let _ = io.read(&mut request).await?;
                 io.write_all(text.as_bytes()).await?;
                 io.shutdown().await
             });
@@ -51,7 +51,7 @@
 }
 
 async fn exchange(pool: &Arc<Pool>) -> Result<Bytes, ()> {
-    let markers = ResponseMarkers { id: HeaderName::from_static("request-id"), not_run: |_| false };
+    let markers = ResponseMarkers { id: HeaderName::from_static("id"), not_run: |_| false };
     let limits = TimeLimits { fresh: LIMIT, reused: LIMIT, max_idle: LIMIT, abandon: false };
     let mut request = Request::new(Full::new(Bytes::from_static(b"x")));
     *request.method_mut() = Method::POST;
