Report no earlier window by a holder that started after a store rollback

A holder that started afterwards cannot know of the rollback, and reported a window again with other counts. Where the store states an era above its first, windows that ended before the start of an instance are reported only if the store has their record (sealed_windows::late_holder).

--- a/crates/leader/src/runner.rs
+++ b/crates/leader/src/runner.rs
@@ -31,6 +31,9 @@
 /// Backoff after a failed write of the own counts; short enough for a second attempt before the
 /// window is reported.
 const WRITE_BACKOFF: Duration = Duration::from_millis(250);
+/// Era of a store that has not come back from a copy yet. An instance that starts in a later one cannot
+/// know when that was.
+const FIRST_ERA: Era = 1;
 /// Maximum backoff. It grows because calls that the store refuses are charged too.
 const MAX_WRITE_BACKOFF: Duration = Duration::from_secs(1);
 /// Time between two checks of whether the own counts must be written.
@@ -293,10 +296,12 @@
     /// Writes the sealed records again that the store has lost, if it came back from an older copy.
     async fn check_era(&mut self) {
         let newest = self.parts.store.era();
-        if *self.era.get_or_insert(newest) == newest {
+        let former = self.era.replace(newest);
+        if former.unwrap_or_default().max(FIRST_ERA) >= newest {
             return;
         }
         self.lost_at = self.parts.counter.wall();
+        self.era = former;
         for (window, sealed) in &self.sealed {
             if let Err(e) = self.write_sealed(*window, sealed).await {
                 return log::info!(event = "usage_unsealed", window, cause:% = e; "failed to seal a window again; will retry");
--- a/crates/leader/tests/sealed_windows.rs
+++ b/crates/leader/tests/sealed_windows.rs
@@ -76,6 +76,28 @@
     Instance { counter, candidate, _tasks: tasks }
 }
 
+/// A store in its first era.
+fn open() -> Memory {
+    let origin = clock::now();
+    let memory = Memory::open(move || clock::now().saturating_sub(origin));
+    memory.come_back(memory.copy());
+    memory
+}
+
+/// Whether a report holds a request.
+fn counted(reports: &Reports) -> bool {
+    reports.lock().expect("not poisoned").iter().any(|(_, sealed)| !sealed.counts().is_empty())
+}
+
+/// Checks that no window was reported with different counts.
+fn check(reports: &Reports) {
+    let reports = reports.lock().expect("not poisoned").clone();
+    for (window, sealed) in &reports {
+        let other = reports.iter().find(|(w, s)| w == window && s != sealed);
+        assert_eq!(other, None, "window {window} was reported with {sealed:?}, too");
+    }
+}
+
 async fn until(condition: impl Fn() -> bool) {
     while !condition() {
         sleep(Duration::from_millis(5)).await;
@@ -89,8 +111,7 @@
 #[case::next_holder(false)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn store_rollback(#[case] same: bool) {
-    let origin = clock::now();
-    let memory = Memory::open(move || clock::now().saturating_sub(origin));
+    let memory = open();
     let reports = Reports::default();
     let (first, second) = (spawn(&memory, "a", &reports), spawn(&memory, "b", &reports));
     first.candidate.start(|| lease(&memory, "a"));
@@ -116,9 +137,26 @@
         until(|| second.candidate.may_act().is_some()).await;
     }
     sleep(Duration::from_secs(3)).await;
-    let reports = reports.lock().expect("not poisoned").clone();
-    for (window, sealed) in &reports {
-        let other = reports.iter().find(|(w, s)| w == window && s != sealed);
-        assert_eq!(other, None, "window {window} was reported with {sealed:?}, too");
-    }
+    check(&reports);
+}
+
+/// The same for a holder that started after the rollback.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_holder() {
+    let (memory, reports) = (open(), Reports::default());
+    let first = spawn(&memory, "a", &reports);
+    first.candidate.start(|| lease(&memory, "a"));
+    let copy = memory.copy();
+    first.counter.count(&"x".into());
+    until(|| counted(&reports)).await;
+    first.candidate.stop();
+    drop(first);
+    memory.come_back(copy);
+    let second = spawn(&memory, "b", &reports);
+    second.candidate.start(|| lease(&memory, "b"));
+    until(|| second.candidate.may_act().is_some()).await;
+    sleep(Duration::from_secs(3)).await;
+    check(&reports);
+    let reported = reports.lock().expect("not poisoned").len();
+    until(|| reports.lock().expect("not poisoned").len() > reported).await;
 }
