--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -211,11 +211,6 @@
         (path, Arc::new(pool))
     }
 
-    /// Paths to the endpoints.
-    pub fn paths(&self) -> &Paths {
-        &self.paths
-    }
-
     /// Path to the endpoint `name` if it takes requests.
     pub fn path_to(&self, name: &str) -> Option<Arc<Path>> {
         let services = self.services.load();
