Reserve each port once for the instances of a test

Cause: the harness returned ports that were free when it tried them, and instances bind them later, a process after some 100 ms; tests that run side by side could get the same port, and the second instance to bind it ended at once. The ports for messages between instances are used for TCP as well since connections are relayed, which made it likelier.

--- a/crates/cli/tests/paused_process.rs
+++ b/crates/cli/tests/paused_process.rs
@@ -7,14 +7,13 @@
     agate_cli::{configs::edit, demo::read},
     agate_config::{Document, publish, section::Section},
     agate_lease::record,
-    agate_standin::{Engine, EngineSettings, FaultProxy, Platform, platform::Instance as Listed},
+    agate_standin::{
+        Engine, EngineSettings, FaultProxy, Platform, platform::Instance as Listed, ports,
+    },
     agate_store::Purpose,
     futures_util::future::join_all,
     nix::sys::signal::Signal,
-    std::{
-        net::{SocketAddr, TcpListener, UdpSocket},
-        time::Duration,
-    },
+    std::{net::SocketAddr, time::Duration},
     support::{
         ClientResponse, HttpRequest, model_request,
         process::{Process, TempDir},
@@ -62,17 +61,6 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Returns a port that is free for TCP and UDP. It is below the ephemeral range of the system, so
-/// that no connection takes it before the process binds it.
-fn free_port() -> SocketAddr {
-    loop {
-        let address = SocketAddr::new(loopback().ip(), rand::random_range(10_000..30_000));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 async fn system() -> System {
     let platform = Platform::bind(loopback()).await.expect("bound");
     let mut document = read(None).expect("the built-in document is valid");
@@ -84,7 +72,7 @@
     document.fleet.endpoints.values_mut().for_each(|e| e.address = engine.address());
     apply(&platform, &document).await;
     let (files, mut instances) = (TempDir::new(), Vec::new());
-    let places = ZONES.map(|zone| (zone, free_port()));
+    let places = ZONES.map(|zone| (zone, ports::reserve()));
     let listed = places.map(|(zone, address)| Listed {
         name: format!("entry-{zone}"),
         zone: zone.into(),
@@ -94,7 +82,7 @@
     platform.set_instances(listed.into());
     let secret = files.write("secret", &format!("{:032x}", rand::random::<u128>()));
     for (zone, peers) in places {
-        let operator = free_port();
+        let operator = ports::reserve();
         let platform_proxy = FaultProxy::bind(loopback(), platform.address()).await.expect("bound");
         let text = format!(
             "name: entry-{zone}\nzone: {zone}\nregion: harju\nlisten: {}\noperator: {operator}\n\
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod fault_proxy;
 pub mod platform;
+pub mod ports;
 pub mod server;
 pub mod service;
 
