Serve a stream at one software version over the attempts of its caller

Callers saw: a stream that broke off and that they took up at another instance, or after all instances had been killed, went on with events of an endpoint of another software version, with nothing to show it.

The version of a new stream follows from a weighted rendezvous hash of the name that take-ups state, so all instances compute the same one, after a restart too. Streams that a change of the versions leaves open are told to two instances, which are asked; the latest splits are in the store for instances that start; what still cannot be told is refused as not run, or waits if it can be told before the first event is due.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -21,7 +21,7 @@
     agate_quarantine::Quarantine,
     agate_relay::{
         path_watch,
-        proxy_state::{self, ProxyState},
+        proxy_state::{self, Parts, ProxyState},
         ready::Monitor,
         retry_budget::RetryLimits,
         server::HttpServer,
@@ -33,6 +33,7 @@
     },
     agate_task::Supervisor,
     agate_transport::link,
+    agate_version::Versions,
     agate_view::{
         LocalView,
         follow::{self, Followers, RefreshIntervals},
@@ -112,14 +113,16 @@
         let counting = counter.clone();
         let timing = counter.clone();
         let quarantine = Quarantine::new(store.clone(), move || timing.wall());
+        let timing = counter.clone();
+        let versions = Arc::new(Versions::new(store.clone(), move || timing.wall()));
         let keys = SharedKeys::open(store.clone());
         let paths = open_paths(settings, &view, &keys, dial.clone());
+        let parts = Parts { quarantine: quarantine.clone(), versions, paths: paths.clone() };
         let proxy_state = ProxyState::new(
             headers::dialect(),
             view.clone(),
             proxy_settings(settings),
-            quarantine.clone(),
-            paths.clone(),
+            parts,
             move |org| counting.count(org),
         );
         let (finding, secret) = (proxy_state.clone(), keys.clone());
@@ -154,6 +157,7 @@
         )
         .await;
         let sync = sync.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
+        sync_callbacks::connect_versions(&proxy_state, settings.peers, sync.sender());
         let (running, shared, from) = (candidate.clone(), view.clone(), store.clone());
         let (name, own_incarnation) = (settings.name.clone(), incarnation.clone());
         let candidacy = tokio::spawn(supervisor.clone().run("candidacy", move || {
@@ -312,6 +316,11 @@
         let view = view.clone();
         quarantine.clone().follow(move || Role::of(&view))
     }));
+    let (view, versions) = (proxy_state.view.clone(), proxy_state.versions.clone());
+    tokio::spawn(supervisor.clone().run("versions", move || {
+        let (view, versions) = (view.clone(), versions.clone());
+        async move { versions.follow(move || Role::of(&view)).await }
+    }));
     let state = proxy_state.clone();
     tokio::spawn(supervisor.clone().run("fleet", move || state.clone().follow()));
     let state = proxy_state.clone();
--- a/crates/cli/src/edge/sync_callbacks.rs
+++ b/crates/cli/src/edge/sync_callbacks.rs
@@ -6,11 +6,12 @@
     agate_relay::{demand, proxy_state::ProxyState},
     agate_route::ranking::name_hash,
     agate_sync::{
-        message::{Demand, Load, LoadReport, Rate, Suspects},
+        message::{Demand, Load, LoadReport, Message, Rate, Suspects},
         runner::Callbacks,
+        sender::Sender,
     },
     agate_view::table::Name,
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// Engine time that clients of all instances request of `service`.
@@ -48,6 +49,17 @@
     }
 }
 
+/// Lets the software versions of streams be told and asked through `sender`; `own` is the address of
+/// this instance.
+pub fn connect_versions(proxy_state: &ProxyState, own: SocketAddr, sender: Sender) {
+    let view = proxy_state.view.clone();
+    let send = move |message, to| {
+        let sender = sender.clone();
+        tokio::spawn(async move { sender.send(&Message::Streams(message), to).await });
+    };
+    proxy_state.versions.connect(own, move || view.peers.load_full(), send);
+}
+
 /// Creates the callbacks of the synchronisation.
 pub fn callbacks(
     proxy_state: &Arc<ProxyState>,
@@ -58,6 +70,7 @@
     let (candidate, name) = (candidate.clone(), name.to_owned());
     let (own, others) = (proxy_state.clone(), proxy_state.clone());
     let (telling, hearing) = (proxy_state.clone(), proxy_state.clone());
+    let versions = proxy_state.versions.clone();
     let (usage, noted, collect) = (counter.clone(), counter.clone(), counter.clone());
     let (vote, agreed, copied) = (counter.clone(), counter.clone(), counter.clone());
     Callbacks {
@@ -84,5 +97,6 @@
         on_usage_held: Box::new(move |version| noted.mark_held(version)),
         on_usage_copied: Box::new(move |version| copied.mark_copied(version)),
         on_usage: Box::new(move |u| collect.collect(&u.from, u.window, &u.rows)),
+        on_streams: Box::new(move |message| versions.receive(message)),
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -46,6 +46,7 @@
 mod signals;
 pub mod started;
 pub mod stream;
+mod stream_version;
 
 use {
     bytes::Bytes,
--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -17,6 +17,7 @@
     agate_quarantine::Quarantine,
     agate_route::ranking::name_hash,
     agate_transport::in_flight::InFlight,
+    agate_version::{Split, Versions},
     agate_view::{
         Entry, LocalView, clock,
         table::{Kind, Name},
@@ -51,6 +52,16 @@
     pub retry_limits: RetryLimits,
 }
 
+/// Parts of the instance that follow its peers and the store.
+pub struct Parts {
+    /// Detector of requests that crash endpoints.
+    pub quarantine: Arc<Quarantine>,
+    /// Software versions of streams.
+    pub versions: Arc<Versions>,
+    /// Paths to endpoints.
+    pub paths: Paths,
+}
+
 type StartedFn = dyn Fn(&Name) + Send + Sync;
 
 /// State shared by all requests of one instance.
@@ -63,6 +74,8 @@
     pub fleet: Fleet,
     /// Detector of requests that crash endpoints.
     pub quarantine: Arc<Quarantine>,
+    /// Software versions of streams.
+    pub versions: Arc<Versions>,
     /// Settings given at the start.
     pub settings: Settings,
     /// Requests in progress.
@@ -82,18 +95,18 @@
 }
 
 impl ProxyState {
-    /// Makes the shared state of an instance that reaches endpoints by `paths`; `on_started` is called with the organisation of each started
-    /// request.
+    /// Makes the shared state of an instance; `on_started` is called with the organisation of each
+    /// started request.
     pub fn new(
         dialect: Dialect,
         view: Arc<LocalView>,
         settings: Settings,
-        quarantine: Arc<Quarantine>,
-        paths: Paths,
+        parts: Parts,
         on_started: impl Fn(&Name) + Send + Sync + 'static,
     ) -> Arc<Self> {
         let instance_count = InstanceCount::new(settings.retry_limits.window, clock::now());
         let metrics = Metrics::default();
+        let Parts { quarantine, versions, paths } = parts;
         quarantine.metrics.register(metrics.registry());
         paths.metrics().register(metrics.registry());
         Arc::new(Self {
@@ -101,6 +114,7 @@
             view,
             fleet: Fleet::with_paths(settings.zone.clone(), paths),
             quarantine,
+            versions,
             settings,
             flight: InFlight::default(),
             metrics,
@@ -134,6 +148,7 @@
             let listed = self.view.listed.age();
             let listed = listed.is_some_and(|age| self.with_instance_count(|c| c.is_recent(age)));
             self.fleet.set_instances(instances, listed);
+            self.versions.install(&Split::of_services(&entries));
             self.fleet.install(&entries, table.as_deref(), instances);
             let pause = next_decrease.map_or(MAX_POLL, |at| at.saturating_sub(now));
             tokio::select! {
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -42,11 +42,13 @@
     InvalidResponse,
     /// It is suspected of crashing the endpoints that run it.
     Crashing,
+    /// It goes on with a stream, and which software version began that cannot be told.
+    VersionUnknown,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Cause; 17] = [
+    pub const ALL: [Cause; 18] = [
         Cause::RouteUnknown,
         Cause::KeyUnknown,
         Cause::BodyLarge,
@@ -64,6 +66,7 @@
         Cause::Lost,
         Cause::InvalidResponse,
         Cause::Crashing,
+        Cause::VersionUnknown,
     ];
 
     /// Stable name in logs and metrics.
@@ -86,6 +89,7 @@
             Cause::Lost => "lost",
             Cause::InvalidResponse => "spoilt",
             Cause::Crashing => "crashing",
+            Cause::VersionUnknown => "version_unknown",
         }
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -17,7 +17,7 @@
         serve::Job,
         signals,
         started::{self, PendingCall},
-        stream,
+        stream, stream_version,
     },
     agate_quarantine::{Trial, Work},
     agate_route::{health::ExchangeResult, signals::Withheld},
@@ -59,7 +59,7 @@
     grant: Option<Grant>,
     /// Endpoints already tried, which are not tried again.
     pub tried: Vec<Name>,
-    /// Version of the endpoints that may serve it, once it has events of one; `None` for any.
+    /// Version of the endpoints that may serve it; `None` for any.
     pub version: Option<Version>,
     /// Number of endpoints it was sent to; failed connects do not count.
     pub sent: u32,
@@ -90,10 +90,11 @@
     if let Some(class) = prompt_class(&job) {
         state.demand(&job.service, |d, now| d.on_request(class, now));
     }
+    let version = stream_version::required(state, &job).await?;
     let mut attempts = Attempts {
         grant: Some(Grant::First(NotRunProof::accept())),
         tried: Vec::new(),
-        version: None,
+        version,
         sent: 0,
         calls: CallTracker::default(),
         cause: Cause::Full,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -14,6 +14,7 @@
         requirements,
         run::{self, Attempts, Call},
         serve::Job,
+        stream_version,
     },
     agate_quarantine::Work,
     agate_route::health::ExchangeResult,
@@ -104,8 +105,9 @@
                 Ok(Some(bytes)) => {
                     if !self.started {
                         self.started = true;
-                        self.attempts.version =
-                            Some(call.assignment.endpoint.entry.version.clone());
+                        let version = call.assignment.endpoint.entry.version.clone();
+                        stream_version::record(&self.state, &self.job, &version);
+                        self.attempts.version = Some(version);
                         call.assignment.on_first_token();
                         record::record_start(&self.state, &self.job, &call.assignment);
                     }
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod reassembly;
 pub mod runner;
 pub mod secret;
+pub mod sender;
 pub mod sums;
 
 /// Hash of an endpoint's name.
--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -6,6 +6,7 @@
         clocks::{Clock, Vote},
     },
     agate_quarantine::suspicion::Observation,
+    agate_version::homes,
     agate_view::{
         Entry,
         roster::{Digest, EndpointName},
@@ -251,4 +252,6 @@
     },
     /// Incremental update of the endpoint entries that the receiver already has.
     Changes(Changes),
+    /// Software versions of streams.
+    Streams(homes::Message),
 }
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -10,14 +10,16 @@
         poller::{Confirmation, Poller},
         reassembly::Reassembly,
         secret::SharedKeys,
+        sender::Sender,
     },
     agate_core::{Mono, Wall},
     agate_task::Supervisor,
+    agate_version::homes,
     agate_view::{
         Entry, LocalView, clock,
         peers::{self, Peer},
     },
-    agate_wire::{Context, MAX_DATAGRAM, SealError, open, seal},
+    agate_wire::{Context, MAX_DATAGRAM, open},
     indexmap::IndexMap,
     std::{
         io,
@@ -80,11 +82,21 @@
     pub on_usage_copied: Box<dyn Fn(u64) + Send + Sync>,
     /// Called with usage of another instance.
     pub on_usage: Box<dyn Fn(&Usage) + Send + Sync>,
+    /// Called with a message on the software versions of streams; returns the answer.
+    pub on_streams: Box<dyn Fn(homes::Message) -> Option<homes::Message> + Send + Sync>,
 }
 
 /// Handle of the running exchange, which ends when the handle is dropped.
 pub struct SyncHandle {
     task: JoinHandle<()>,
+    sender: Sender,
+}
+
+impl SyncHandle {
+    /// Sends messages from the address of the exchange.
+    pub fn sender(&self) -> Sender {
+        self.sender.clone()
+    }
 }
 
 impl Drop for SyncHandle {
@@ -109,9 +121,12 @@
 ) -> io::Result<SyncHandle> {
     let socket = Arc::new(UdpSocket::bind(own.address).await?);
     let callbacks = Arc::new(callbacks);
+    let sender = Sender::new(socket.clone(), keys.clone());
+    let sending = sender.clone();
     let make = move || SyncLoop {
         socket: socket.clone(),
         keys: keys.clone(),
+        sender: sending.clone(),
         own: own.clone(),
         incarnation: incarnation.clone(),
         view: view.clone(),
@@ -127,7 +142,7 @@
         started: Instant::now(),
     };
     let task = tokio::spawn(supervisor.run("sync", move || make().run()));
-    Ok(SyncHandle { task })
+    Ok(SyncHandle { task, sender })
 }
 
 /// Which version of the own usage was sent to one coordinator, and which it acknowledged.
@@ -141,6 +156,7 @@
 struct SyncLoop {
     socket: Arc<UdpSocket>,
     keys: Arc<SharedKeys>,
+    sender: Sender,
     own: Peer,
     incarnation: String,
     view: Arc<LocalView>,
@@ -248,7 +264,7 @@
         let suspects = (self.callbacks.suspects)();
         let in_force = self.view.version();
         let request = Request { from, round, roster, suspects, clock, figures, in_force };
-        self.send(&Message::Request(request), address).await;
+        self.sender.send(&Message::Request(request), address).await;
     }
 
     /// This instance's clock, as sent to others; `None` if it does not fit into 64 bits.
@@ -276,11 +292,11 @@
                     parts += 1;
                     let (from, rows) = (self.incarnation.clone(), chunk.to_vec());
                     let usage = Usage { from, round, window: *window, rows };
-                    self.send(&Message::Usage(usage), peer.address).await;
+                    self.sender.send(&Message::Usage(usage), peer.address).await;
                 }
             }
             let from = self.incarnation.clone();
-            self.send(&Message::UsageEnd { round, parts, from }, peer.address).await;
+            self.sender.send(&Message::UsageEnd { round, parts, from }, peer.address).await;
         }
         self.report_acknowledged(version, &coordinators);
     }
@@ -328,13 +344,18 @@
                     self.reassembly.add_changes(part, &known, digest, self.roster_confirmation);
                 self.offer_entries(complete);
             }
+            Message::Streams(message) => {
+                if let Some(answer) = (self.callbacks.on_streams)(message) {
+                    self.sender.send(&Message::Streams(answer), from).await;
+                }
+            }
             Message::Usage(usage) => {
                 self.coordinator.on_usage(&usage);
                 (self.callbacks.on_usage)(&usage);
             }
             Message::UsageEnd { round, parts, from: sender } => {
                 if self.coordinator.usage_complete(&sender, round, parts) {
-                    self.send(&Message::UsageAck { round }, from).await;
+                    self.sender.send(&Message::UsageAck { round }, from).await;
                 }
             }
             Message::UsageAck { round } => {
@@ -365,7 +386,7 @@
             figures: self.coordinator.totals(&request.from, &(self.callbacks.own_report)(), now),
             in_force: view.version(),
         };
-        self.send(&Message::Response(response), from).await;
+        self.sender.send(&Message::Response(response), from).await;
         self.forward_entries(request.roster, from).await;
     }
 
@@ -379,7 +400,7 @@
             return;
         }
         for message in self.history.updates_since(known).iter() {
-            self.send(message, to).await;
+            self.sender.send(message, to).await;
         }
     }
 
@@ -416,27 +437,4 @@
         self.holder = response.figures.holder.clone();
         (self.callbacks.on_others)(&response.figures);
     }
-
-    /// Sends a message. If it does not fit into a datagram, the smallest loads are dropped: an
-    /// instance without responses would read everything from the store.
-    async fn send(&self, message: &Message, to: SocketAddr) {
-        let Some(keys) = self.keys.load() else { return };
-        let mut sealed = seal(&keys, message, Context::Datagram(to));
-        if matches!(sealed, Err(SealError::Large { .. })) {
-            let mut shorter = message.clone();
-            while matches!(sealed, Err(SealError::Large { .. })) && shorter.shorten() {
-                sealed = seal(&keys, &shorter, Context::Datagram(to));
-            }
-        }
-        match sealed {
-            Ok(bytes) => {
-                if let Err(e) = self.socket.send_to(&bytes, to).await {
-                    log::debug!("failed to send to the instance at {to}: {e}");
-                }
-            }
-            Err(e) => {
-                log::warn!(event = "message_unsent", cause:% = e; "failed to seal a message")
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/version/src/versions.rs
@@ -0,0 +1,296 @@
+//! Versions of the streams of all services, for one instance.
+
+use {
+    crate::{
+        StreamId,
+        begun::{self, Begun},
+        history::History,
+        homes::{self, CHUNK_STREAMS, Message, Row},
+        record::{self, Splits},
+        split::Split,
+    },
+    agate_core::Wall,
+    agate_store::{Result, Store},
+    agate_view::{
+        clock,
+        peers::Peer,
+        roster::Version,
+        shared_record::{Role, SharedRecord},
+        table::Name,
+    },
+    indexmap::IndexMap,
+    std::{
+        net::SocketAddr,
+        pin::pin,
+        sync::{Arc, Mutex, MutexGuard, OnceLock},
+        time::Duration,
+    },
+    tokio::{sync::Notify, time::timeout},
+};
+
+/// Time for which the homes of a stream are waited for.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Number of times that they are asked.
+const ASKS: u32 = 2;
+
+/// Where a stream that a caller takes up may go on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Resumption {
+    /// At any endpoint: the service has one version only.
+    Any,
+    /// At endpoints of this version.
+    At(Version),
+    /// Nowhere yet: it cannot be told which version began it. If it has gone on for as long as this,
+    /// it can.
+    Unknown(Option<Duration>),
+}
+
+/// Present time of day.
+type WallFn = dyn Fn() -> Wall + Send + Sync;
+/// Sends a message to another instance.
+type SendFn = dyn Fn(Message, SocketAddr) + Send + Sync;
+/// Present instances.
+type PeersFn = dyn Fn() -> Arc<Vec<Peer>> + Send + Sync;
+
+/// Contact to the other instances.
+struct Contact {
+    own: SocketAddr,
+    peers: Box<PeersFn>,
+    send: Box<SendFn>,
+}
+
+/// Splits of all services, and versions of the streams that this instance forwards or is a home of.
+pub struct Versions {
+    histories: Mutex<IndexMap<Name, History>>,
+    begun: Mutex<Begun>,
+    /// Notified when streams are added to `begun`.
+    told: Notify,
+    record: SharedRecord<Splits>,
+    wall: Box<WallFn>,
+    contact: OnceLock<Contact>,
+}
+
+impl Versions {
+    /// Knows no service yet. `wall` returns the time of day.
+    pub fn new(store: Store, wall: impl Fn() -> Wall + Send + Sync + 'static) -> Self {
+        Self {
+            histories: Mutex::default(),
+            begun: Mutex::default(),
+            record: SharedRecord::new(store, record::KEY, record::merge, |_, _| {}),
+            wall: Box::new(wall),
+            told: Notify::new(),
+            contact: OnceLock::new(),
+        }
+    }
+
+    /// Sets how other instances are reached; `own` is the address of this one.
+    pub fn connect(
+        &self,
+        own: SocketAddr,
+        peers: impl Fn() -> Arc<Vec<Peer>> + Send + Sync + 'static,
+        send: impl Fn(Message, SocketAddr) + Send + Sync + 'static,
+    ) {
+        let contact = Contact { own, peers: Box::new(peers), send: Box::new(send) };
+        if self.contact.set(contact).is_err() {
+            log::debug!("the contact to other instances was set already");
+        }
+    }
+
+    fn histories(&self) -> MutexGuard<'_, IndexMap<Name, History>> {
+        self.histories.lock().expect("lock of the histories is not poisoned")
+    }
+
+    fn begun(&self) -> MutexGuard<'_, Begun> {
+        self.begun.lock().expect("lock of the begun streams is not poisoned")
+    }
+
+    /// Sets the present split of each service with endpoints.
+    pub fn install(&self, splits: &IndexMap<Name, Split>) {
+        let now = clock::now();
+        let mut histories = self.histories();
+        let changed = splits.iter().filter(|(service, split)| {
+            histories.entry((*service).clone()).or_default().record(split, now)
+        });
+        let changed: Vec<_> = changed.collect();
+        drop(histories);
+        for (service, split) in &changed {
+            self.tell_moved(service, split);
+        }
+        if !changed.is_empty() {
+            self.record.wake();
+        }
+    }
+
+    /// Tells the homes of the streams of `service` that would begin at another version by now.
+    fn tell_moved(&self, service: &Name, split: &Split) {
+        let begun = self.begun();
+        let moved = begun.of_service(service).filter(|(s, v)| split.version_of(*s) != Some(*v));
+        let row = |(stream, version): (StreamId, &Version)| Row {
+            stream,
+            service: service.clone(),
+            version: version.clone(),
+        };
+        let rows: Vec<Row> = moved.map(row).collect();
+        drop(begun);
+        self.tell(rows);
+    }
+
+    /// Tells the homes of streams which versions began them.
+    fn tell(&self, rows: Vec<Row>) {
+        let Some(Contact { own, peers, send }) = self.contact.get() else { return };
+        let peers = peers();
+        let mut by_home: IndexMap<SocketAddr, Vec<Row>> = IndexMap::new();
+        for row in rows {
+            for home in homes::homes(row.stream, &peers).into_iter().filter(|h| h != own) {
+                by_home.entry(home).or_default().push(row.clone());
+            }
+        }
+        for (home, rows) in by_home {
+            rows.chunks(CHUNK_STREAMS).for_each(|c| send(Message::Begun(c.to_vec()), home));
+        }
+    }
+
+    /// Applies a message of another instance; returns the answer, if there is one.
+    pub fn receive(&self, message: Message) -> Option<Message> {
+        match message {
+            Message::Begun(rows) => {
+                let mut begun = self.begun();
+                for Row { stream, service, version } in rows {
+                    begun.add(stream, service, version, clock::now());
+                }
+                drop(begun);
+                self.told.notify_waiters();
+                None
+            }
+            Message::Asked(stream) => {
+                let (service, version) = self.begun().get(stream)?.clone();
+                Some(Message::Begun(vec![Row { stream, service, version }]))
+            }
+        }
+    }
+
+    /// Asks the homes of a stream which version began it.
+    async fn ask(&self, stream: StreamId) -> Option<Version> {
+        let Contact { own, peers, send } = self.contact.get()?;
+        let homes = homes::homes(stream, &peers());
+        for _ in 0..ASKS {
+            homes.iter().filter(|h| *h != own).for_each(|h| send(Message::Asked(stream), *h));
+            let answered = async {
+                loop {
+                    let mut told = pin!(self.told.notified());
+                    told.as_mut().enable();
+                    if let Some(version) = self.known(stream) {
+                        return version;
+                    }
+                    told.await;
+                }
+            };
+            if let Ok(version) = timeout(ASK_TIMEOUT / ASKS, answered).await {
+                return Some(version);
+            }
+        }
+        None
+    }
+
+    fn known(&self, stream: StreamId) -> Option<Version> {
+        self.begun().get(stream).map(|(_, version)| version.clone())
+    }
+
+    /// Version that a new stream of `service` begins at; `None` if it may begin at any.
+    pub fn begin(&self, service: &Name, stream: StreamId) -> Option<Version> {
+        self.histories().get(service)?.begin(stream, clock::now()).cloned()
+    }
+
+    /// Where a stream of `service` that began not longer than `window` ago may go on; `stream` is
+    /// `None` if the caller does not name it.
+    pub async fn resume(
+        &self,
+        service: &Name,
+        stream: Option<StreamId>,
+        window: Duration,
+    ) -> Resumption {
+        if let Some(version) = stream.and_then(|stream| self.known(stream)) {
+            return Resumption::At(version);
+        }
+        let deduced = self.deduce(service, stream, window);
+        match (deduced, stream) {
+            (Resumption::Unknown(left), Some(stream)) => {
+                self.ask(stream).await.map_or(Resumption::Unknown(left), Resumption::At)
+            }
+            (deduced, _) => deduced,
+        }
+    }
+
+    /// Deduces from the recent splits where a stream may go on.
+    fn deduce(&self, service: &Name, stream: Option<StreamId>, window: Duration) -> Resumption {
+        let histories = self.histories();
+        let Some(history) = histories.get(service).filter(|_| self.record.is_loaded()) else {
+            return Resumption::Unknown(None);
+        };
+        let now = clock::now();
+        match stream.map(|stream| history.version(stream, window, now)) {
+            Some(Ok(version)) => Resumption::At(version.clone()),
+            Some(Err(left)) => Resumption::Unknown(left),
+            None if history.has_one_version(window, now) => Resumption::Any,
+            None => Resumption::Unknown(None),
+        }
+    }
+
+    /// Remembers the version that brought the first event of a stream.
+    pub fn on_begun(&self, stream: StreamId, service: &Name, version: &Version) {
+        let now = clock::now();
+        self.begun().add(stream, service.clone(), version.clone(), now);
+        let open = self
+            .histories()
+            .get(service)
+            .is_some_and(|history| history.version(stream, begun::RETENTION, now) != Ok(version));
+        if open {
+            let (service, version) = (service.clone(), version.clone());
+            self.tell(vec![Row { stream, service, version }]);
+        }
+    }
+
+    /// Reads the splits from before the start, then keeps the stored ones current; never returns.
+    pub async fn follow(&self, role: impl Fn() -> Role) {
+        self.record.open().await;
+        self.seed();
+        let mut polls = 0;
+        loop {
+            let caught_up = self.record.next(&mut polls, &role).await;
+            let saved = match caught_up {
+                Ok(()) if role() != Role::Follower => self.save().await,
+                other => other,
+            };
+            if let Err(e) = saved {
+                self.record.back_off(&e).await;
+            }
+        }
+    }
+
+    /// Adds the stored splits to the own, later ones.
+    fn seed(&self) {
+        let (now, wall) = (clock::now(), (self.wall)());
+        let known = self.record.load();
+        let mut histories = self.histories();
+        for (service, steps) in &known.state.0 {
+            let steps = steps
+                .iter()
+                .map(|(at, split)| (now.saturating_sub(wall.saturating_sub(*at)), split.clone()));
+            histories.entry(service.clone()).or_default().prepend(steps);
+        }
+    }
+
+    /// Writes the own splits that the store lacks.
+    async fn save(&self) -> Result<()> {
+        let (now, wall) = (clock::now(), (self.wall)());
+        let own: Splits = {
+            let histories = self.histories();
+            let of = |history: &History| {
+                let dated = |at: Duration| wall.saturating_sub(now.saturating_sub(at));
+                history.steps().map(|(at, split)| (dated(*at), split.clone())).collect()
+            };
+            Splits(histories.iter().map(|(service, h)| (service.clone(), of(h))).collect())
+        };
+        self.record.change(|stored| (stored.update(&own), ())).await
+    }
+}
