Begin a stream at another version after its own has failed

After a failed attempt, or while its version has no healthy endpoint, a stream may begin at any version. What the name selects does not hold then, so the two instances are told of such streams too, and are asked first wherever a stream is taken up while a service has had two versions lately; they answer at once that they do not know a stream.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -304,6 +304,16 @@
         all.iter().any(|e| e.serves(stage, version) && free(e))
     }
 
+    /// Whether an endpoint that meets `requirements` works, as far as is known.
+    pub fn has_healthy(&self, requirements: &Requirements<'_>) -> bool {
+        let (services, now) = (self.services.load(), self.now());
+        let mut all = services.get(requirements.service).into_iter().flatten();
+        all.any(|e| {
+            let healthy = health::usable(&e.stats.health, now);
+            healthy && e.stats.lock_backoff().until <= now && e.matches(requirements)
+        })
+    }
+
     /// Number of endpoints of `service` with this `stage`, and of `version` if there is one.
     pub fn count_stage(&self, service: &Name, stage: Stage, version: Option<&Version>) -> usize {
         let services = self.services.load();
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -61,6 +61,8 @@
     pub tried: Vec<Name>,
     /// Version of the endpoints that may serve it; `None` for any.
     pub version: Option<Version>,
+    /// Whether the stream began at that version. If not, another one may serve it.
+    pub begun: bool,
     /// Number of endpoints it was sent to; failed connects do not count.
     pub sent: u32,
     /// Its calls to endpoints, as the retry budget counts them.
@@ -95,6 +97,7 @@
         grant: Some(Grant::First(NotRunProof::accept())),
         tried: Vec::new(),
         version,
+        begun: job.info.resume.is_some(),
         sent: 0,
         calls: CallTracker::default(),
         cause: Cause::Full,
@@ -199,6 +202,7 @@
     mut source: Option<&KvSource>,
 ) -> Result<Call, Refused> {
     loop {
+        stream_version::relax(state, job, attempts);
         let grant = attempts.grant.take().expect("a new attempt has a grant");
         let (suspects, grant) = crash::check_quarantine(state, job, grant)?;
         let suspected = !suspects.is_empty();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -108,6 +108,7 @@
                         let version = call.assignment.endpoint.entry.version.clone();
                         stream_version::record(&self.state, &self.job, &version);
                         self.attempts.version = Some(version);
+                        self.attempts.begun = true;
                         call.assignment.on_first_token();
                         record::record_start(&self.state, &self.job, &call.assignment);
                     }
--- a/crates/relay/src/stream_version.rs
+++ b/crates/relay/src/stream_version.rs
@@ -4,6 +4,8 @@
     crate::{
         proxy_state::ProxyState,
         refusal::{Cause, Refused},
+        requirements::requirements,
+        run::Attempts,
         serve::Job,
     },
     agate_route::ranking::name_hash,
@@ -60,6 +62,17 @@
     }
 }
 
+/// Lets any version begin the stream after a failed attempt, or while its own has no healthy endpoint.
+pub fn relax(state: &ProxyState, job: &Job, attempts: &mut Attempts) {
+    if attempts.begun || attempts.version.is_none() {
+        return;
+    }
+    let failed = !attempts.tried.is_empty();
+    if failed || !state.fleet.has_healthy(&requirements(job, attempts, &[], None)) {
+        attempts.version = None;
+    }
+}
+
 /// Remembers that an endpoint of `version` brought the first event of this response.
 pub fn record(state: &ProxyState, job: &Job, version: &Version) {
     if let Some(stream) = stream_id(job) {
--- a/crates/version/src/homes.rs
+++ b/crates/version/src/homes.rs
@@ -1,4 +1,5 @@
-//! Instances that remember the versions of streams which a change of the split leaves open.
+//! Instances that remember the versions of streams which the split does not tell: those that a change
+//! of the split leaves open, and those whose version had no healthy endpoint.
 //!
 //! An instance that begins such a stream tells its homes, and one at which a caller takes it up asks
 //! them.
@@ -32,8 +33,10 @@
 pub enum Message {
     /// Streams that began.
     Begun(Vec<Row>),
-    /// Asks which version began a stream; answered if it is known.
+    /// Asks which version began a stream.
     Asked(StreamId),
+    /// Answers that this is not known.
+    NotKnown(StreamId),
 }
 
 /// Addresses of the homes of `stream` among `peers`, equal on all instances that know the same ones.
--- a/crates/version/src/versions.rs
+++ b/crates/version/src/versions.rs
@@ -63,7 +63,9 @@
 pub struct Versions {
     histories: Mutex<IndexMap<Name, History>>,
     begun: Mutex<Begun>,
-    /// Notified when streams are added to `begun`.
+    /// Streams that others are asked about, with the number of answers that they are not known.
+    asked: Mutex<IndexMap<StreamId, usize>>,
+    /// Notified when an answer has come.
     told: Notify,
     record: SharedRecord<Splits>,
     wall: Box<WallFn>,
@@ -78,6 +80,7 @@
             begun: Mutex::default(),
             record: SharedRecord::new(store, record::KEY, record::merge, |_, _| {}),
             wall: Box::new(wall),
+            asked: Mutex::default(),
             told: Notify::new(),
             contact: OnceLock::new(),
         }
@@ -163,8 +166,16 @@
                 None
             }
             Message::Asked(stream) => {
-                let (service, version) = self.begun().get(stream)?.clone();
-                Some(Message::Begun(vec![Row { stream, service, version }]))
+                let found = self.begun().get(stream).cloned();
+                let row = |(service, version)| Row { stream, service, version };
+                Some(found.map_or(Message::NotKnown(stream), |f| Message::Begun(vec![row(f)])))
+            }
+            Message::NotKnown(stream) => {
+                if let Some(answers) = self.asked().get_mut(&stream) {
+                    *answers += 1;
+                }
+                self.told.notify_waiters();
+                None
             }
         }
     }
@@ -172,24 +183,39 @@
     /// Asks the homes of a stream which version began it.
     async fn ask(&self, stream: StreamId) -> Option<Version> {
         let Contact { own, peers, send } = self.contact.get()?;
-        let homes = homes::homes(stream, &peers());
+        let mut homes = homes::homes(stream, &peers());
+        homes.retain(|home| home != own);
+        let mut found = None;
         for _ in 0..ASKS {
-            homes.iter().filter(|h| *h != own).for_each(|h| send(Message::Asked(stream), *h));
-            let answered = async {
-                loop {
-                    let mut told = pin!(self.told.notified());
-                    told.as_mut().enable();
-                    if let Some(version) = self.known(stream) {
-                        return version;
-                    }
-                    told.await;
-                }
-            };
-            if let Ok(version) = timeout(ASK_TIMEOUT / ASKS, answered).await {
-                return Some(version);
+            self.asked().insert(stream, 0);
+            homes.iter().for_each(|home| send(Message::Asked(stream), *home));
+            let answered = timeout(ASK_TIMEOUT / ASKS, self.answers(stream, homes.len())).await;
+            if let Ok(answer) = answered {
+                found = answer;
+                break;
+            }
+        }
+        self.asked().swap_remove(&stream);
+        found
+    }
+
+    /// Waits until the version of a stream is told; `None` if none of `homes` knows it.
+    async fn answers(&self, stream: StreamId, homes: usize) -> Option<Version> {
+        loop {
+            let mut told = pin!(self.told.notified());
+            told.as_mut().enable();
+            let known = self.known(stream);
+            // Another request may ask at the same time and have ended the count.
+            let denied = self.asked().get(&stream).is_none_or(|answers| *answers >= homes);
+            if known.is_some() || denied {
+                return known;
             }
+            told.await;
         }
-        None
+    }
+
+    fn asked(&self) -> MutexGuard<'_, IndexMap<StreamId, usize>> {
+        self.asked.lock().expect("lock of the asked streams is not poisoned")
     }
 
     fn known(&self, stream: StreamId) -> Option<Version> {
@@ -213,12 +239,15 @@
             return Resumption::At(version);
         }
         let deduced = self.deduce(service, stream, window);
-        match (deduced, stream) {
-            (Resumption::Unknown(left), Some(stream)) => {
-                self.ask(stream).await.map_or(Resumption::Unknown(left), Resumption::At)
-            }
-            (deduced, _) => deduced,
-        }
+        let Some(stream) = stream.filter(|_| self.is_divided(service)) else { return deduced };
+        self.ask(stream).await.map_or(deduced, Resumption::At)
+    }
+
+    /// Whether streams of `service` may have begun at several versions lately, as far as is known.
+    fn is_divided(&self, service: &Name) -> bool {
+        let histories = self.histories();
+        let history = histories.get(service).filter(|_| self.record.is_loaded());
+        history.is_none_or(|h| !h.has_one_version(begun::RETENTION, clock::now()))
     }
 
     /// Deduces from the recent splits where a stream may go on.
--- a/crates/version/tests/version_changes.rs
+++ b/crates/version/tests/version_changes.rs
@@ -135,6 +135,27 @@
     assert_eq!(instances[1].resume(&service, None, WINDOW).await, Resumption::Unknown(None));
 }
 
+/// Guards against streams that began at another version than computed, for want of a healthy endpoint,
+/// and go on at the computed one.
+#[tokio::test]
+async fn begun_elsewhere() {
+    let memory = Memory::open(clock::now);
+    let mut instances = Vec::new();
+    for _ in 0..4 {
+        instances.push(open(&memory).await);
+    }
+    connect(&instances);
+    instances.iter().for_each(|i| i.install(&splits(&["v1", "v2"])));
+    let (service, stream): (Name, StreamId) = ("desk".into(), stream_of("v2"));
+    instances[0].on_begun(stream, &service, &"v1".into());
+    for (other, version) in [(stream, "v1"), (stream_of("v1"), "v1")] {
+        for asked in &instances {
+            let found = asked.resume(&service, Some(other), WINDOW).await;
+            assert_eq!(found, Resumption::At(version.into()));
+        }
+    }
+}
+
 /// Guards against instances that start when a version has left, and take the other one for the only
 /// one that there was.
 #[tokio::test]
