Give up no window that this holder sealed itself

After a rollback of the store, a window whose record cannot be decoded counted as lost, and was not reported any more, also by the holder that had sealed it: whether it may be lost was asked again without the window's own counts. One condition decides now, in a module of its own. Found by reading; sealed_windows::unreadable_record gives Lost instead of Failed with the former condition.

--- a/crates/leader/src/lib.rs
+++ b/crates/leader/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod counter;
 pub mod order;
 pub mod runner;
+pub mod seal;
 pub mod stage;
 pub mod window;
 
--- a/crates/leader/src/runner.rs
+++ b/crates/leader/src/runner.rs
@@ -7,11 +7,12 @@
         count::{self, Tally, end_of, window_of},
         counter::UsageCounter,
         order::{self, Order, OrderOutcome},
+        seal::{Seal, Seals},
         stage::{self, EngineDemand, StageOrder},
         window::{self, Sealed},
     },
     agate_core::{FenceToken, Wall},
-    agate_store::{Call, Freshness, Purpose, Store, StoreResponse, era::Era},
+    agate_store::{Call, Freshness, Purpose, Store, StoreResponse},
     agate_task::Supervisor,
     agate_view::{LocalView, clock, table::Name},
     futures_util::future::BoxFuture,
@@ -31,9 +32,6 @@
 /// Backoff after a failed write of the own counts; short enough for a second attempt before the
 /// window is reported.
 const WRITE_BACKOFF: Duration = Duration::from_millis(250);
-/// Era of a store that has not come back from a copy yet. An instance that starts in a later one cannot
-/// know when that was.
-const FIRST_ERA: Era = 1;
 /// Maximum backoff. It grows because calls that the store refuses are charged too.
 const MAX_WRITE_BACKOFF: Duration = Duration::from_secs(1);
 /// Time between two checks of whether the own counts must be written.
@@ -178,42 +176,25 @@
     stages: stage::StageState,
     token: FenceToken,
     last_cleanup: Window,
-    /// Windows that this instance sealed.
-    sealed: IndexMap<Window, Sealed>,
-    /// Era of the store; `None` before the first round.
-    era: Option<Era>,
+    seals: Seals,
     /// When the present term was noticed.
     term_began: Wall,
-    /// When the store was last noticed to have come back from an older copy.
-    lost_at: Wall,
-}
-
-/// Result of sealing a window.
-enum Seal {
-    /// The counts that every report of the window contains.
-    Counts(Sealed),
-    /// A former holder may have sealed it in a record that the store has lost.
-    Lost,
-    /// The store failed; try again.
-    Failed,
 }
 
 async fn run_leader(parts: Arc<Dependencies>) {
     let mut leader = LeaderLoop {
+        seals: Seals::new(parts.store.clone()),
         parts,
         reported: IndexSet::new(),
         orders: order::OrderState::default(),
         stages: stage::StageState::default(),
         token: 0,
         last_cleanup: 0,
-        sealed: IndexMap::new(),
-        era: None,
         term_began: Wall::ZERO,
-        lost_at: Wall::ZERO,
     };
     loop {
         sleep(ROUND_INTERVAL).await;
-        leader.check_era().await;
+        leader.seals.check_era(leader.parts.counter.wall()).await;
         let Some(token) = leader.parts.candidate.may_act() else {
             (leader.parts.on_changing)(&[]);
             continue;
@@ -254,10 +235,12 @@
         let stored: IndexMap<String, Option<Tally>> =
             tallies.into_iter().map(|i| (i.key, Tally::decode(&i.record.value))).collect();
         // The read may be the first one of a new era.
-        self.check_era().await;
+        self.seals.check_era(self.parts.counter.wall()).await;
         let tallies = self.gather_tallies(&stored);
         for window in due {
-            let sealed = match self.seal_window(window, &tallies).await {
+            let own = Sealed::new(&count::window_sum(tallies.values(), window));
+            let end = end_of(window, self.parts.windows.length);
+            let sealed = match self.seals.seal(window, own, end, self.term_began).await {
                 Seal::Counts(sealed) => sealed,
                 Seal::Lost => {
                     log::warn!(event = "usage_lost", window; "not reporting a window that a former holder may have reported");
@@ -293,65 +276,6 @@
         out
     }
 
-    /// Writes the sealed records again that the store has lost, if it came back from an older copy.
-    async fn check_era(&mut self) {
-        let newest = self.parts.store.era();
-        let former = self.era.replace(newest);
-        if former.unwrap_or_default().max(FIRST_ERA) >= newest {
-            return;
-        }
-        self.lost_at = self.parts.counter.wall();
-        self.era = former;
-        for (window, sealed) in &self.sealed {
-            if let Err(e) = self.write_sealed(*window, sealed).await {
-                return log::info!(event = "usage_unsealed", window, cause:% = e; "failed to seal a window again; will retry");
-            }
-        }
-        self.era = Some(newest);
-    }
-
-    /// Writes the record of a sealed window unless there is one; returns the stored one.
-    async fn write_sealed(
-        &self,
-        window: Window,
-        sealed: &Sealed,
-    ) -> agate_store::Result<Option<Sealed>> {
-        let store = &self.parts.store;
-        match store.swap(Purpose::Report, window::key(window), 0, sealed.encode()).await? {
-            Ok(_) => Ok(Some(sealed.clone())),
-            Err(found) => Ok(found.and_then(|r| Sealed::decode(&r.value))),
-        }
-    }
-
-    /// Seals a window, or reads the record that sealed it before.
-    async fn seal_window(&mut self, window: Window, tallies: &IndexMap<String, Tally>) -> Seal {
-        let own = match self.sealed.get(&window) {
-            Some(sealed) => sealed.clone(),
-            None => Sealed::new(&count::window_sum(tallies.values(), window)),
-        };
-        let end = end_of(window, self.parts.windows.length);
-        let may_be_lost = end <= self.term_began.min(self.lost_at);
-        let stored = match may_be_lost && !self.sealed.contains_key(&window) {
-            true => {
-                let found = self.parts.store.get(Purpose::Report, window::key(window)).await;
-                found.map(|found| found.and_then(|r| Sealed::decode(&r.value)))
-            }
-            false => self.write_sealed(window, &own).await,
-        };
-        match stored {
-            Ok(Some(sealed)) => {
-                self.sealed.insert(window, sealed.clone());
-                Seal::Counts(sealed)
-            }
-            Ok(None) if may_be_lost => Seal::Lost,
-            Ok(None) => Seal::Failed,
-            Err(e) => {
-                log::info!(event = "usage_unsealed", window, cause:% = e; "failed to seal a window; will retry");
-                Seal::Failed
-            }
-        }
-    }
-
     /// Deletes expired records, once per window.
     async fn delete_stale(&mut self, tallies: &IndexMap<String, Option<Tally>>, now: Duration) {
         let settings = self.parts.windows;
@@ -372,7 +296,7 @@
         }
         let recent = |w: Window| now < end_of(w, settings.length) + settings.late * 2;
         self.reported.retain(|w| recent(*w));
-        self.sealed.retain(|w, _| recent(*w));
+        self.seals.retain(recent);
     }
 
     async fn delete_record(&self, key: String) {
--- a/crates/leader/tests/sealed_windows.rs
+++ b/crates/leader/tests/sealed_windows.rs
@@ -7,11 +7,12 @@
         counter::UsageCounter,
         order::OrderOutcome,
         runner::{self, Dependencies, LeaderTasks, PlatformCalls, ReportOutcome},
+        seal::{Seal, Seals},
         stage::EngineDemand,
-        window::{Sealed, Settings},
+        window::{self, Sealed, Settings},
     },
     agate_lease::Lease,
-    agate_store::Memory,
+    agate_store::{Memory, Purpose},
     agate_task::Supervisor,
     agate_view::{LocalView, clock},
     futures_util::FutureExt,
@@ -160,3 +161,23 @@
     let reported = reports.lock().expect("not poisoned").len();
     until(|| reports.lock().expect("not poisoned").len() > reported).await;
 }
+
+/// Guards against giving up a window that this holder sealed itself because the record in the store
+/// cannot be decoded.
+#[tokio::test]
+async fn unreadable_record() {
+    const WINDOW: Window = 3;
+    let (end, term_began) = (Duration::from_secs(30), Duration::from_secs(90));
+    let memory = open();
+    let store = memory.store();
+    let mut seals = Seals::new(store.clone());
+    seals.check_era(end).await;
+    let own = Sealed::default();
+    let sealed = seals.seal(WINDOW, own.clone(), end, Duration::ZERO).await;
+    assert_eq!(sealed, Seal::Counts(own.clone()));
+    memory.come_back(Memory::open(clock::now).copy());
+    let unreadable = store.swap(Purpose::Report, window::key(WINDOW), 0, b"?".to_vec()).await;
+    unreadable.expect("written").expect("there was none");
+    seals.check_era(term_began).await;
+    assert_eq!(seals.seal(WINDOW, own, end, term_began).await, Seal::Failed);
+}
