--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod secret;
 pub mod sender;
 pub mod sums;
+mod usage_push;
 
 /// Hash of an endpoint's name.
 pub type EndpointHash = u32;
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -11,6 +11,7 @@
         reassembly::Reassembly,
         secret::SharedKeys,
         sender::Sender,
+        usage_push::UsagePush,
     },
     agate_core::{Mono, Wall},
     agate_task::Supervisor,
@@ -49,9 +50,6 @@
 const INTRODUCTION_TIME: Duration = Duration::from_secs(3);
 /// Number of such a request.
 const INTRODUCTION: Round = 0;
-/// Usage rows in one message; they fit into a datagram.
-const CHUNK_ROWS: usize = 40;
-
 /// Number of requests by organisation, for each window.
 pub type WindowCounts = Vec<(u64, Vec<(String, u64)>)>;
 /// Version of the usage counts, and the counts.
@@ -145,32 +143,25 @@
     Ok(SyncHandle { task, sender })
 }
 
-/// Which version of the own usage was sent to one coordinator, and which it acknowledged.
-#[derive(Clone, Copy, Debug, Default)]
-struct UsagePush {
-    round: u64,
-    version: u64,
-    acknowledged: u64,
-}
-
-struct SyncLoop {
+/// State of the exchange.
+pub(crate) struct SyncLoop {
     socket: Arc<UdpSocket>,
     keys: Arc<SharedKeys>,
-    sender: Sender,
-    own: Peer,
-    incarnation: String,
+    pub(crate) sender: Sender,
+    pub(crate) own: Peer,
+    pub(crate) incarnation: String,
     view: Arc<LocalView>,
-    callbacks: Arc<Callbacks>,
+    pub(crate) callbacks: Arc<Callbacks>,
     poller: Poller,
     reassembly: Reassembly,
     history: History,
     /// Instance that holds the leader lease, as last reported.
-    holder: Option<String>,
+    pub(crate) holder: Option<String>,
     /// Latest confirmation of the endpoint entries by a coordinator.
     roster_confirmation: Option<Confirmation>,
     coordinator: Coordinator,
-    pushes: IndexMap<String, UsagePush>,
-    round: u64,
+    pub(crate) pushes: IndexMap<String, UsagePush>,
+    pub(crate) round: u64,
     started: Instant,
 }
 
@@ -203,7 +194,7 @@
     }
 
     /// The coordinators, best first.
-    fn coordinators(&self) -> Vec<Peer> {
+    pub(crate) fn coordinators(&self) -> Vec<Peer> {
         let known = self.view.peers.load();
         peers::ranked(&known).into_iter().take(COORDINATORS).cloned().collect()
     }
@@ -274,55 +265,6 @@
         Some(Clock { wall: wall.as_micros().try_into().ok()?, agreed })
     }
 
-    async fn push_usage(&mut self) {
-        let (version, windows) = (self.callbacks.usage)();
-        let coordinators = self.coordinators();
-        self.pushes.retain(|name, _| coordinators.iter().any(|p| p.name == *name));
-        for peer in coordinators.iter().filter(|p| p.name != self.own.name) {
-            self.round += 1;
-            let round = self.round;
-            let push = self.pushes.entry(peer.name.clone()).or_default();
-            if push.acknowledged >= version {
-                continue;
-            }
-            (push.round, push.version) = (round, version);
-            let mut parts = 0;
-            for (window, rows) in &windows {
-                for chunk in rows.chunks(CHUNK_ROWS) {
-                    parts += 1;
-                    let (from, rows) = (self.incarnation.clone(), chunk.to_vec());
-                    let usage = Usage { from, round, window: *window, rows };
-                    self.sender.send(&Message::Usage(usage), peer.address).await;
-                }
-            }
-            let from = self.incarnation.clone();
-            self.sender.send(&Message::UsageEnd { round, parts, from }, peer.address).await;
-        }
-        self.report_acknowledged(version, &coordinators);
-    }
-
-    /// Reports which version of the own usage is stored on other instances: the one that the lease
-    /// holder has, or the one that every coordinator has while the holder is unknown.
-    fn report_acknowledged(&self, version: u64, coordinators: &[Peer]) {
-        let others = coordinators.iter().filter(|p| p.name != self.own.name);
-        let copied =
-            others.filter_map(|p| self.pushes.get(&p.name)).map(|push| push.acknowledged).max();
-        (self.callbacks.on_usage_copied)(copied.unwrap_or_default());
-        let acknowledged = |name: &str| match name == self.own.name {
-            true => version,
-            false => self.pushes.get(name).map_or(0, |push| push.acknowledged),
-        };
-        if let Some(holder) =
-            self.holder.as_deref().filter(|h| coordinators.iter().any(|p| p.name == *h))
-        {
-            return (self.callbacks.on_usage_held)(acknowledged(holder));
-        }
-        // Without listed instances there are no coordinators and nothing was sent.
-        if let Some(least) = coordinators.iter().map(|p| acknowledged(&p.name)).min() {
-            (self.callbacks.on_usage_held)(least);
-        }
-    }
-
     async fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
         let context = Context::Datagram(self.own.address);
         let Some(keys) = self.keys.load() else { return };
