Keep the splits from before a start whatever the clock says

An instance whose clock is behind that of the instance that wrote the latest splits took them for later than its own and dropped them, and with them the version that had left. Found by reading; version_changes::started_later::behind fails before (the stream of the version that left goes on at the other one), the two other cases pass before and after. Stored splits stand before the own ones now, dated at the start at the latest.

--- a/crates/version/src/history.rs
+++ b/crates/version/src/history.rs
@@ -86,12 +86,13 @@
         all.flat_map(Split::versions).collect::<IndexSet<_>>().len() <= 1
     }
 
-    /// Adds those of `steps` that are older than all own ones.
+    /// Puts `steps` from before the start of the instance before its own. Their times are those of other
+    /// instances' clocks, so they may look later than the own ones.
     pub fn prepend(&mut self, steps: impl IntoIterator<Item = Step>) {
         let own = std::mem::take(&mut self.0);
         let first = own.front().map(|(at, _)| *at);
-        let older = steps.into_iter().filter(|(at, _)| first.is_none_or(|first| *at < first));
-        for step in older.collect::<Vec<_>>().into_iter().chain(own) {
+        let earlier = steps.into_iter().map(|(at, s)| (first.map_or(at, |f| at.min(f)), s));
+        for step in earlier.chain(own) {
             if self.0.back().is_none_or(|(_, last)| *last != step.1) {
                 self.0.push_back(step);
             }
--- a/crates/version/src/versions.rs
+++ b/crates/version/src/versions.rs
@@ -68,6 +68,8 @@
     /// Notified when an answer has come.
     told: Notify,
     record: SharedRecord<Splits>,
+    /// Set when the stored splits from before the start are known.
+    seeded: OnceLock<()>,
     wall: Box<WallFn>,
     contact: OnceLock<Contact>,
 }
@@ -79,6 +81,7 @@
             histories: Mutex::default(),
             begun: Mutex::default(),
             record: SharedRecord::new(store, record::KEY, record::merge, |_, _| {}),
+            seeded: OnceLock::new(),
             wall: Box::new(wall),
             asked: Mutex::default(),
             told: Notify::new(),
@@ -246,14 +249,14 @@
     /// Whether streams of `service` may have begun at several versions lately, as far as is known.
     fn is_divided(&self, service: &Name) -> bool {
         let histories = self.histories();
-        let history = histories.get(service).filter(|_| self.record.is_loaded());
+        let history = histories.get(service).filter(|_| self.seeded.get().is_some());
         history.is_none_or(|h| !h.has_one_version(begun::RETENTION, clock::now()))
     }
 
     /// Deduces from the recent splits where a stream may go on.
     fn deduce(&self, service: &Name, stream: Option<StreamId>, window: Duration) -> Resumption {
         let histories = self.histories();
-        let Some(history) = histories.get(service).filter(|_| self.record.is_loaded()) else {
+        let Some(history) = histories.get(service).filter(|_| self.seeded.get().is_some()) else {
             return Resumption::Unknown(None);
         };
         let now = clock::now();
@@ -282,7 +285,7 @@
     /// Reads the splits from before the start, then keeps the stored ones current; never returns.
     pub async fn follow(&self, role: impl Fn() -> Role) {
         self.record.open().await;
-        self.seed();
+        self.seeded.get_or_init(|| self.seed());
         let mut polls = 0;
         loop {
             let caught_up = self.record.next(&mut polls, &role).await;
@@ -296,7 +299,7 @@
         }
     }
 
-    /// Adds the stored splits to the own, later ones.
+    /// Puts the stored splits before the own ones.
     fn seed(&self) {
         let (now, wall) = (clock::now(), (self.wall)());
         let known = self.record.load();
--- a/crates/version/tests/version_changes.rs
+++ b/crates/version/tests/version_changes.rs
@@ -1,6 +1,7 @@
 //! Streams that callers take up while versions come and go, and after instances were restarted.
 
 use {
+    agate_core::Wall,
     agate_route::ranking::name_hash,
     agate_store::Memory,
     agate_version::{
@@ -9,6 +10,7 @@
     },
     agate_view::{clock, peers::Peer, roster::Version, shared_record::Role, table::Name},
     indexmap::IndexMap,
+    rstest::rstest,
     std::{
         net::SocketAddr,
         sync::{Arc, OnceLock},
@@ -157,15 +159,19 @@
 }
 
 /// Guards against instances that start when a version has left, and take the other one for the only
-/// one that there was.
+/// one that there was. Their clocks may differ from that of the instance that wrote the splits.
+#[rstest]
+#[case::same_clock(|| clock::wall())]
+#[case::behind(|| clock::wall() - 5 * WINDOW)]
+#[case::ahead(|| clock::wall() + 5 * WINDOW)]
 #[tokio::test]
-async fn started_later() {
+async fn started_later(#[case] wall: fn() -> Wall) {
     let memory = Memory::open(clock::now);
     let first = open(&memory).await;
     first.install(&splits(&["v1", "v2"]));
     sleep(Duration::from_millis(50)).await;
     drop(first);
-    let second = Arc::new(Versions::new(memory.store(), clock::wall));
+    let second = Arc::new(Versions::new(memory.store(), wall));
     second.install(&splits(&["v2"]));
     let service: Name = "desk".into();
     let stream = Some(stream_of("v1"));
