--- a/crates/version/tests/version_changes.rs
+++ b/crates/version/tests/version_changes.rs
@@ -106,16 +106,22 @@
     all.set(instances.to_vec()).map_err(|_| "connected before").expect("once");
 }
 
-/// Guards against refusing streams that began at another instance shortly before or after a version
-/// came.
-#[tokio::test]
-async fn told_by_others() {
+/// Instances that reach each other.
+async fn open_connected() -> Vec<Arc<Versions>> {
     let memory = Memory::open(clock::now);
     let mut instances = Vec::new();
     for _ in 0..4 {
         instances.push(open(&memory).await);
     }
     connect(&instances);
+    instances
+}
+
+/// Guards against refusing streams that began at another instance shortly before or after a version
+/// came.
+#[tokio::test]
+async fn told_by_others() {
+    let instances = open_connected().await;
     let (service, v1): (Name, Version) = ("desk".into(), "v1".into());
     instances.iter().for_each(|i| i.install(&splits(&["v1"])));
     let stream = stream_of("v2");
@@ -141,12 +147,7 @@
 /// and go on at the computed one.
 #[tokio::test]
 async fn begun_elsewhere() {
-    let memory = Memory::open(clock::now);
-    let mut instances = Vec::new();
-    for _ in 0..4 {
-        instances.push(open(&memory).await);
-    }
-    connect(&instances);
+    let instances = open_connected().await;
     instances.iter().for_each(|i| i.install(&splits(&["v1", "v2"])));
     let (service, stream): (Name, StreamId) = ("desk".into(), stream_of("v2"));
     instances[0].on_begun(stream, &service, &"v1".into());
