Log and count what told the version of a stream that callers take up

Hypotheses on streams of two versions cannot be told apart without the source of a version and the age of what is known of the endpoints. No change of logic.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -114,7 +114,8 @@
         let timing = counter.clone();
         let quarantine = Quarantine::new(store.clone(), move || timing.wall());
         let timing = counter.clone();
-        let versions = Arc::new(Versions::new(store.clone(), move || timing.wall()));
+        let versions = Versions::new(store.clone(), view.clone(), move || timing.wall());
+        let versions = Arc::new(versions);
         let keys = SharedKeys::open(store.clone());
         let paths = open_paths(settings, &view, &keys, dial.clone());
         let parts = Parts { quarantine: quarantine.clone(), versions, paths: paths.clone() };
--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -108,6 +108,7 @@
         let metrics = Metrics::default();
         let Parts { quarantine, versions, paths } = parts;
         quarantine.metrics.register(metrics.registry());
+        versions.metrics.register(metrics.registry());
         paths.metrics().register(metrics.registry());
         Arc::new(Self {
             dialect,
--- a/crates/version/src/lib.rs
+++ b/crates/version/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod begun;
 pub mod history;
 pub mod homes;
+pub mod metrics;
 pub mod record;
 pub mod split;
 pub mod versions;
--- a/crates/version/src/versions.rs
+++ b/crates/version/src/versions.rs
@@ -6,13 +6,14 @@
         begun::{self, Begun},
         history::History,
         homes::{self, CHUNK_STREAMS, Message, Row},
+        metrics::Metrics,
         record::{self, Splits},
         split::Split,
     },
     agate_core::Wall,
     agate_store::{Result, Store},
     agate_view::{
-        clock,
+        LocalView, clock,
         peers::Peer,
         roster::Version,
         shared_record::{Role, SharedRecord},
@@ -45,6 +46,31 @@
     Unknown(Option<Duration>),
 }
 
+/// What told the version of a stream that a caller takes up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// This instance forwarded the stream, or is one of its homes.
+    Remembered,
+    /// A home of the stream.
+    Told,
+    /// The splits of its service.
+    Computed,
+    /// Nothing: it cannot be told.
+    Nothing,
+}
+
+impl Source {
+    /// Stable name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Remembered => "remembered",
+            Self::Told => "told",
+            Self::Computed => "computed",
+            Self::Nothing => "nothing",
+        }
+    }
+}
+
 /// Present time of day.
 type WallFn = dyn Fn() -> Wall + Send + Sync;
 /// Sends a message to another instance.
@@ -68,6 +94,9 @@
     /// Notified when an answer has come.
     told: Notify,
     record: SharedRecord<Splits>,
+    view: Arc<LocalView>,
+    /// Metrics of the streams that callers take up.
+    pub metrics: Metrics,
     /// Set when the stored splits from before the start are known.
     seeded: OnceLock<()>,
     wall: Box<WallFn>,
@@ -75,11 +104,18 @@
 }
 
 impl Versions {
-    /// Knows no service yet. `wall` returns the time of day.
-    pub fn new(store: Store, wall: impl Fn() -> Wall + Send + Sync + 'static) -> Self {
+    /// Knows no service yet. `view` tells how old what is known of the endpoints is, `wall` the time
+    /// of day.
+    pub fn new(
+        store: Store,
+        view: Arc<LocalView>,
+        wall: impl Fn() -> Wall + Send + Sync + 'static,
+    ) -> Self {
         Self {
             histories: Mutex::default(),
             begun: Mutex::default(),
+            view,
+            metrics: Metrics::default(),
             record: SharedRecord::new(store, record::KEY, record::merge, |_, _| {}),
             seeded: OnceLock::new(),
             wall: Box::new(wall),
@@ -238,12 +274,37 @@
         stream: Option<StreamId>,
         window: Duration,
     ) -> Resumption {
+        let (found, source) = self.find(service, stream, window).await;
+        self.metrics.taken_up.with_label_values(&[source.label()]).inc();
+        let version = match &found {
+            Resumption::At(version) => Some(&**version),
+            Resumption::Any | Resumption::Unknown(_) => None,
+        };
+        log::info!(
+            event = "stream_version", stream, service = &**service, version,
+            source = source.label(),
+            endpoints_ms = self.view.roster.age().map(|a| a.as_millis() as u64);
+            "version of a stream that a caller takes up"
+        );
+        found
+    }
+
+    async fn find(
+        &self,
+        service: &Name,
+        stream: Option<StreamId>,
+        window: Duration,
+    ) -> (Resumption, Source) {
         if let Some(version) = stream.and_then(|stream| self.known(stream)) {
-            return Resumption::At(version);
+            return (Resumption::At(version), Source::Remembered);
         }
-        let deduced = self.deduce(service, stream, window);
+        let deduced = match self.deduce(service, stream, window) {
+            unknown @ Resumption::Unknown(_) => (unknown, Source::Nothing),
+            known => (known, Source::Computed),
+        };
         let Some(stream) = stream.filter(|_| self.is_divided(service)) else { return deduced };
-        self.ask(stream).await.map_or(deduced, Resumption::At)
+        let told = self.ask(stream).await;
+        told.map_or(deduced, |version| (Resumption::At(version), Source::Told))
     }
 
     /// Whether streams of `service` may have begun at several versions lately, as far as is known.
--- a/crates/version/tests/version_changes.rs
+++ b/crates/version/tests/version_changes.rs
@@ -8,7 +8,9 @@
         Resumption, Split, StreamId, Versions,
         history::{History, SPREAD},
     },
-    agate_view::{clock, peers::Peer, roster::Version, shared_record::Role, table::Name},
+    agate_view::{
+        LocalView, clock, peers::Peer, roster::Version, shared_record::Role, table::Name,
+    },
     indexmap::IndexMap,
     rstest::rstest,
     std::{
@@ -81,7 +83,7 @@
 }
 
 async fn open(memory: &Memory) -> Arc<Versions> {
-    let versions = Arc::new(Versions::new(memory.store(), clock::wall));
+    let versions = Arc::new(Versions::new(memory.store(), LocalView::new(), clock::wall));
     let following = versions.clone();
     tokio::spawn(async move { following.follow(|| Role::Standalone).await });
     sleep(Duration::from_millis(20)).await;
@@ -172,7 +174,7 @@
     first.install(&splits(&["v1", "v2"]));
     sleep(Duration::from_millis(50)).await;
     drop(first);
-    let second = Arc::new(Versions::new(memory.store(), wall));
+    let second = Arc::new(Versions::new(memory.store(), LocalView::new(), wall));
     second.install(&splits(&["v2"]));
     let service: Name = "desk".into();
     let stream = Some(stream_of("v1"));
