Let tests cut datagrams between instances

An instance is given a network: how it opens connections, as before, and whether it sends datagrams to an address, which is always so outside of tests.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -30,6 +30,7 @@
     agate_sync::{
         runner::{COORDINATORS, SyncHandle, bind},
         secret::SharedKeys,
+        sender::ReachFn,
     },
     agate_task::Supervisor,
     agate_transport::link,
@@ -80,6 +81,24 @@
 /// Time before the end of the grace period at which a stop no longer waits for requests.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
+/// How an instance reaches endpoints and other instances.
+#[derive(Clone)]
+pub struct Network {
+    /// Opens connections.
+    pub dial: Arc<DialFn>,
+    /// Whether datagrams to another instance are sent.
+    pub reaches: Arc<ReachFn>,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self {
+            dial: Arc::new(|address| link::connect(address).boxed()),
+            reaches: Arc::new(|_| true),
+        }
+    }
+}
+
 /// A running instance on the operators' platform.
 pub struct Edge {
     proxy_state: Arc<ProxyState>,
@@ -98,13 +117,14 @@
     ///
     /// Errors: an address cannot be bound.
     pub async fn spawn(settings: &Settings) -> Result<Self> {
-        Self::spawn_with(settings, Arc::new(|address| link::connect(address).boxed())).await
+        Self::spawn_with(settings, Network::default()).await
     }
 
-    /// Starts an instance that opens connections to endpoints and other instances with `dial`.
+    /// Starts an instance that reaches endpoints and other instances through `network`.
     ///
     /// Errors: an address cannot be bound.
-    pub async fn spawn_with(settings: &Settings, dial: Arc<DialFn>) -> Result<Self> {
+    pub async fn spawn_with(settings: &Settings, network: Network) -> Result<Self> {
+        let Network { dial, reaches } = network;
         let view = LocalView::new();
         let client = open_store(settings);
         let store = client.store();
@@ -155,6 +175,7 @@
             view.clone(),
             callbacks,
             supervisor.clone(),
+            reaches,
         )
         .await;
         let sync = sync.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -10,7 +10,7 @@
         poller::{Confirmation, Poller},
         reassembly::Reassembly,
         secret::SharedKeys,
-        sender::Sender,
+        sender::{ReachFn, Sender},
         usage_push::UsagePush,
     },
     agate_core::{Mono, Wall},
@@ -104,7 +104,7 @@
 }
 
 /// Binds the address of `own` and starts the exchange. `incarnation` identifies this start of the
-/// instance.
+/// instance. Messages are sent to the addresses that it `reaches`.
 ///
 /// # Errors
 ///
@@ -116,10 +116,11 @@
     view: Arc<LocalView>,
     callbacks: Callbacks,
     supervisor: Supervisor,
+    reaches: Arc<ReachFn>,
 ) -> io::Result<SyncHandle> {
     let socket = Arc::new(UdpSocket::bind(own.address).await?);
     let callbacks = Arc::new(callbacks);
-    let sender = Sender::new(socket.clone(), keys.clone());
+    let sender = Sender::new(socket.clone(), keys.clone(), reaches);
     let sending = sender.clone();
     let make = move || SyncLoop {
         socket: socket.clone(),
--- a/crates/sync/src/sender.rs
+++ b/crates/sync/src/sender.rs
@@ -7,21 +7,32 @@
     tokio::net::UdpSocket,
 };
 
+/// Whether datagrams to an address are sent.
+pub type ReachFn = dyn Fn(SocketAddr) -> bool + Send + Sync;
+
 /// Sends authenticated datagrams from the address of an instance.
 #[derive(Clone)]
 pub struct Sender {
     socket: Arc<UdpSocket>,
     keys: Arc<SharedKeys>,
+    reaches: Arc<ReachFn>,
 }
 
 impl Sender {
-    pub(crate) fn new(socket: Arc<UdpSocket>, keys: Arc<SharedKeys>) -> Self {
-        Self { socket, keys }
+    pub(crate) fn new(
+        socket: Arc<UdpSocket>,
+        keys: Arc<SharedKeys>,
+        reaches: Arc<ReachFn>,
+    ) -> Self {
+        Self { socket, keys, reaches }
     }
 
     /// Sends a message. If it does not fit into a datagram, the smallest loads are dropped: an
     /// instance without responses would read everything from the store.
     pub async fn send(&self, message: &Message, to: SocketAddr) {
+        if !(self.reaches)(to) {
+            return;
+        }
         let Some(keys) = self.keys.load() else { return };
         let mut sealed = seal(&keys, message, Context::Datagram(to));
         if matches!(sealed, Err(SealError::Large { .. })) {
