--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -24,7 +24,7 @@
     },
     indexmap::IndexMap,
     std::{
-        sync::{Arc, Mutex, MutexGuard, OnceLock},
+        sync::{Arc, Mutex, MutexGuard, OnceLock, atomic::Ordering},
         time::{Duration, Instant},
     },
     tokio::time::sleep,
@@ -135,6 +135,8 @@
         let mut known = self.view.entries.load_full();
         loop {
             let table = self.view.table.load_full();
+            // Read before the entries, so that it is never that of newer ones.
+            let digest = self.view.roster_digest.load(Ordering::Acquire);
             let entries = self.view.entries.load_full();
             let leaving = |e: &Entry| e.leaving || self.fleet.leaving(e);
             for endpoint in crash::disappeared(&known, &entries, leaving) {
@@ -149,7 +151,7 @@
             let listed = self.view.listed.age();
             let listed = listed.is_some_and(|age| self.with_instance_count(|c| c.is_recent(age)));
             self.fleet.set_instances(instances, listed);
-            self.versions.install(&Split::of_services(&entries));
+            self.versions.install(&Split::of_services(&entries), digest);
             self.fleet.install(&entries, table.as_deref(), instances);
             let pause = next_decrease.map_or(MAX_POLL, |at| at.saturating_sub(now));
             tokio::select! {
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -44,11 +44,13 @@
     Crashing,
     /// It goes on with a stream, and which software version began that cannot be told.
     VersionUnknown,
+    /// What is known of the endpoints is too old to choose the software version of a stream.
+    EndpointsOld,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Cause; 18] = [
+    pub const ALL: [Cause; 19] = [
         Cause::RouteUnknown,
         Cause::KeyUnknown,
         Cause::BodyLarge,
@@ -67,6 +69,7 @@
         Cause::InvalidResponse,
         Cause::Crashing,
         Cause::VersionUnknown,
+        Cause::EndpointsOld,
     ];
 
     /// Stable name in logs and metrics.
@@ -90,6 +93,7 @@
             Cause::InvalidResponse => "spoilt",
             Cause::Crashing => "crashing",
             Cause::VersionUnknown => "version_unknown",
+            Cause::EndpointsOld => "endpoints_old",
         }
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -215,7 +215,7 @@
             trial = Some(begun.0);
             // Recording the trial in the store takes time, so the deadline and key are checked
             // again.
-            grant = check_allowed(state, job, begun.1)?;
+            grant = check_allowed(state, job, attempts, begun.1)?;
         }
         let Some(admission) = state.admit(&job.service, &mut attempts.calls) else {
             // After other failures a permit was already reserved for this call; after a rejected
@@ -263,7 +263,7 @@
     source: Option<&KvSource>,
     suspected: bool,
 ) -> Result<(Assignment, Grant), Refused> {
-    let grant = check_allowed(state, job, grant)?;
+    let grant = check_allowed(state, job, attempts, grant)?;
     let avoided = if suspected { state.quarantine.trial_exclusions() } else { Vec::new() };
     let mut requirements = requirements(job, attempts, &avoided, source);
     requirements.workload.isolated = suspected;
@@ -281,14 +281,22 @@
     }
 }
 
-/// Checks the remaining time, the age of the configuration and the API key before an attempt.
-fn check_allowed(state: &ProxyState, job: &Job, grant: Grant) -> Result<Grant, Refused> {
+/// Checks the remaining time, the age of what is known and the API key before an attempt.
+fn check_allowed(
+    state: &ProxyState,
+    job: &Job,
+    attempts: &Attempts,
+    grant: Grant,
+) -> Result<Grant, Refused> {
     if job.remaining() < MIN_REMAINING {
         return Err(refuse(grant, Cause::Late, None));
     }
     if job.key.is_some() && !state.keys_fresh() {
         return Err(refuse(grant, Cause::ConfigOld, Some(NO_ENDPOINT_RETRY)));
     }
+    if stream_version::is_outdated(state, job, attempts) {
+        return Err(refuse(grant, Cause::EndpointsOld, Some(NO_ENDPOINT_RETRY)));
+    }
     if !key_valid(state, job) {
         return Err(refuse(grant, Cause::KeyUnknown, None));
     }
--- a/crates/relay/src/stream_version.rs
+++ b/crates/relay/src/stream_version.rs
@@ -30,41 +30,60 @@
     (!id.is_empty()).then(|| name_hash(id))
 }
 
+/// Whether `job` is a stream that its caller may take up.
+fn may_be_taken_up(job: &Job) -> bool {
+    job.route.kind == Kind::Stream { resumable: true }
+}
+
 /// Version of the endpoints that may serve `job`; `None` for any.
 ///
 /// # Errors
 ///
-/// Refuses a request that takes up a stream if it cannot be told which version began it.
+/// Refuses a request that takes up a stream if it cannot be told which version began it, and one that
+/// begins a stream if what is known of the endpoints is too old.
 pub async fn required(state: &ProxyState, job: &Job) -> Result<Option<Version>, Refused> {
-    if job.route.kind != (Kind::Stream { resumable: true }) {
+    if !may_be_taken_up(job) {
         return Ok(None);
     }
     let stream = stream_id(job);
     if job.info.resume.is_none() {
-        return Ok(stream.and_then(|stream| state.versions.begin(&job.service, stream)));
+        if !state.versions.confirm().await {
+            return Err(refuse(Cause::EndpointsOld, UNKNOWN_RETRY));
+        }
+        let Some(stream) = stream else { return Ok(None) };
+        let version = state.versions.begin(&job.service, stream);
+        return version.map_err(|_| refuse(Cause::VersionUnknown, UNKNOWN_RETRY));
     }
     let window = job.route.timeout * LENGTH_FACTOR;
     loop {
-        let left = match state.versions.resume(&job.service, stream, window).await {
-            Resumption::Any => return Ok(None),
+        match state.versions.resume(&job.service, stream, window).await {
             Resumption::At(version) => return Ok(Some(version)),
-            Resumption::Unknown(left) => left,
-        };
-        match left {
             // It can be told before the first event is due.
-            Some(left) if left + job.route.objective < job.remaining() => sleep(left).await,
-            _ => {
-                let after = left.unwrap_or(UNKNOWN_RETRY);
-                let proof = NotRunProof::accept();
-                return Err(Refused::not_run(Cause::VersionUnknown, Some(after), proof));
+            Resumption::Unknown(Some(left)) if left + job.route.objective < job.remaining() => {
+                sleep(left).await;
+            }
+            Resumption::Unknown(left) => {
+                return Err(refuse(Cause::VersionUnknown, left.unwrap_or(UNKNOWN_RETRY)));
             }
+            Resumption::Outdated => return Err(refuse(Cause::EndpointsOld, UNKNOWN_RETRY)),
         }
     }
 }
 
-/// Lets any version begin the stream after a failed attempt, or while its own has no healthy endpoint.
+fn refuse(cause: Cause, after: Duration) -> Refused {
+    Refused::not_run(cause, Some(after), NotRunProof::accept())
+}
+
+/// Whether the version that `job` begins at was chosen from what was known of the endpoints and does
+/// not hold any more: the process may have stood still since.
+pub fn is_outdated(state: &ProxyState, job: &Job, attempts: &Attempts) -> bool {
+    may_be_taken_up(job) && !attempts.begun && !state.versions.is_current()
+}
+
+/// Lets any version begin the stream after a failed attempt, or while its own has no healthy endpoint,
+/// provided that other instances can be told.
 pub fn relax(state: &ProxyState, job: &Job, attempts: &mut Attempts) {
-    if attempts.begun || attempts.version.is_none() {
+    if attempts.begun || attempts.version.is_none() || !state.versions.has_contact() {
         return;
     }
     let failed = !attempts.tried.is_empty();
--- a/crates/sync/src/coordinator.rs
+++ b/crates/sync/src/coordinator.rs
@@ -17,6 +17,10 @@
 /// coordinator.
 pub const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
+/// Age up to which a report shows that the instance is in contact; longer than two poll intervals of 300
+/// instances.
+pub const MAX_CONTACT_AGE: Duration = Duration::from_millis(600);
+
 #[derive(Clone, Debug, Default)]
 struct InstanceReport {
     round: Round,
@@ -64,7 +68,7 @@
     }
 
     /// Sum of the fresh reports of all instances but `except`, plus `own`, the report of this
-    /// instance.
+    /// instance. The number of instances is that of those in contact.
     pub fn totals(&self, except: &str, own: &LoadReport, now: Mono) -> LoadReport {
         let mut sums = self.sums.clone();
         sums.add(own);
@@ -72,8 +76,12 @@
         let excluded = self.reports.iter().filter(|(from, r)| *from == except || stale(r));
         excluded.for_each(|(_, r)| sums.remove(&r.figures));
         let mut others = self.reports.iter().filter(|(from, r)| *from != except && !stale(r));
+        let in_contact = |r: &InstanceReport| now.saturating_sub(r.received) < MAX_CONTACT_AGE;
+        let reporting = others.clone().filter(|(_, r)| in_contact(r));
+        let instances = own.instances + reporting.map(|(_, r)| r.figures.instances).sum::<u32>();
         let holder = others.find_map(|(_, r)| r.figures.holder.clone());
-        LoadReport { holder: holder.or_else(|| own.holder.clone()), ..sums.figures().truncate() }
+        let holder = holder.or_else(|| own.holder.clone());
+        LoadReport { holder, instances, ..sums.figures().truncate() }
     }
 
     /// Offset of the agreed time of day from this instance's own clock. `kept` is how long the own
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -9,8 +9,10 @@
 //! A confirmation taken from a response is dated back by its stated age from *before* the request
 //! was sent, so network delay can only make it look older. Nothing depends on a response: data that
 //! is not confirmed in time is read from the store, and usage that is not acknowledged is written
-//! there.
+//! there. While the store confirms nothing either, an instance asks others whether most of them have
+//! anything newer ([`agreement`]).
 
+pub mod agreement;
 pub mod changes;
 pub mod clocks;
 pub mod coordinator;
@@ -21,6 +23,7 @@
 pub mod secret;
 pub mod sender;
 pub mod sums;
+mod survey;
 mod usage_push;
 
 /// Hash of an endpoint's name.
--- a/crates/sync/src/poller.rs
+++ b/crates/sync/src/poller.rs
@@ -22,7 +22,7 @@
 /// that it does not reach the store.
 pub const MAX_CONFIG_AGE: Duration = Duration::from_millis(950);
 /// Number of pending requests whose responses are still accepted.
-const MAX_PENDING: usize = 8;
+const MAX_PENDING: usize = 32;
 
 /// A version and the latest time at which it was known to be current.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,15 +34,20 @@
 }
 
 /// Result of one response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Outcome {
+    /// Name of the instance that responded.
+    pub from: String,
+    /// Time at which it was asked.
+    pub sent: Mono,
     /// Confirmation of the configuration.
     pub config: Option<Confirmation>,
     /// Confirmation of the endpoint entries.
     pub roster: Option<Confirmation>,
     /// Time of day that the instances agree on.
     pub wall: Option<Wall>,
-    /// Whether it came from the coordinator that is polled regularly, not from one that is retried.
+    /// Whether it came from the coordinator that is polled regularly, not from one that is retried or
+    /// another instance.
     pub current: bool,
 }
 
@@ -99,7 +104,8 @@
         out.into_iter().map(|name| (name, self.next_round(name, now))).collect()
     }
 
-    fn next_round(&mut self, name: &str, now: Mono) -> Round {
+    /// Numbers a request to `name`, whatever its rank.
+    pub fn next_round(&mut self, name: &str, now: Mono) -> Round {
         self.round += 1;
         if self.pending.len() == MAX_PENDING {
             self.pending.shift_remove_index(0);
@@ -152,6 +158,6 @@
         let agreed = clock.and_then(|clock| clock.agreed);
         let wall = theirs.zip(agreed).map(|(theirs, offset)| clocks::with_offset(theirs, offset));
         let (config, roster) = (confirmation(response.config), confirmation(response.roster));
-        Some(Outcome { config, roster, wall, current: polled })
+        Some(Outcome { from: name, sent, config, roster, wall, current: polled })
     }
 }
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Round,
+        agreement::Agreement,
         changes::History,
         clocks::{self, Clock, Vote},
         coordinator::Coordinator,
@@ -135,6 +136,8 @@
         history: History::default(),
         holder: None,
         roster_confirmation: None,
+        agreement: Agreement::default(),
+        surveyed: 0,
         coordinator: Coordinator::default(),
         pushes: IndexMap::new(),
         round: 0,
@@ -151,15 +154,18 @@
     pub(crate) sender: Sender,
     pub(crate) own: Peer,
     pub(crate) incarnation: String,
-    view: Arc<LocalView>,
+    pub(crate) view: Arc<LocalView>,
     pub(crate) callbacks: Arc<Callbacks>,
-    poller: Poller,
+    pub(crate) poller: Poller,
     reassembly: Reassembly,
     history: History,
     /// Instance that holds the leader lease, as last reported.
     pub(crate) holder: Option<String>,
-    /// Latest confirmation of the endpoint entries by a coordinator.
-    roster_confirmation: Option<Confirmation>,
+    /// Latest confirmation of the endpoint entries by another instance.
+    pub(crate) roster_confirmation: Option<Confirmation>,
+    pub(crate) agreement: Agreement,
+    /// Index of the instance that is asked next for its endpoint entries.
+    pub(crate) surveyed: usize,
     coordinator: Coordinator,
     pub(crate) pushes: IndexMap<String, UsagePush>,
     pub(crate) round: u64,
@@ -189,7 +195,7 @@
         }
     }
 
-    fn poll_interval(&self) -> Duration {
+    pub(crate) fn poll_interval(&self) -> Duration {
         let instances = u32::try_from(self.view.instances()).unwrap_or(u32::MAX);
         POLL_INTERVAL.max(INTERVAL_PER_INSTANCE * instances)
     }
@@ -224,6 +230,7 @@
         if active {
             self.apply_own();
         }
+        self.survey().await;
     }
 
     /// Whether this instance has just started and has not heard of another one's configuration.
@@ -237,6 +244,7 @@
         let own =
             LoadReport { holder: (self.callbacks.own_report)().holder, ..LoadReport::default() };
         let totals = self.coordinator.totals("", &own, clock::now());
+        self.on_contact(totals.instances, clock::now());
         self.holder = totals.holder.clone();
         (self.callbacks.on_others)(&totals);
         if let Some(offset) = self.clock().and_then(|c| c.agreed) {
@@ -247,7 +255,7 @@
         }
     }
 
-    async fn send_request(&self, address: SocketAddr, round: Round) {
+    pub(crate) async fn send_request(&self, address: SocketAddr, round: Round) {
         let from = self.incarnation.clone();
         let figures = (self.callbacks.own_report)().truncate();
         let roster = self.view.roster_digest.load(Ordering::Acquire);
@@ -365,15 +373,13 @@
         if let Some(confirmation) = outcome.config {
             self.view.confirm_config(confirmation.version, confirmation.at);
         }
-        if let Some(confirmation) = outcome.roster {
-            self.view.confirm_roster(confirmation.version, confirmation.at);
-        }
-        // A coordinator that is only retried, or that is polled by an active coordinator, has
-        // reports of few instances.
+        self.on_roster(&outcome);
+        // An instance that is polled for another reason than to be followed, or by an active
+        // coordinator, has reports of few instances.
         if !outcome.current || self.view.is_coordinating() {
             return;
         }
-        self.roster_confirmation = outcome.roster;
+        self.on_contact(response.figures.instances, outcome.sent);
         if let Some(wall) = outcome.wall {
             (self.callbacks.on_agreed_time)(wall);
         }
--- /dev/null
+++ b/crates/sync/src/survey.rs
@@ -0,0 +1,71 @@
+//! Asks other instances for their endpoint entries while nothing confirms the own ones, and keeps track
+//! of the contact to most of them.
+
+use {
+    crate::{
+        agreement::{MAX_WITNESSES, OwnEntries},
+        coordinator::MAX_CONTACT_AGE,
+        poller::Outcome,
+        runner::SyncLoop,
+    },
+    agate_core::Mono,
+    agate_view::{
+        clock,
+        peers::{self, Peer},
+    },
+    std::{sync::atomic::Ordering, time::Duration},
+};
+
+/// Age of the confirmation of the endpoint entries from which the other instances are asked for theirs,
+/// in addition to a poll interval; longer than a coordinator needs to renew it.
+const MIN_SURVEY_AGE: Duration = Duration::from_millis(700);
+/// Time in which all of them are asked once.
+const SURVEY_TIME: Duration = Duration::from_millis(300);
+
+impl SyncLoop {
+    /// Asks the next ones of the other instances for their endpoint entries if nothing has confirmed
+    /// the own ones for long.
+    pub(crate) async fn survey(&mut self) {
+        if self.view.roster.age().is_none_or(|age| age < MIN_SURVEY_AGE + self.poll_interval()) {
+            return;
+        }
+        let known = self.view.peers.load_full();
+        let witnesses: Vec<&Peer> = peers::ranked(&known).into_iter().take(MAX_WITNESSES).collect();
+        let names: Vec<&str> = witnesses.iter().map(|p| p.name.as_str()).collect();
+        self.agreement.retain(|name| names.contains(&name));
+        if let Some(at) = self.agreement.agreed_at(&names, &self.own.name, clock::now()) {
+            self.view.agreed.confirm(at);
+        }
+        let others: Vec<&Peer> =
+            witnesses.into_iter().filter(|p| p.name != self.own.name).collect();
+        let rounds = SURVEY_TIME.as_micros() / self.poll_interval().as_micros();
+        let batch = others.len().div_ceil(usize::try_from(rounds).unwrap_or(1).max(1));
+        for _ in 0..batch {
+            let peer = others[self.surveyed % others.len()];
+            self.surveyed += 1;
+            let round = self.poller.next_round(&peer.name, clock::now());
+            self.send_request(peer.address, round).await;
+        }
+    }
+
+    /// Records that the reports of `others` other instances are at hand, or were when a coordinator
+    /// was asked at `at`.
+    pub(crate) fn on_contact(&self, others: u32, at: Mono) {
+        // Reports may be as old as this.
+        if (others as usize + 1) * 2 > self.view.instances() {
+            self.view.contact.confirm(at.saturating_sub(MAX_CONTACT_AGE));
+        }
+    }
+
+    /// Applies the confirmation of the endpoint entries in a response.
+    pub(crate) fn on_roster(&mut self, outcome: &Outcome) {
+        let digest = self.view.roster_digest.load(Ordering::Acquire);
+        let confirmed = self.view.roster.at().unwrap_or_default();
+        self.agreement.on_response(outcome, OwnEntries { digest, confirmed }, clock::now());
+        let Some(confirmation) = outcome.roster else { return };
+        self.view.confirm_roster(confirmation.version, confirmation.at);
+        if self.roster_confirmation.is_none_or(|known| known.at <= confirmation.at) {
+            self.roster_confirmation = Some(confirmation);
+        }
+    }
+}
--- a/crates/version/src/homes.rs
+++ b/crates/version/src/homes.rs
@@ -12,8 +12,11 @@
     std::{cmp::Reverse, net::SocketAddr},
 };
 
-/// Number of homes of a stream.
+/// Number of homes of a stream, which are told.
 const HOMES: usize = 2;
+/// Number of instances that are asked: an instance that has a longer or shorter list may have told the
+/// next one.
+const ASKED_HOMES: usize = HOMES + 1;
 /// Streams in one message; they fit into a datagram.
 pub const CHUNK_STREAMS: usize = 8;
 
@@ -41,8 +44,17 @@
 
 /// Addresses of the homes of `stream` among `peers`, equal on all instances that know the same ones.
 pub fn homes(stream: StreamId, peers: &[Peer]) -> Vec<SocketAddr> {
+    ranked_homes(stream, peers, HOMES)
+}
+
+/// Addresses of the instances that are asked for `stream`, among which are its homes.
+pub fn asked_homes(stream: StreamId, peers: &[Peer]) -> Vec<SocketAddr> {
+    ranked_homes(stream, peers, ASKED_HOMES)
+}
+
+fn ranked_homes(stream: StreamId, peers: &[Peer], count: usize) -> Vec<SocketAddr> {
     let rank = |p: &&Peer| Reverse(mix(stream, name_hash(&p.name)));
     let mut ranked: Vec<&Peer> = peers.iter().collect();
     ranked.sort_unstable_by_key(rank);
-    ranked.into_iter().take(HOMES).map(|p| p.address).collect()
+    ranked.into_iter().take(count).map(|p| p.address).collect()
 }
--- /dev/null
+++ b/crates/version/src/known_streams.rs
@@ -0,0 +1,222 @@
+//! Streams whose versions this instance remembers, and what instances tell each other of them.
+
+use {
+    crate::{
+        StreamId,
+        begun::Begun,
+        homes::{self, CHUNK_STREAMS, Message, Row},
+    },
+    agate_core::Mono,
+    agate_view::{clock, peers::Peer, roster::Version, table::Name},
+    indexmap::IndexMap,
+    std::{
+        net::SocketAddr,
+        pin::pin,
+        sync::{Arc, Mutex, MutexGuard, OnceLock},
+        time::Duration,
+    },
+    tokio::{sync::Notify, time::timeout},
+};
+
+/// Time for which the homes of a stream are waited for.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Number of times that they are asked.
+const ASKS: u32 = 2;
+
+/// What the homes of a stream answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The version that began it.
+    Version(Version),
+    /// One at least answers that it does not know the stream, and none knows it.
+    NotKnown,
+    /// None answers.
+    Silence,
+}
+
+/// Sends a message to another instance.
+type SendFn = dyn Fn(Message, SocketAddr) + Send + Sync;
+/// Present instances.
+type PeersFn = dyn Fn() -> Arc<Vec<Peer>> + Send + Sync;
+
+/// Contact to the other instances.
+struct Contact {
+    own: SocketAddr,
+    peers: Box<PeersFn>,
+    send: Box<SendFn>,
+}
+
+/// A question to the homes of a stream.
+#[derive(Default)]
+struct Question {
+    /// Number of answers that the stream is not known.
+    denials: usize,
+    /// Number of requests that wait for answers.
+    waiting: usize,
+}
+
+/// Versions of streams that this instance forwards or is a home of.
+#[derive(Default)]
+pub struct KnownStreams {
+    begun: Mutex<Begun>,
+    asked: Mutex<IndexMap<StreamId, Question>>,
+    /// Notified when an answer has come.
+    told: Notify,
+    contact: OnceLock<Contact>,
+}
+
+impl KnownStreams {
+    /// Sets how other instances are reached; `own` is the address of this one.
+    pub fn connect(
+        &self,
+        own: SocketAddr,
+        peers: impl Fn() -> Arc<Vec<Peer>> + Send + Sync + 'static,
+        send: impl Fn(Message, SocketAddr) + Send + Sync + 'static,
+    ) {
+        let contact = Contact { own, peers: Box::new(peers), send: Box::new(send) };
+        if self.contact.set(contact).is_err() {
+            log::debug!("the contact to other instances was set already");
+        }
+    }
+
+    fn begun(&self) -> MutexGuard<'_, Begun> {
+        self.begun.lock().expect("lock of the begun streams is not poisoned")
+    }
+
+    fn asked(&self) -> MutexGuard<'_, IndexMap<StreamId, Question>> {
+        self.asked.lock().expect("lock of the asked streams is not poisoned")
+    }
+
+    /// Remembers the version of a stream that this instance forwards.
+    pub fn add(&self, stream: StreamId, service: &Name, version: &Version, now: Mono) {
+        self.begun().add(stream, service.clone(), version.clone(), now);
+    }
+
+    /// Version of a stream; `None` if it is not remembered.
+    pub fn get(&self, stream: StreamId) -> Option<Version> {
+        self.begun().get(stream).map(|(_, version)| version.clone())
+    }
+
+    /// Tells the homes of the remembered streams of `service` for which `moved` is true.
+    pub fn tell_moved(&self, service: &Name, moved: impl Fn(StreamId, &Version) -> bool) {
+        let begun = self.begun();
+        let row = |(stream, version): (StreamId, &Version)| Row {
+            stream,
+            service: service.clone(),
+            version: version.clone(),
+        };
+        let rows = begun.of_service(service).filter(|(s, v)| moved(*s, v)).map(row).collect();
+        drop(begun);
+        self.tell(rows);
+    }
+
+    /// Tells the homes of streams which versions began them.
+    pub fn tell(&self, rows: Vec<Row>) {
+        let Some(Contact { own, peers, send }) = self.contact.get() else { return };
+        let peers = peers();
+        let mut by_home: IndexMap<SocketAddr, Vec<Row>> = IndexMap::new();
+        for row in rows {
+            for home in homes::homes(row.stream, &peers).into_iter().filter(|h| h != own) {
+                by_home.entry(home).or_default().push(row.clone());
+            }
+        }
+        for (home, rows) in by_home {
+            rows.chunks(CHUNK_STREAMS).for_each(|c| send(Message::Begun(c.to_vec()), home));
+        }
+    }
+
+    /// Applies a message of another instance; returns the answer, if there is one.
+    pub fn receive(&self, message: Message) -> Option<Message> {
+        match message {
+            Message::Begun(rows) => {
+                let mut begun = self.begun();
+                for Row { stream, service, version } in rows {
+                    begun.add(stream, service, version, clock::now());
+                }
+                drop(begun);
+                self.told.notify_waiters();
+                None
+            }
+            Message::Asked(stream) => {
+                let found = self.begun().get(stream).cloned();
+                let row = |(service, version)| Row { stream, service, version };
+                Some(found.map_or(Message::NotKnown(stream), |f| Message::Begun(vec![row(f)])))
+            }
+            Message::NotKnown(stream) => {
+                if let Some(question) = self.asked().get_mut(&stream) {
+                    question.denials += 1;
+                }
+                self.told.notify_waiters();
+                None
+            }
+        }
+    }
+
+    /// Asks the homes of a stream which version began it.
+    pub async fn ask(&self, stream: StreamId) -> Answer {
+        let Some(Contact { own, peers, send }) = self.contact.get() else { return Answer::Silence };
+        let peers = peers();
+        let mut homes = homes::asked_homes(stream, &peers);
+        homes.retain(|home| home != own);
+        if homes.is_empty() {
+            return if peers.is_empty() { Answer::Silence } else { Answer::NotKnown };
+        }
+        let _question = self.begin_question(stream);
+        let mut denied = false;
+        let mut version = None;
+        for _ in 0..ASKS {
+            homes.iter().for_each(|home| send(Message::Asked(stream), *home));
+            let answered = timeout(ASK_TIMEOUT / ASKS, self.answers(stream, homes.len())).await;
+            denied |= self.asked().get(&stream).is_some_and(|q| q.denials > 0);
+            if let Ok(answer) = answered {
+                version = answer;
+                break;
+            }
+            // The next answers are counted anew, unless another request counts them too.
+            if let Some(question) = self.asked().get_mut(&stream).filter(|q| q.waiting == 1) {
+                question.denials = 0;
+            }
+        }
+        match version {
+            Some(version) => Answer::Version(version),
+            None if denied => Answer::NotKnown,
+            None => Answer::Silence,
+        }
+    }
+
+    fn begin_question(&self, stream: StreamId) -> OpenQuestion<'_> {
+        self.asked().entry(stream).or_default().waiting += 1;
+        OpenQuestion { streams: self, stream }
+    }
+
+    /// Waits until the version of a stream is told; `None` if none of `homes` knows it.
+    async fn answers(&self, stream: StreamId, homes: usize) -> Option<Version> {
+        loop {
+            let mut told = pin!(self.told.notified());
+            told.as_mut().enable();
+            let known = self.get(stream);
+            let denied = self.asked().get(&stream).is_some_and(|q| q.denials >= homes);
+            if known.is_some() || denied {
+                return known;
+            }
+            told.await;
+        }
+    }
+}
+
+/// A request that waits for answers on a stream, until dropped.
+struct OpenQuestion<'a> {
+    streams: &'a KnownStreams,
+    stream: StreamId,
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        let mut asked = self.streams.asked();
+        let Some(question) = asked.get_mut(&self.stream) else { return };
+        question.waiting -= 1;
+        if question.waiting == 0 {
+            asked.swap_remove(&self.stream);
+        }
+    }
+}
--- a/crates/version/src/lib.rs
+++ b/crates/version/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`record`]: those splits in the store, for instances that start.
 //! - [`begun`]: versions of streams that began lately.
 //! - [`homes`]: instances that remember them for others while the split changes.
+//! - [`known_streams`]: what instances tell each other of those.
 //! - [`versions`]: all services of an instance.
 //!
 //! Invariant: a stream that is taken up goes on at the version that began it, or is refused while
@@ -18,6 +19,7 @@
 pub mod begun;
 pub mod history;
 pub mod homes;
+pub mod known_streams;
 pub mod metrics;
 pub mod record;
 pub mod split;
--- a/crates/version/src/versions.rs
+++ b/crates/version/src/versions.rs
@@ -2,48 +2,53 @@
 
 use {
     crate::{
-        StreamId,
-        begun::{self, Begun},
-        history::History,
-        homes::{self, CHUNK_STREAMS, Message, Row},
+        StreamId, begun,
+        history::{History, Moment, Step, Unsettled, VALIDITY},
+        homes::{Message, Row},
+        known_streams::{Answer, KnownStreams},
         metrics::Metrics,
         record::{self, Splits},
         split::Split,
     },
-    agate_core::Wall,
+    agate_core::{Mono, Wall},
     agate_store::{Result, Store},
     agate_view::{
         LocalView, clock,
         peers::Peer,
-        roster::Version,
+        roster::{Digest, Version},
         shared_record::{Role, SharedRecord},
         table::Name,
     },
     indexmap::IndexMap,
     std::{
         net::SocketAddr,
-        pin::pin,
-        sync::{Arc, Mutex, MutexGuard, OnceLock},
+        ops::Range,
+        sync::{
+            Arc, Mutex, MutexGuard, OnceLock,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
-    tokio::{sync::Notify, time::timeout},
+    tokio::time::{sleep, timeout},
 };
 
-/// Time for which the homes of a stream are waited for.
-const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Number of times that they are asked.
-const ASKS: u32 = 2;
+/// Time for which a confirmation of the endpoints is waited for.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time between two looks for it.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(5);
+/// Age of the latest contact to most other instances above which they are out of reach.
+const MAX_CONTACT_AGE: Duration = Duration::from_secs(3);
 
 /// Where a stream that a caller takes up may go on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Resumption {
-    /// At any endpoint: the service has one version only.
-    Any,
     /// At endpoints of this version.
     At(Version),
     /// Nowhere yet: it cannot be told which version began it. If it has gone on for as long as this,
     /// it can.
     Unknown(Option<Duration>),
+    /// Nowhere: what is known of the endpoints is too old to tell.
+    Outdated,
 }
 
 /// What told the version of a stream that a caller takes up.
@@ -57,6 +62,8 @@
     Computed,
     /// Nothing: it cannot be told.
     Nothing,
+    /// Nothing: what is known of the endpoints is too old to tell.
+    Outdated,
 }
 
 impl Source {
@@ -67,32 +74,23 @@
             Self::Told => "told",
             Self::Computed => "computed",
             Self::Nothing => "nothing",
+            Self::Outdated => "outdated",
         }
     }
 }
 
 /// Present time of day.
 type WallFn = dyn Fn() -> Wall + Send + Sync;
-/// Sends a message to another instance.
-type SendFn = dyn Fn(Message, SocketAddr) + Send + Sync;
-/// Present instances.
-type PeersFn = dyn Fn() -> Arc<Vec<Peer>> + Send + Sync;
-
-/// Contact to the other instances.
-struct Contact {
-    own: SocketAddr,
-    peers: Box<PeersFn>,
-    send: Box<SendFn>,
-}
 
 /// Splits of all services, and versions of the streams that this instance forwards or is a home of.
 pub struct Versions {
     histories: Mutex<IndexMap<Name, History>>,
-    begun: Mutex<Begun>,
-    /// Streams that others are asked about, with the number of answers that they are not known.
-    asked: Mutex<IndexMap<StreamId, usize>>,
-    /// Notified when an answer has come.
-    told: Notify,
+    /// Digest of the endpoint entries that the present splits are of.
+    installed: AtomicU64,
+    started: Mono,
+    /// Latest time without contact to most other instances that the histories allow for.
+    allowed_gap: Mutex<Option<Range<Mono>>>,
+    streams: KnownStreams,
     record: SharedRecord<Splits>,
     view: Arc<LocalView>,
     /// Metrics of the streams that callers take up.
@@ -100,7 +98,6 @@
     /// Set when the stored splits from before the start are known.
     seeded: OnceLock<()>,
     wall: Box<WallFn>,
-    contact: OnceLock<Contact>,
 }
 
 impl Versions {
@@ -113,15 +110,15 @@
     ) -> Self {
         Self {
             histories: Mutex::default(),
-            begun: Mutex::default(),
+            installed: AtomicU64::new(0),
+            started: clock::now(),
+            allowed_gap: Mutex::default(),
+            streams: KnownStreams::default(),
             view,
             metrics: Metrics::default(),
             record: SharedRecord::new(store, record::KEY, record::merge, |_, _| {}),
             seeded: OnceLock::new(),
             wall: Box::new(wall),
-            asked: Mutex::default(),
-            told: Notify::new(),
-            contact: OnceLock::new(),
         }
     }
 
@@ -132,138 +129,96 @@
         peers: impl Fn() -> Arc<Vec<Peer>> + Send + Sync + 'static,
         send: impl Fn(Message, SocketAddr) + Send + Sync + 'static,
     ) {
-        let contact = Contact { own, peers: Box::new(peers), send: Box::new(send) };
-        if self.contact.set(contact).is_err() {
-            log::debug!("the contact to other instances was set already");
-        }
+        self.streams.connect(own, peers, send);
     }
 
-    fn histories(&self) -> MutexGuard<'_, IndexMap<Name, History>> {
-        self.histories.lock().expect("lock of the histories is not poisoned")
+    /// Applies a message of another instance; returns the answer, if there is one.
+    pub fn receive(&self, message: Message) -> Option<Message> {
+        self.streams.receive(message)
     }
 
-    fn begun(&self) -> MutexGuard<'_, Begun> {
-        self.begun.lock().expect("lock of the begun streams is not poisoned")
+    fn histories(&self) -> MutexGuard<'_, IndexMap<Name, History>> {
+        self.histories.lock().expect("lock of the histories is not poisoned")
     }
 
-    /// Sets the present split of each service with endpoints.
-    pub fn install(&self, splits: &IndexMap<Name, Split>) {
-        let now = clock::now();
+    /// Sets the present split of each service with endpoints; `digest` is that of their entries.
+    pub fn install(&self, splits: &IndexMap<Name, Split>, digest: Digest) {
         let mut histories = self.histories();
+        let Moment { now, .. } = self.moment(&mut histories);
+        let former = self.view.take_replaced().unwrap_or(now);
         let changed = splits.iter().filter(|(service, split)| {
-            histories.entry((*service).clone()).or_default().record(split, now)
+            histories.entry((*service).clone()).or_default().record(split, former, now)
         });
         let changed: Vec<_> = changed.collect();
         drop(histories);
+        self.installed.store(digest, Ordering::Release);
         for (service, split) in &changed {
-            self.tell_moved(service, split);
+            self.streams.tell_moved(service, |s, version| split.version_of(s) != Some(version));
         }
         if !changed.is_empty() {
             self.record.wake();
         }
     }
 
-    /// Tells the homes of the streams of `service` that would begin at another version by now.
-    fn tell_moved(&self, service: &Name, split: &Split) {
-        let begun = self.begun();
-        let moved = begun.of_service(service).filter(|(s, v)| split.version_of(*s) != Some(*v));
-        let row = |(stream, version): (StreamId, &Version)| Row {
-            stream,
-            service: service.clone(),
-            version: version.clone(),
-        };
-        let rows: Vec<Row> = moved.map(row).collect();
-        drop(begun);
-        self.tell(rows);
-    }
-
-    /// Tells the homes of streams which versions began them.
-    fn tell(&self, rows: Vec<Row>) {
-        let Some(Contact { own, peers, send }) = self.contact.get() else { return };
-        let peers = peers();
-        let mut by_home: IndexMap<SocketAddr, Vec<Row>> = IndexMap::new();
-        for row in rows {
-            for home in homes::homes(row.stream, &peers).into_iter().filter(|h| h != own) {
-                by_home.entry(home).or_default().push(row.clone());
-            }
-        }
-        for (home, rows) in by_home {
-            rows.chunks(CHUNK_STREAMS).for_each(|c| send(Message::Begun(c.to_vec()), home));
+    /// The present time and what a decision may rest on now.
+    fn moment(&self, histories: &mut IndexMap<Name, History>) -> Moment {
+        let now = clock::now();
+        let gap = self.view.contact.gap();
+        let mut allowed = self.allowed_gap.lock().expect("lock of the gap is not poisoned");
+        // The splits that came while most other instances were out of contact.
+        if let Some(Range { start, .. }) = gap.as_ref().filter(|g| Some(*g) != allowed.as_ref()) {
+            let start = (*start).max(self.started);
+            histories.values_mut().for_each(|history| history.postpone(start, now));
         }
+        *allowed = gap;
+        Moment { now, contact: self.latest_contact() }
     }
 
-    /// Applies a message of another instance; returns the answer, if there is one.
-    pub fn receive(&self, message: Message) -> Option<Message> {
-        match message {
-            Message::Begun(rows) => {
-                let mut begun = self.begun();
-                for Row { stream, service, version } in rows {
-                    begun.add(stream, service, version, clock::now());
-                }
-                drop(begun);
-                self.told.notify_waiters();
-                None
-            }
-            Message::Asked(stream) => {
-                let found = self.begun().get(stream).cloned();
-                let row = |(service, version)| Row { stream, service, version };
-                Some(found.map_or(Message::NotKnown(stream), |f| Message::Begun(vec![row(f)])))
-            }
-            Message::NotKnown(stream) => {
-                if let Some(answers) = self.asked().get_mut(&stream) {
-                    *answers += 1;
-                }
-                self.told.notify_waiters();
-                None
-            }
-        }
+    /// Whether what is known of the endpoints is recent enough to tell versions from it.
+    pub fn is_current(&self) -> bool {
+        let held = self.view.entries_held(self.installed.load(Ordering::Acquire));
+        held.is_some_and(|at| clock::now() <= at + VALIDITY)
     }
 
-    /// Asks the homes of a stream which version began it.
-    async fn ask(&self, stream: StreamId) -> Option<Version> {
-        let Contact { own, peers, send } = self.contact.get()?;
-        let mut homes = homes::homes(stream, &peers());
-        homes.retain(|home| home != own);
-        let mut found = None;
-        for _ in 0..ASKS {
-            self.asked().insert(stream, 0);
-            homes.iter().for_each(|home| send(Message::Asked(stream), *home));
-            let answered = timeout(ASK_TIMEOUT / ASKS, self.answers(stream, homes.len())).await;
-            if let Ok(answer) = answered {
-                found = answer;
-                break;
-            }
+    /// Waits for a confirmation of the endpoints unless there is a recent one; returns whether there is.
+    pub async fn confirm(&self) -> bool {
+        if self.is_current() {
+            return true;
         }
-        self.asked().swap_remove(&stream);
-        found
-    }
-
-    /// Waits until the version of a stream is told; `None` if none of `homes` knows it.
-    async fn answers(&self, stream: StreamId, homes: usize) -> Option<Version> {
-        loop {
-            let mut told = pin!(self.told.notified());
-            told.as_mut().enable();
-            let known = self.known(stream);
-            // Another request may ask at the same time and have ended the count.
-            let denied = self.asked().get(&stream).is_none_or(|answers| *answers >= homes);
-            if known.is_some() || denied {
-                return known;
+        self.view.roster.request_refresh();
+        let confirmed = async {
+            while !self.is_current() {
+                sleep(CONFIRM_INTERVAL).await;
             }
-            told.await;
-        }
+        };
+        timeout(CONFIRM_TIMEOUT, confirmed).await.is_ok()
     }
 
-    fn asked(&self) -> MutexGuard<'_, IndexMap<StreamId, usize>> {
-        self.asked.lock().expect("lock of the asked streams is not poisoned")
+    /// Whether most other instances can be told of a stream, and asked. An instance that has just
+    /// started counts as in contact.
+    pub fn has_contact(&self) -> bool {
+        clock::now() < self.latest_contact() + MAX_CONTACT_AGE
     }
 
-    fn known(&self, stream: StreamId) -> Option<Version> {
-        self.begun().get(stream).map(|(_, version)| version.clone())
+    fn latest_contact(&self) -> Mono {
+        self.view.contact.at().unwrap_or_default().max(self.started)
     }
 
-    /// Version that a new stream of `service` begins at; `None` if it may begin at any.
-    pub fn begin(&self, service: &Name, stream: StreamId) -> Option<Version> {
-        self.histories().get(service)?.begin(stream, clock::now()).cloned()
+    /// Version that a new stream of `service` begins at; `None` if it may begin at any. It may begin only
+    /// after [`Self::confirm`].
+    ///
+    /// # Errors
+    ///
+    /// If other instances may choose another version by now.
+    pub fn begin(
+        &self,
+        service: &Name,
+        stream: StreamId,
+    ) -> std::result::Result<Option<Version>, Unsettled> {
+        let mut histories = self.histories();
+        let moment = self.moment(&mut histories);
+        let Some(history) = histories.get(service) else { return Ok(None) };
+        history.begin(stream, moment).map(Option::<&Version>::cloned)
     }
 
     /// Where a stream of `service` that began not longer than `window` ago may go on; `stream` is
@@ -278,7 +233,7 @@
         self.metrics.taken_up.with_label_values(&[source.label()]).inc();
         let version = match &found {
             Resumption::At(version) => Some(&**version),
-            Resumption::Any | Resumption::Unknown(_) => None,
+            Resumption::Unknown(_) | Resumption::Outdated => None,
         };
         log::info!(
             event = "stream_version", stream, service = &**service, version,
@@ -295,51 +250,68 @@
         stream: Option<StreamId>,
         window: Duration,
     ) -> (Resumption, Source) {
-        if let Some(version) = stream.and_then(|stream| self.known(stream)) {
+        if let Some(version) = stream.and_then(|stream| self.streams.get(stream)) {
             return (Resumption::At(version), Source::Remembered);
         }
-        let deduced = match self.deduce(service, stream, window) {
-            unknown @ Resumption::Unknown(_) => (unknown, Source::Nothing),
-            known => (known, Source::Computed),
-        };
-        let Some(stream) = stream.filter(|_| self.is_divided(service)) else { return deduced };
-        let told = self.ask(stream).await;
-        told.map_or(deduced, |version| (Resumption::At(version), Source::Told))
+        let current = self.confirm().await;
+        if let Some(stream) = stream.filter(|_| !current || self.is_divided(service)) {
+            match self.streams.ask(stream).await {
+                Answer::Version(version) => return (Resumption::At(version), Source::Told),
+                // The stream may have begun at another version than its name selects.
+                Answer::Silence if current && !self.has_contact() => {
+                    return (Resumption::Unknown(None), Source::Nothing);
+                }
+                Answer::NotKnown | Answer::Silence => {}
+            }
+        }
+        if !current {
+            return (Resumption::Outdated, Source::Outdated);
+        }
+        match self.deduce(service, stream, window) {
+            known @ Resumption::At(_) => (known, Source::Computed),
+            unknown => (unknown, Source::Nothing),
+        }
     }
 
     /// Whether streams of `service` may have begun at several versions lately, as far as is known.
     fn is_divided(&self, service: &Name) -> bool {
-        let histories = self.histories();
+        let mut histories = self.histories();
+        let moment = self.moment(&mut histories);
+        let recent = |gap: Range<Mono>| gap.end + begun::RETENTION >= moment.now;
+        // Versions may have come and gone in a gap.
+        if self.view.roster.gap().is_some_and(recent) {
+            return true;
+        }
         let history = histories.get(service).filter(|_| self.seeded.get().is_some());
-        history.is_none_or(|h| !h.has_one_version(begun::RETENTION, clock::now()))
+        history.is_none_or(|h| h.only_version(begun::RETENTION, moment).is_none())
     }
 
     /// Deduces from the recent splits where a stream may go on.
     fn deduce(&self, service: &Name, stream: Option<StreamId>, window: Duration) -> Resumption {
-        let histories = self.histories();
+        let mut histories = self.histories();
+        let moment = self.moment(&mut histories);
         let Some(history) = histories.get(service).filter(|_| self.seeded.get().is_some()) else {
             return Resumption::Unknown(None);
         };
-        let now = clock::now();
-        match stream.map(|stream| history.version(stream, window, now)) {
-            Some(Ok(version)) => Resumption::At(version.clone()),
-            Some(Err(left)) => Resumption::Unknown(left),
-            None if history.has_one_version(window, now) => Resumption::Any,
-            None => Resumption::Unknown(None),
-        }
+        let found = match stream {
+            Some(stream) => history.version(stream, window, moment),
+            None => history.only_version(window, moment).ok_or(None),
+        };
+        found.map_or_else(Resumption::Unknown, |version| Resumption::At(version.clone()))
     }
 
     /// Remembers the version that brought the first event of a stream.
     pub fn on_begun(&self, stream: StreamId, service: &Name, version: &Version) {
-        let now = clock::now();
-        self.begun().add(stream, service.clone(), version.clone(), now);
-        let open = self
-            .histories()
+        let mut histories = self.histories();
+        let moment = self.moment(&mut histories);
+        self.streams.add(stream, service, version, moment.now);
+        let open = histories
             .get(service)
-            .is_some_and(|history| history.version(stream, begun::RETENTION, now) != Ok(version));
-        if open {
+            .is_some_and(|h| h.version(stream, begun::RETENTION, moment) != Ok(version));
+        drop(histories);
+        if open || !self.is_current() {
             let (service, version) = (service.clone(), version.clone());
-            self.tell(vec![Row { stream, service, version }]);
+            self.streams.tell(vec![Row { stream, service, version }]);
         }
     }
 
@@ -380,7 +352,10 @@
             let histories = self.histories();
             let of = |history: &History| {
                 let dated = |at: Duration| wall.saturating_sub(now.saturating_sub(at));
-                history.steps().map(|(at, split)| (dated(*at), split.clone())).collect()
+                history
+                    .steps()
+                    .map(|Step { seen, split, .. }| (dated(*seen), split.clone()))
+                    .collect()
             };
             Splits(histories.iter().map(|(service, h)| (service.clone(), of(h))).collect())
         };
--- a/crates/version/tests/version_changes.rs
+++ b/crates/version/tests/version_changes.rs
@@ -6,10 +6,14 @@
     agate_store::Memory,
     agate_version::{
         Resumption, Split, StreamId, Versions,
-        history::{History, SPREAD},
+        history::{History, Moment, VALIDITY},
     },
     agate_view::{
-        LocalView, clock, peers::Peer, roster::Version, shared_record::Role, table::Name,
+        LocalView, clock,
+        peers::Peer,
+        roster::{Digest, Version},
+        shared_record::Role,
+        table::Name,
     },
     indexmap::IndexMap,
     rstest::rstest,
@@ -22,6 +26,8 @@
 };
 
 const START: Duration = Duration::from_secs(100);
+/// Digest of the endpoint entries.
+const DIGEST: Digest = 7;
 const WINDOW: Duration = Duration::from_secs(2);
 
 fn split(versions: &[&str]) -> Split {
@@ -33,6 +39,11 @@
     IndexMap::from([("desk".into(), split(versions))])
 }
 
+/// An instance in contact to most others decides at `now`.
+fn at(now: Duration) -> Moment {
+    Moment { now, contact: now }
+}
+
 /// A stream that begins at `version` if there are v1 and v2.
 fn stream_of(version: &str) -> StreamId {
     let both = split(&["v1", "v2"]);
@@ -46,35 +57,35 @@
 fn version_comes() {
     let (moved, unmoved) = (stream_of("v2"), stream_of("v1"));
     let mut history = History::default();
-    history.record(&split(&["v1"]), START);
-    assert_eq!(history.begin(moved, START), None);
+    history.record(&split(&["v1"]), START, START);
+    assert_eq!(history.begin(moved, at(START)), Ok(None));
     let (v1, v2): (Version, Version) = ("v1".into(), "v2".into());
-    assert_eq!(history.version(moved, WINDOW, START), Ok(&v1));
+    assert_eq!(history.version(moved, WINDOW, at(START)), Ok(&v1));
     let came = START + Duration::from_secs(9);
-    assert!(history.record(&split(&["v1", "v2"]), came));
+    assert!(history.record(&split(&["v1", "v2"]), came, came));
     // Other instances may not know the version yet.
-    assert_eq!(history.begin(moved, came), Some(&v1));
-    assert_eq!(history.begin(moved, came + SPREAD), Some(&v2));
-    assert_eq!(history.version(unmoved, WINDOW, came), Ok(&v1));
-    let left = SPREAD + WINDOW;
-    assert_eq!(history.version(moved, WINDOW, came), Err(Some(left)));
+    assert_eq!(history.begin(moved, at(came)), Ok(Some(&v1)));
+    assert_eq!(history.begin(moved, at(came + VALIDITY)), Ok(Some(&v2)));
+    assert_eq!(history.version(unmoved, WINDOW, at(came)), Ok(&v1));
+    let left = 2 * VALIDITY + WINDOW;
+    assert_eq!(history.version(moved, WINDOW, at(came)), Err(Some(left)));
     let past = came + left + Duration::from_millis(1);
-    assert_eq!(history.version(moved, WINDOW, past), Ok(&v2));
-    assert!(!history.has_one_version(WINDOW, past));
+    assert_eq!(history.version(moved, WINDOW, at(past)), Ok(&v2));
+    assert_eq!(history.only_version(WINDOW, at(past)), None);
 }
 
 /// Guards against new streams that wait for a version without endpoints.
 #[test]
 fn version_leaves() {
     let mut history = History::default();
-    history.record(&split(&["v1", "v2"]), START);
+    history.record(&split(&["v1", "v2"]), START, START);
     let left = START + Duration::from_secs(9);
-    history.record(&split(&["v2"]), left);
+    history.record(&split(&["v2"]), left, left);
     let v2: Version = "v2".into();
     let stream = stream_of("v1");
-    assert_eq!(history.begin(stream, left), Some(&v2));
-    assert!(history.version(stream, WINDOW, left + SPREAD).is_err());
-    assert_eq!(history.version(stream, WINDOW, left + 2 * SPREAD + WINDOW), Ok(&v2));
+    assert_eq!(history.begin(stream, at(left)), Ok(Some(&v2)));
+    assert!(history.version(stream, WINDOW, at(left + VALIDITY)).is_err());
+    assert_eq!(history.version(stream, WINDOW, at(left + 2 * VALIDITY + WINDOW)), Ok(&v2));
 }
 
 fn peer(i: u16) -> Peer {
@@ -82,8 +93,17 @@
     Peer { name: format!("n{i}"), zone: "a".into(), address, weight: 100 }
 }
 
+/// A view of entries that are confirmed now, in contact to most other instances.
+fn view() -> Arc<LocalView> {
+    let view = LocalView::new();
+    view.install_entries(Vec::new(), DIGEST);
+    view.roster.confirm(clock::now());
+    view.contact.confirm(clock::now());
+    view
+}
+
 async fn open(memory: &Memory) -> Arc<Versions> {
-    let versions = Arc::new(Versions::new(memory.store(), LocalView::new(), clock::wall));
+    let versions = Arc::new(Versions::new(memory.store(), view(), clock::wall));
     let following = versions.clone();
     tokio::spawn(async move { following.follow(|| Role::Standalone).await });
     sleep(Duration::from_millis(20)).await;
@@ -125,10 +145,10 @@
 async fn told_by_others() {
     let instances = open_connected().await;
     let (service, v1): (Name, Version) = ("desk".into(), "v1".into());
-    instances.iter().for_each(|i| i.install(&splits(&["v1"])));
+    instances.iter().for_each(|i| i.install(&splits(&["v1"]), DIGEST));
     let stream = stream_of("v2");
     instances[0].on_begun(stream, &service, &v1);
-    instances.iter().for_each(|i| i.install(&splits(&["v1", "v2"])));
+    instances.iter().for_each(|i| i.install(&splits(&["v1", "v2"]), DIGEST));
     for instance in &instances {
         let found = instance.resume(&service, Some(stream), WINDOW).await;
         assert_eq!(found, Resumption::At(v1.clone()));
@@ -150,7 +170,7 @@
 #[tokio::test]
 async fn begun_elsewhere() {
     let instances = open_connected().await;
-    instances.iter().for_each(|i| i.install(&splits(&["v1", "v2"])));
+    instances.iter().for_each(|i| i.install(&splits(&["v1", "v2"]), DIGEST));
     let (service, stream): (Name, StreamId) = ("desk".into(), stream_of("v2"));
     instances[0].on_begun(stream, &service, &"v1".into());
     for (other, version) in [(stream, "v1"), (stream_of("v1"), "v1")] {
@@ -171,11 +191,11 @@
 async fn started_later(#[case] wall: fn() -> Wall) {
     let memory = Memory::open(clock::now);
     let first = open(&memory).await;
-    first.install(&splits(&["v1", "v2"]));
+    first.install(&splits(&["v1", "v2"]), DIGEST);
     sleep(Duration::from_millis(50)).await;
     drop(first);
-    let second = Arc::new(Versions::new(memory.store(), LocalView::new(), wall));
-    second.install(&splits(&["v2"]));
+    let second = Arc::new(Versions::new(memory.store(), view(), wall));
+    second.install(&splits(&["v2"]), DIGEST);
     let service: Name = "desk".into();
     let stream = Some(stream_of("v1"));
     // Before the stored splits are read.
--- a/crates/view/src/local_view.rs
+++ b/crates/view/src/local_view.rs
@@ -2,10 +2,16 @@
 //! confirmation.
 
 use {
-    crate::{clock, peers::Peer, roster::Entry, table::Table},
+    crate::{
+        clock,
+        peers::Peer,
+        roster::{Digest, Entry},
+        table::Table,
+    },
     agate_core::Mono,
     arc_swap::{ArcSwap, ArcSwapOption},
     std::{
+        ops::Range,
         sync::{
             Arc, Mutex, MutexGuard,
             atomic::{AtomicBool, AtomicU64, Ordering},
@@ -21,10 +27,15 @@
 /// Added to a wait so that the limit has certainly passed when it ends.
 const WAKE_MARGIN: Duration = Duration::from_millis(1);
 
+/// Time between two confirmations from which the time between them counts as a gap.
+pub const MIN_GAP: Duration = Duration::from_secs(1);
+
 /// Time at which one part of the local view was last known to be current.
 #[derive(Debug, Default)]
 pub struct LastConfirmed {
     nanos: AtomicU64,
+    /// Beginning and end of the latest gap.
+    gap: Mutex<Option<Range<Mono>>>,
     refresh: Notify,
 }
 
@@ -32,7 +43,19 @@
     /// Records a confirmation made at `at`. Older ones than the latest change nothing.
     pub fn confirm(&self, at: Mono) {
         let nanos = u64::try_from(at.as_nanos()).unwrap_or(u64::MAX);
-        self.nanos.fetch_max(nanos, Ordering::AcqRel);
+        let before = Duration::from_nanos(self.nanos.fetch_max(nanos, Ordering::AcqRel));
+        if at.saturating_sub(before) > MIN_GAP {
+            *self.lock_gap() = Some(before..at);
+        }
+    }
+
+    /// Beginning and end of the latest time without confirmations that was longer than [`MIN_GAP`].
+    pub fn gap(&self) -> Option<Range<Mono>> {
+        self.lock_gap().clone()
+    }
+
+    fn lock_gap(&self) -> MutexGuard<'_, Option<Range<Mono>>> {
+        self.gap.lock().expect("the lock of the gap is not poisoned")
     }
 
     /// Withdraws all confirmations.
@@ -55,13 +78,18 @@
         }
     }
 
-    /// Age of the latest confirmation; `None` before the first.
-    pub fn age(&self) -> Option<Duration> {
+    /// Time of the latest confirmation; `None` before the first.
+    pub fn at(&self) -> Option<Mono> {
         match self.nanos.load(Ordering::Acquire) {
             0 => None,
-            nanos => Some(clock::now().saturating_sub(Duration::from_nanos(nanos))),
+            nanos => Some(Duration::from_nanos(nanos)),
         }
     }
+
+    /// Age of the latest confirmation; `None` before the first.
+    pub fn age(&self) -> Option<Duration> {
+        self.at().map(|at| clock::now().saturating_sub(at))
+    }
 }
 
 /// Local view of the shared state of one instance.
@@ -90,6 +118,12 @@
     has_coordinator: AtomicBool,
     /// Latest time at which no change of the endpoints was missing.
     pub roster: LastConfirmed,
+    /// Latest time at which most instances knew no newer endpoint entries than this one.
+    pub agreed: LastConfirmed,
+    /// Latest time at which this instance was in contact with most of the others.
+    pub contact: LastConfirmed,
+    /// Latest time at which entries that were replaced since were known to hold.
+    replaced: Mutex<Option<Mono>>,
     /// Entries sent by a coordinator, with the time of their confirmation; taken by the loop that
     /// follows the endpoints.
     offered: Mutex<Option<(Vec<Entry>, Mono)>>,
@@ -115,6 +149,9 @@
             active: AtomicBool::new(false),
             has_coordinator: AtomicBool::new(false),
             roster: LastConfirmed::default(),
+            agreed: LastConfirmed::default(),
+            contact: LastConfirmed::default(),
+            replaced: Mutex::default(),
             offered: Mutex::default(),
             peers: ArcSwap::default(),
             listed: LastConfirmed::default(),
@@ -180,8 +217,32 @@
         }
     }
 
+    /// Latest time at which no other instance can have known endpoint entries that those with `digest`
+    /// lack. `None` if these are not the ones in force.
+    pub fn entries_held(&self, digest: Digest) -> Option<Mono> {
+        // The digest is read last: the times are those of the entries that it belongs to, or of
+        // earlier ones.
+        let held = self.latest_held();
+        held.filter(|_| self.roster_digest.load(Ordering::Acquire) == digest)
+    }
+
+    fn latest_held(&self) -> Option<Mono> {
+        self.roster.at().max(self.agreed.at())
+    }
+
+    /// Latest time at which the entries that were in force at the last call were known to hold; `None`
+    /// if they still are in force.
+    pub fn take_replaced(&self) -> Option<Mono> {
+        self.replaced.lock().expect("the lock of the replacement is not poisoned").take()
+    }
+
     /// Replaces the endpoint entries and notifies subscribers.
     pub fn install_entries(&self, entries: Vec<Entry>, digest: u64) {
+        let held = self.latest_held().unwrap_or_default();
+        let mut replaced =
+            self.replaced.lock().expect("the lock of the replacement is not poisoned");
+        replaced.get_or_insert(held);
+        drop(replaced);
         self.entries.store(Arc::new(entries));
         self.roster_digest.store(digest, Ordering::Release);
         self.notify_changed();
