Bound the slots of entries and the weights of splits

What callers saw: once an entry stated slots, instances took no later change of the endpoints into account, and sent requests to one that was leaving. With a route divided between two services of weight 1e30, its requests got no response.

Cause: the sums of the slots of a version and of the weights of a route were unchecked. With overflow checks they panicked at each look; without them they wrapped, and new streams were divided by a number that has nothing to do with the slots.

Both sums saturate, since entries also come from other instances.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -193,7 +193,7 @@
 
 /// Picks a service of a route at random, by weight.
 fn pick_service(route: &Route) -> Option<Name> {
-    let total: u32 = route.split.iter().map(|s| s.weight).sum();
+    let total = route.split.iter().fold(0_u32, |sum, s| sum.saturating_add(s.weight));
     if let [only] = route.split.as_slice() {
         return Some(only.service.clone());
     }
--- a/crates/version/src/split.rs
+++ b/crates/version/src/split.rs
@@ -45,7 +45,9 @@
         let mut slots: IndexMap<&Name, IndexMap<Version, u32>> = IndexMap::new();
         for entry in entries.iter().filter(|e| !e.leaving && e.stage != Some(Stage::Prefill)) {
             let service = slots.entry(&entry.service).or_default();
-            *service.entry(entry.version.clone()).or_default() += entry.slots;
+            let sum = service.entry(entry.version.clone()).or_default();
+            // Entries also come from other instances.
+            *sum = sum.saturating_add(entry.slots);
         }
         slots.into_iter().map(|(service, slots)| (service.clone(), Self::new(&slots))).collect()
     }
--- a/crates/version/tests/split_weights.rs
+++ b/crates/version/tests/split_weights.rs
@@ -1,8 +1,8 @@
 //! New streams are divided among the versions in proportion to their slots, alike on all instances.
 
 use {
-    agate_route::ranking::name_hash, agate_version::Split, indexmap::IndexMap,
-    proptest::prelude::*, rstest::rstest,
+    agate_route::ranking::name_hash, agate_version::Split, agate_view::roster::Entry,
+    indexmap::IndexMap, proptest::prelude::*, rstest::rstest, std::time::Duration,
 };
 
 fn split(slots: &[(&str, u32)]) -> Split {
@@ -28,6 +28,30 @@
     assert!((0.75 * fair..1.35 * fair).contains(&share), "{share} instead of {fair}");
 }
 
+fn entry(name: &str, version: &str, slots: u32) -> Entry {
+    Entry {
+        name: name.into(),
+        service: "desk".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "a".into(),
+        version: version.into(),
+        slots,
+        leaving: false,
+        cold: Duration::ZERO,
+        stage: None,
+        born: None,
+        spot: false,
+    }
+}
+
+/// Guards against a panic, or a sum that wraps, where the slots of a version exceed the largest number.
+#[test]
+fn slots_overflow() {
+    let entries = [entry("e1", "v1", u32::MAX), entry("e2", "v1", 6), entry("e3", "v2", 500)];
+    let splits = Split::of_services(&entries);
+    assert!(share_of(&splits["desk"], "v1") > 0.99);
+}
+
 proptest! {
     /// Guards against streams that change between versions for no reason: those that move when a version
     /// gets more endpoints move to it.
