Refuse keyed requests while a greater generation is known but not installed

Without a recent proof, keyed requests are served if most availability zones respond, because then the store must be down for all. The response that made up the majority also told of a greater generation, and it counted all the same: the former configuration was used until the new one was fetched and installed.

Such an instance now refuses keyed requests until it has caught up. A recent proof still suffices, since it bounds the age of what may be missing.

Evidence: distribution_steps::behind_peers is StoreDown instead of Stale without the change, and passes with it; freshness, distribution and distribution_steps pass.

--- a/crates/config/src/freshness.rs
+++ b/crates/config/src/freshness.rs
@@ -29,7 +29,7 @@
 pub enum ConfigFreshness {
     /// The newest proof is recent: serve.
     Fresh,
-    /// No peer has a recent proof, but most of the fleet responds: serve.
+    /// No peer has a recent proof or a greater generation, but most of the fleet responds: serve.
     StoreDown,
     /// The instance may be cut off: refuse requests as not run.
     Stale,
--- a/crates/config/src/spread/mod.rs
+++ b/crates/config/src/spread/mod.rs
@@ -305,9 +305,13 @@
         self.proofs.age(now)
     }
 
-    /// Returns whether requests that need a key may be served at `now`.
+    /// Returns whether requests that need a key may be served at `now`. Without a recent proof they
+    /// are not served while a greater generation is known: it may have revoked a key.
     pub fn freshness(&self, now: Mono) -> ConfigFreshness {
-        assess(self.proof_age(now), self.peer_tracker.reach(now))
+        match assess(self.proof_age(now), self.peer_tracker.reach(now)) {
+            ConfigFreshness::StoreDown if self.seen > self.installed => ConfigFreshness::Stale,
+            standing => standing,
+        }
     }
 
     /// Returns whether this instance is a watcher. At the start, when each instance knows few
--- a/crates/config/tests/distribution_steps.rs
+++ b/crates/config/tests/distribution_steps.rs
@@ -2,8 +2,11 @@
 //! where fetches continue.
 
 use {
-    agate_config::spread::{
-        Action, HeadSummary, Input, Peer, Proof, Settings, Source, State, rank, watchers,
+    agate_config::{
+        freshness::ConfigFreshness,
+        spread::{
+            Action, HeadSummary, Input, Peer, Proof, Settings, Source, State, rank, watchers,
+        },
     },
     std::time::Duration,
 };
@@ -92,6 +95,21 @@
     assert_eq!(state.proof_age(sent_at), Some(Duration::from_secs(1)));
 }
 
+/// An instance whose proof is too old accepted a revoked key from the response that told it of a
+/// greater generation until it had installed that generation.
+#[test]
+fn behind_peers() {
+    let mut state = watcher();
+    let sent_at = T + MINUTE;
+    state.step(digest(1, Some(Proof { sent_at, age: None })), sent_at);
+    assert_eq!(state.freshness(sent_at), ConfigFreshness::StoreDown, "the peer knows no more");
+    state.step(digest(2, Some(Proof { sent_at, age: None })), sent_at);
+    assert_eq!(state.freshness(sent_at), ConfigFreshness::Stale, "the peer has a newer one");
+    let summary = HeadSummary { generation: 2, missing: vec![] };
+    state.step(Input::PeerHead { peer: peer("b"), summary }, sent_at);
+    assert_eq!(state.freshness(sent_at), ConfigFreshness::StoreDown, "it caught up");
+}
+
 /// A read that was sent before a greater generation was announced may return the older one.
 #[test]
 fn concurrent_read() {
