Count the proof of a generation once it serves requests

An instance that came back after its freshness proof had expired served requests with the former configuration, and its revoked keys, while the new generation was being put in force.

The follower's state machine counts the proof of a generation from the end of its fetch. The document is decoded and compiled after that, and requests are served by the former one meanwhile, for longer the larger the configuration.

The follower now ignores proofs until the installed generation is in force. A proof of the former generation holds for as long as before, so that a change under steady conditions refuses nothing.

Evidence: followers::proof_before_install sees Fresh during the installation without the change and Stale with it; the other tests of followers pass.

--- a/crates/config/src/follow.rs
+++ b/crates/config/src/follow.rs
@@ -77,6 +77,8 @@
 
 struct Inner {
     state: State,
+    /// Generation of the document that `install` has returned for.
+    in_force: Generation,
     revision: Revision,
     /// Heads that were read and are not installed yet.
     heads: IndexMap<Generation, Head>,
@@ -86,6 +88,12 @@
 }
 
 impl Inner {
+    /// Returns whether the installed generation is still being put in force. Its proofs do not hold
+    /// for the former document, which serves requests meanwhile.
+    fn installing(&self) -> bool {
+        self.in_force < self.state.installed()
+    }
+
     fn chunk(&self, id: &str) -> Option<&[u8]> {
         self.chunks.get(id).map(|c| c.as_slice())
     }
@@ -115,6 +123,7 @@
     );
     let inner = Inner {
         state: State::new(own, settings, seed),
+        in_force: 0,
         revision: 0,
         heads: IndexMap::new(),
         head: None,
@@ -184,7 +193,8 @@
         if now.as_nanos() <= u128::from(self.shared.fresh_until.load(Ordering::Acquire)) {
             return ConfigFreshness::Fresh;
         }
-        self.shared.lock().state.freshness(now)
+        let inner = self.shared.lock();
+        if inner.installing() { ConfigFreshness::Stale } else { inner.state.freshness(now) }
     }
 
     /// Returns the counters of the state machine, and the number of generations and records that
@@ -237,7 +247,10 @@
     /// Publishes the time until which the newest proof is recent.
     fn update_fresh_until(&self) {
         let now = self.now();
-        let Some(age) = self.lock().state.proof_age(now) else { return };
+        let inner = self.lock();
+        let proved = inner.state.proof_age(now).filter(|_| !inner.installing());
+        drop(inner);
+        let Some(age) = proved else { return };
         let until = (now + MAX_PROOF_AGE).saturating_sub(age);
         let nanos = u64::try_from(until.as_nanos()).unwrap_or(u64::MAX);
         self.fresh_until.fetch_max(nanos, Ordering::AcqRel);
@@ -376,5 +389,7 @@
             Ok(doc) => (self.install)(&head, doc),
             Err(e) => self.record_refusal(&e),
         }
+        let mut inner = self.lock();
+        inner.in_force = inner.in_force.max(generation);
     }
 }
--- a/crates/config/tests/followers.rs
+++ b/crates/config/tests/followers.rs
@@ -14,7 +14,7 @@
     indexmap::IndexMap,
     std::{
         sync::{
-            Arc, OnceLock,
+            Arc, Mutex, OnceLock,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
@@ -34,6 +34,8 @@
     follower: Follower,
     disconnected: Arc<AtomicBool>,
     weight: Arc<AtomicU64>,
+    /// Freshness while the newest generation was being installed.
+    installing: Arc<Mutex<Option<ConfigFreshness>>>,
 }
 
 type Instances = Arc<OnceLock<IndexMap<Peer, Instance>>>;
@@ -100,14 +102,18 @@
             let (disconnected, weight) =
                 (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
             let installed_weight = weight.clone();
+            let installing = Arc::<Mutex<_>>::default();
+            let (fleet, name, seen) = (instances.clone(), own.clone(), installing.clone());
             let install = move |_: &_, doc: agate_config::Document| {
+                let own = fleet.get().and_then(|f| f.get(&name));
+                *seen.lock().expect("no panic") = own.map(|i| i.follower.freshness());
                 let org = &doc.organisations["kolga"];
                 installed_weight.store(u64::from(org.weight), Ordering::Relaxed);
             };
             let peers = peers(own.clone(), &instances, &disconnected);
             let store = partitionable(&store, &disconnected);
             let follower = spawn(own.clone(), Settings::default(), store, peers, install);
-            (own.clone(), Instance { follower, disconnected, weight })
+            (own.clone(), Instance { follower, disconnected, weight, installing })
         });
         let started = started.collect();
         assert!(instances.set(started).is_ok());
@@ -180,6 +186,24 @@
         .await;
 }
 
+/// The proof of a generation counted from the end of its fetch, so that requests were served with
+/// the former configuration, and revoked keys, until the new one was installed.
+#[tokio::test(start_paused = true)]
+async fn proof_before_install() {
+    let fleet = Fleet::start(4).await;
+    let (_, instance) = fleet.instances().first().expect("present");
+    let installing = || *instance.installing.lock().expect("no panic");
+    assert_eq!(installing(), Some(ConfigFreshness::Stale), "it had no configuration");
+    instance.disconnected.store(true, Ordering::Relaxed);
+    sleep(MAX_PROOF_AGE + Duration::from_millis(1)).await;
+    fleet.apply("second", 11).await;
+    instance.disconnected.store(false, Ordering::Relaxed);
+    fleet
+        .wait_until(|n| n.weight() == 11 && n.follower.freshness() == ConfigFreshness::Fresh)
+        .await;
+    assert_eq!(installing(), Some(ConfigFreshness::Stale), "it had the former configuration");
+}
+
 #[tokio::test(start_paused = true)]
 async fn store_outage() {
     let fleet = Fleet::start(4).await;
