--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -167,7 +167,7 @@
         };
         let candidate = Arc::<LeaderCandidate>::default();
         let callbacks =
-            sync_callbacks::callbacks(&proxy_state, &counter, &candidate, &settings.name);
+            sync_callbacks::callbacks(&proxy_state, &counter, &candidate, &settings.name, reaches);
         let sync = bind(
             own.clone(),
             incarnation.clone(),
@@ -175,7 +175,6 @@
             view.clone(),
             callbacks,
             supervisor.clone(),
-            reaches,
         )
         .await;
         let sync = sync.wrap_err_with(|| format!("binding peers {}", settings.peers))?;
--- a/crates/cli/src/edge/sync_callbacks.rs
+++ b/crates/cli/src/edge/sync_callbacks.rs
@@ -8,7 +8,7 @@
     agate_sync::{
         message::{Demand, Load, LoadReport, Message, Rate, Suspects},
         runner::Callbacks,
-        sender::Sender,
+        sender::{ReachFn, Sender},
     },
     agate_view::table::Name,
     std::{net::SocketAddr, sync::Arc},
@@ -66,6 +66,7 @@
     counter: &Arc<UsageCounter>,
     candidate: &Arc<LeaderCandidate>,
     name: &str,
+    reaches: Arc<ReachFn>,
 ) -> Callbacks {
     let (candidate, name) = (candidate.clone(), name.to_owned());
     let (own, others) = (proxy_state.clone(), proxy_state.clone());
@@ -97,6 +98,7 @@
         on_usage_held: Box::new(move |version| noted.mark_held(version)),
         on_usage_copied: Box::new(move |version| copied.mark_copied(version)),
         on_usage: Box::new(move |u| collect.collect(&u.from, u.window, &u.rows)),
+        reaches,
         on_streams: Box::new(move |message| versions.receive(message)),
     }
 }
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -81,6 +81,8 @@
     pub on_usage_copied: Box<dyn Fn(u64) + Send + Sync>,
     /// Called with usage of another instance.
     pub on_usage: Box<dyn Fn(&Usage) + Send + Sync>,
+    /// Returns whether datagrams to an address are sent.
+    pub reaches: Arc<ReachFn>,
     /// Called with a message on the software versions of streams; returns the answer.
     pub on_streams: Box<dyn Fn(homes::Message) -> Option<homes::Message> + Send + Sync>,
 }
@@ -105,7 +107,7 @@
 }
 
 /// Binds the address of `own` and starts the exchange. `incarnation` identifies this start of the
-/// instance. Messages are sent to the addresses that it `reaches`.
+/// instance.
 ///
 /// # Errors
 ///
@@ -117,11 +119,10 @@
     view: Arc<LocalView>,
     callbacks: Callbacks,
     supervisor: Supervisor,
-    reaches: Arc<ReachFn>,
 ) -> io::Result<SyncHandle> {
     let socket = Arc::new(UdpSocket::bind(own.address).await?);
     let callbacks = Arc::new(callbacks);
-    let sender = Sender::new(socket.clone(), keys.clone(), reaches);
+    let sender = Sender::new(socket.clone(), keys.clone(), callbacks.reaches.clone());
     let sending = sender.clone();
     let make = move || SyncLoop {
         socket: socket.clone(),
