Check the age of what is known again after the homes of a stream were asked

A process that stands still while it waits for answers computed the version from what it knew before.

--- a/crates/version/src/versions.rs
+++ b/crates/version/src/versions.rs
@@ -264,7 +264,8 @@
                 Answer::NotKnown | Answer::Silence => {}
             }
         }
-        if !current {
+        // The process may have stood still since the confirmation.
+        if !self.is_current() {
             return (Resumption::Outdated, Source::Outdated);
         }
         match self.deduce(service, stream, window) {
