Close the ways past the age of what is known of the endpoints

- A stream of a service with one version could begin at any: a retry within a second of a release chose the new one, which no other instance expected.
It begins at the known version now, and at another one only while the latest split is in force everywhere.
- An instance began streams before it had read the splits from before its start.
- Contact to most instances was measured by the list of instances, which shrinks as the records of those that are cut off expire.
Instances count for a minute after they left the list.
- One denial was taken for the answer of the homes, though the third instance that is asked was never told.
All but one must deny.
Contact older than 1.25 s, not 3 s, does not vouch for silence.
- An instance that missed confirmations tells the homes of the streams that it begins in the next 2 s: a version may have come and gone.
- While the store is away, one instance with newer entries kept the others from agreeing for good, since it did not forward entries confirmed more than 1.5 s before.
It forwards them for 30 s, an answer is compared with the entries at hand, and ignored after 2 s.

--- a/crates/relay/src/stream_version.rs
+++ b/crates/relay/src/stream_version.rs
@@ -81,13 +81,14 @@
 }
 
 /// Lets any version begin the stream after a failed attempt, or while its own has no healthy endpoint,
-/// provided that other instances can be told.
+/// provided that other instances know its endpoints and can be told.
 pub fn relax(state: &ProxyState, job: &Job, attempts: &mut Attempts) {
-    if attempts.begun || attempts.version.is_none() || !state.versions.has_contact() {
+    if attempts.begun || attempts.version.is_none() || !may_be_taken_up(job) {
         return;
     }
     let failed = !attempts.tried.is_empty();
-    if failed || !state.fleet.has_healthy(&requirements(job, attempts, &[], None)) {
+    let unhealthy = || !state.fleet.has_healthy(&requirements(job, attempts, &[], None));
+    if (failed || unhealthy()) && state.versions.may_begin_elsewhere(&job.service) {
         attempts.version = None;
     }
 }
--- a/crates/sync/src/agreement.rs
+++ b/crates/sync/src/agreement.rs
@@ -10,6 +10,7 @@
     agate_core::Mono,
     agate_view::roster::Digest,
     indexmap::IndexMap,
+    std::time::Duration,
 };
 
 /// Maximum number of instances that are asked, in the order in which they act as coordinators.
@@ -24,12 +25,24 @@
     pub confirmed: Mono,
 }
 
+/// Age from which an answer is ignored: the instance has not answered since.
+pub const MAX_ANSWER_AGE: Duration = Duration::from_secs(2);
+
 #[derive(Clone, Copy, Debug)]
 struct Answer {
     /// When the instance was asked.
     sent: Mono,
-    /// Whether it may know newer entries.
-    newer: bool,
+    /// Digest of its entries.
+    version: Digest,
+    /// Latest time at which they may have been confirmed.
+    confirmed: Mono,
+}
+
+impl Answer {
+    /// Whether the instance may know newer entries.
+    fn is_newer(&self, own: OwnEntries) -> bool {
+        self.version != own.digest && self.confirmed > own.confirmed
+    }
 }
 
 /// Latest answers of the other instances, by name.
@@ -38,24 +51,30 @@
 
 impl Agreement {
     /// Records a response that arrived at `now`. One without a confirmation tells nothing.
-    pub fn on_response(&mut self, outcome: &Outcome, own: OwnEntries, now: Mono) {
+    pub fn on_response(&mut self, outcome: &Outcome, now: Mono) {
         let Some(Confirmation { version, at }) = outcome.roster else { return };
         // The confirmation may be younger than stated by the time that the response took.
-        let latest = at + now.saturating_sub(outcome.sent);
-        let newer = version != own.digest && latest > own.confirmed;
-        let answer = Answer { sent: outcome.sent, newer };
+        let confirmed = at + now.saturating_sub(outcome.sent);
+        let answer = Answer { sent: outcome.sent, version, confirmed };
         let last = self.0.entry(outcome.from.clone()).or_insert(answer);
         if answer.sent >= last.sent {
             *last = answer;
         }
     }
 
-    /// Latest time at which most of `witnesses` knew nothing newer; `None` if one may, or too few
-    /// have answered. The instance `own` counts as one of them if it is among them.
-    pub fn agreed_at(&self, witnesses: &[&str], own: &str, now: Mono) -> Option<Mono> {
-        let others = || witnesses.iter().filter(|name| **name != own);
-        let answers = others().filter_map(|name| self.0.get(*name));
-        if answers.clone().any(|a| a.newer) {
+    /// Latest time at which most of `witnesses` knew nothing newer than `entries`; `None` if one may, or
+    /// too few have answered. The instance `own` counts as one of them if it is among them.
+    pub fn agreed_at(
+        &self,
+        witnesses: &[&str],
+        own: &str,
+        entries: OwnEntries,
+        now: Mono,
+    ) -> Option<Mono> {
+        let others = witnesses.iter().filter(|name| **name != own);
+        let recent = |a: &&Answer| now.saturating_sub(a.sent) < MAX_ANSWER_AGE;
+        let answers = others.filter_map(|name| self.0.get(*name)).filter(recent);
+        if answers.clone().any(|a| a.is_newer(entries)) {
             return None;
         }
         let most = witnesses.len() / 2 + 1;
--- a/crates/sync/src/runner.rs
+++ b/crates/sync/src/runner.rs
@@ -44,8 +44,9 @@
 const INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(1);
 /// Time between two usage rounds.
 const USAGE_INTERVAL: Duration = Duration::from_millis(500);
-/// Age of the own confirmation from which a coordinator no longer forwards its entries.
-const MAX_FORWARD_AGE: Duration = Duration::from_millis(1_500);
+/// Age of the own confirmation from which an instance no longer forwards its entries. While the store is
+/// away, those of the instance that read it last are the newest.
+const MAX_FORWARD_AGE: Duration = Duration::from_secs(30);
 /// Time after its start in which an instance without a better coordinator asks the others for the
 /// configuration that they have; longer than between two reads of the instances.
 const INTRODUCTION_TIME: Duration = Duration::from_secs(3);
@@ -139,6 +140,7 @@
         roster_confirmation: None,
         agreement: Agreement::default(),
         surveyed: 0,
+        most_listed: (0, Mono::ZERO),
         coordinator: Coordinator::default(),
         pushes: IndexMap::new(),
         round: 0,
@@ -167,6 +169,8 @@
     pub(crate) agreement: Agreement,
     /// Index of the instance that is asked next for its endpoint entries.
     pub(crate) surveyed: usize,
+    /// Largest recent number of listed instances, and when there were as many last.
+    pub(crate) most_listed: (usize, Mono),
     coordinator: Coordinator,
     pub(crate) pushes: IndexMap<String, UsagePush>,
     pub(crate) round: u64,
--- a/crates/sync/src/survey.rs
+++ b/crates/sync/src/survey.rs
@@ -22,6 +22,10 @@
 /// Time in which all of them are asked once.
 const SURVEY_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which instances that left the list count: the records of some that are cut off from the store
+/// expire, and these know nothing of it.
+const LISTED_RETENTION: Duration = Duration::from_secs(60);
+
 impl SyncLoop {
     /// Asks the next ones of the other instances for their endpoint entries if nothing has confirmed
     /// the own ones for long.
@@ -33,7 +37,11 @@
         let witnesses: Vec<&Peer> = peers::ranked(&known).into_iter().take(MAX_WITNESSES).collect();
         let names: Vec<&str> = witnesses.iter().map(|p| p.name.as_str()).collect();
         self.agreement.retain(|name| names.contains(&name));
-        if let Some(at) = self.agreement.agreed_at(&names, &self.own.name, clock::now()) {
+        let own = OwnEntries {
+            digest: self.view.roster_digest.load(Ordering::Acquire),
+            confirmed: self.view.roster.at().unwrap_or_default(),
+        };
+        if let Some(at) = self.agreement.agreed_at(&names, &self.own.name, own, clock::now()) {
             self.view.agreed.confirm(at);
         }
         let others: Vec<&Peer> =
@@ -50,18 +58,21 @@
 
     /// Records that the reports of `others` other instances are at hand, or were when a coordinator
     /// was asked at `at`.
-    pub(crate) fn on_contact(&self, others: u32, at: Mono) {
+    pub(crate) fn on_contact(&mut self, others: u32, at: Mono) {
+        let listed = self.view.instances();
+        let (most, last) = self.most_listed;
+        if listed >= most || at.saturating_sub(last) > LISTED_RETENTION {
+            self.most_listed = (listed, at);
+        }
         // Reports may be as old as this.
-        if (others as usize + 1) * 2 > self.view.instances() {
+        if (others as usize + 1) * 2 > self.most_listed.0 {
             self.view.contact.confirm(at.saturating_sub(MAX_CONTACT_AGE));
         }
     }
 
     /// Applies the confirmation of the endpoint entries in a response.
     pub(crate) fn on_roster(&mut self, outcome: &Outcome) {
-        let digest = self.view.roster_digest.load(Ordering::Acquire);
-        let confirmed = self.view.roster.at().unwrap_or_default();
-        self.agreement.on_response(outcome, OwnEntries { digest, confirmed }, clock::now());
+        self.agreement.on_response(outcome, clock::now());
         let Some(confirmation) = outcome.roster else { return };
         self.view.confirm_roster(confirmation.version, confirmation.at);
         if self.roster_confirmation.is_none_or(|known| known.at <= confirmation.at) {
--- a/crates/sync/tests/entries_agreement.rs
+++ b/crates/sync/tests/entries_agreement.rs
@@ -2,7 +2,7 @@
 
 use {
     agate_sync::{
-        agreement::{Agreement, OwnEntries},
+        agreement::{Agreement, MAX_ANSWER_AGE, OwnEntries},
         poller::{Confirmation, Outcome},
     },
     rstest::rstest,
@@ -35,9 +35,9 @@
 fn most_must_answer(#[case] answers: &[(&str, u64)], #[case] agreed: Option<u64>) {
     let mut agreement = Agreement::default();
     for (from, sent) in answers {
-        agreement.on_response(&response(from, *sent, DIGEST, ms(0)), OWN, ms(20));
+        agreement.on_response(&response(from, *sent, DIGEST, ms(0)), ms(20));
     }
-    assert_eq!(agreement.agreed_at(&NAMES, "n0", ms(20)), agreed.map(ms));
+    assert_eq!(agreement.agreed_at(&NAMES, "n0", OWN, ms(20)), agreed.map(ms));
 }
 
 /// Guards against an agreement while one instance has learned of a change.
@@ -50,17 +50,37 @@
 fn newer_entries(#[case] version: u64, #[case] at: Duration, #[case] agreed: bool) {
     let mut agreement = Agreement::default();
     for from in ["n1", "n2"] {
-        agreement.on_response(&response(from, 5, DIGEST, ms(0)), OWN, ms(20));
+        agreement.on_response(&response(from, 5, DIGEST, ms(0)), ms(20));
     }
-    agreement.on_response(&response("n3", 5, version, at), OWN, ms(20));
-    assert_eq!(agreement.agreed_at(&NAMES, "n0", ms(20)).is_some(), agreed);
+    agreement.on_response(&response("n3", 5, version, at), ms(20));
+    assert_eq!(agreement.agreed_at(&NAMES, "n0", OWN, ms(20)).is_some(), agreed);
+}
+
+/// Guards against an answer that forbids the agreement after its entries were taken over, or its instance
+/// has gone.
+#[test]
+fn outdated_answers() {
+    let mut agreement = Agreement::default();
+    agreement.on_response(&response("n3", 5, 8, ms(0)), ms(20));
+    for from in ["n1", "n2"] {
+        agreement.on_response(&response(from, 10, 8, ms(0)), ms(20));
+    }
+    assert_eq!(agreement.agreed_at(&NAMES, "n0", OWN, ms(20)), None);
+    let taken_over = OwnEntries { digest: 8, confirmed: ms(0) };
+    assert_eq!(agreement.agreed_at(&NAMES, "n0", taken_over, ms(20)), Some(ms(10)));
+    let gone = 5 + MAX_ANSWER_AGE.as_millis() as u64;
+    for from in ["n1", "n2"] {
+        agreement.on_response(&response(from, gone - 5, DIGEST, ms(0)), ms(gone - 1));
+    }
+    assert_eq!(agreement.agreed_at(&NAMES, "n0", OWN, ms(gone - 1)), None);
+    assert_eq!(agreement.agreed_at(&NAMES, "n0", OWN, ms(gone)), Some(ms(gone - 5)));
 }
 
 /// A single instance agrees with itself; one that knows no instances does not.
 #[test]
 fn few_instances() {
     let agreement = Agreement::default();
-    assert_eq!(agreement.agreed_at(&["n0"], "n0", ms(3)), Some(ms(3)));
-    assert_eq!(agreement.agreed_at(&[], "n0", ms(3)), None);
-    assert_eq!(agreement.agreed_at(&["n0", "n1"], "n0", ms(3)), None);
+    assert_eq!(agreement.agreed_at(&["n0"], "n0", OWN, ms(3)), Some(ms(3)));
+    assert_eq!(agreement.agreed_at(&[], "n0", OWN, ms(3)), None);
+    assert_eq!(agreement.agreed_at(&["n0", "n1"], "n0", OWN, ms(3)), None);
 }
--- a/crates/version/src/history.rs
+++ b/crates/version/src/history.rs
@@ -85,16 +85,13 @@
     }
 
     /// Version that a new stream begins at: that of the latest split which is in force, unless the
-    /// version has left since. `None` if there is one version only.
+    /// version has left since. `None` if no split is known.
     ///
     /// # Errors
     ///
     /// If other instances may use the next split already, and that selects another version.
     pub fn begin(&self, stream: StreamId, moment: Moment) -> Result<Option<&Version>, Unsettled> {
         let Some(last) = self.0.back() else { return Ok(None) };
-        if self.0.len() == 1 && last.split.len() == 1 {
-            return Ok(None);
-        }
         let choose = |step: &'_ Step| {
             let version = last.split.versions().find(|l| step.split.version_of(stream) == Some(*l));
             version.or_else(|| last.split.version_of(stream))
@@ -105,6 +102,11 @@
         if later.any(|s| choose(s) != version) { Err(Unsettled) } else { Ok(version) }
     }
 
+    /// Whether all instances that begin streams know the latest split.
+    pub fn is_settled(&self, moment: Moment) -> bool {
+        self.0.len() <= 1 || self.0.back().is_some_and(|last| moment.is_in_force(last))
+    }
+
     /// Versions that a stream may have begun at not longer than `window` ago by former splits, which
     /// `choose` asks for one, with the time until it cannot have any more.
     fn former<'a, T: Iterator<Item = &'a Version>>(
--- a/crates/version/src/known_streams.rs
+++ b/crates/version/src/known_streams.rs
@@ -28,9 +28,9 @@
 pub enum Answer {
     /// The version that began it.
     Version(Version),
-    /// One at least answers that it does not know the stream, and none knows it.
+    /// All but one at least answer that they do not know the stream.
     NotKnown,
-    /// None answers.
+    /// Too few answer.
     Silence,
 }
 
@@ -167,7 +167,9 @@
         for _ in 0..ASKS {
             homes.iter().for_each(|home| send(Message::Asked(stream), *home));
             let answered = timeout(ASK_TIMEOUT / ASKS, self.answers(stream, homes.len())).await;
-            denied |= self.asked().get(&stream).is_some_and(|q| q.denials > 0);
+            // All but one, as the last one in rank need not have been told.
+            let needed = homes.len().saturating_sub(1).max(1);
+            denied |= self.asked().get(&stream).is_some_and(|q| q.denials >= needed);
             if let Ok(answer) = answered {
                 version = answer;
                 break;
--- a/crates/version/src/versions.rs
+++ b/crates/version/src/versions.rs
@@ -37,7 +37,7 @@
 /// Time between two looks for it.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(5);
 /// Age of the latest contact to most other instances above which they are out of reach.
-const MAX_CONTACT_AGE: Duration = Duration::from_secs(3);
+const MAX_CONTACT_AGE: Duration = Duration::from_millis(1_250);
 
 /// Where a stream that a caller takes up may go on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -176,8 +176,21 @@
 
     /// Whether what is known of the endpoints is recent enough to tell versions from it.
     pub fn is_current(&self) -> bool {
+        self.held_age().is_some_and(|age| age <= VALIDITY)
+    }
+
+    /// Age of what is known of the endpoints; `None` if newer splits are not known yet.
+    fn held_age(&self) -> Option<Duration> {
         let held = self.view.entries_held(self.installed.load(Ordering::Acquire));
-        held.is_some_and(|at| clock::now() <= at + VALIDITY)
+        held.map(|at| clock::now().saturating_sub(at))
+    }
+
+    /// Whether confirmations of the endpoints were missing not longer than `window` ago: versions may have
+    /// come and gone meanwhile.
+    fn has_gap(&self, window: Duration, now: Mono) -> bool {
+        // What was before the start is known from the record.
+        let gap = self.view.roster.gap().filter(|gap| gap.start > Mono::ZERO);
+        gap.is_some_and(|gap| gap.end + window >= now)
     }
 
     /// Waits for a confirmation of the endpoints unless there is a recent one; returns whether there is.
@@ -196,20 +209,29 @@
 
     /// Whether most other instances can be told of a stream, and asked. An instance that has just
     /// started counts as in contact.
-    pub fn has_contact(&self) -> bool {
+    fn has_contact(&self) -> bool {
         clock::now() < self.latest_contact() + MAX_CONTACT_AGE
     }
 
+    /// Whether a new stream of `service` may begin at another version than its name selects: other
+    /// instances can be told of it, and know of the versions that there are.
+    pub fn may_begin_elsewhere(&self, service: &Name) -> bool {
+        let mut histories = self.histories();
+        let moment = self.moment(&mut histories);
+        self.has_contact() && histories.get(service).is_none_or(|h| h.is_settled(moment))
+    }
+
     fn latest_contact(&self) -> Mono {
         self.view.contact.at().unwrap_or_default().max(self.started)
     }
 
-    /// Version that a new stream of `service` begins at; `None` if it may begin at any. It may begin only
-    /// after [`Self::confirm`].
+    /// Version that a new stream of `service` begins at; `None` if none is known. It may begin only after
+    /// [`Self::confirm`].
     ///
     /// # Errors
     ///
-    /// If other instances may choose another version by now.
+    /// If other instances may choose another version by now, or the splits from before the start are not
+    /// known.
     pub fn begin(
         &self,
         service: &Name,
@@ -218,6 +240,7 @@
         let mut histories = self.histories();
         let moment = self.moment(&mut histories);
         let Some(history) = histories.get(service) else { return Ok(None) };
+        self.seeded.get().ok_or(Unsettled)?;
         history.begin(stream, moment).map(Option::<&Version>::cloned)
     }
 
@@ -238,7 +261,7 @@
         log::info!(
             event = "stream_version", stream, service = &**service, version,
             source = source.label(),
-            endpoints_ms = self.view.roster.age().map(|a| a.as_millis() as u64);
+            endpoints_ms = self.held_age().map(|a| a.as_millis() as u64);
             "version of a stream that a caller takes up"
         );
         found
@@ -278,9 +301,7 @@
     fn is_divided(&self, service: &Name) -> bool {
         let mut histories = self.histories();
         let moment = self.moment(&mut histories);
-        let recent = |gap: Range<Mono>| gap.end + begun::RETENTION >= moment.now;
-        // Versions may have come and gone in a gap.
-        if self.view.roster.gap().is_some_and(recent) {
+        if self.has_gap(begun::RETENTION, moment.now) {
             return true;
         }
         let history = histories.get(service).filter(|_| self.seeded.get().is_some());
@@ -310,7 +331,8 @@
             .get(service)
             .is_some_and(|h| h.version(stream, begun::RETENTION, moment) != Ok(version));
         drop(histories);
-        if open || !self.is_current() {
+        // Others may still use a split that this instance has never seen.
+        if open || self.has_gap(2 * VALIDITY, moment.now) || !self.is_current() {
             let (service, version) = (service.clone(), version.clone());
             self.streams.tell(vec![Row { stream, service, version }]);
         }
--- a/crates/version/tests/outdated_knowledge.rs
+++ b/crates/version/tests/outdated_knowledge.rs
@@ -218,7 +218,7 @@
             let instance = &all[*i];
             match instance.history.begin(stream, instance.moment(now)) {
                 Ok(version) => {
-                    let version = version.cloned().unwrap_or_else(|| "v1".into());
+                    let version = version.cloned().expect("a split is known");
                     begun.push((now, stream, version));
                 }
                 Err(Unsettled) => refused += 1,
--- a/crates/version/tests/version_changes.rs
+++ b/crates/version/tests/version_changes.rs
@@ -58,8 +58,8 @@
     let (moved, unmoved) = (stream_of("v2"), stream_of("v1"));
     let mut history = History::default();
     history.record(&split(&["v1"]), START, START);
-    assert_eq!(history.begin(moved, at(START)), Ok(None));
     let (v1, v2): (Version, Version) = ("v1".into(), "v2".into());
+    assert_eq!(history.begin(moved, at(START)), Ok(Some(&v1)));
     assert_eq!(history.version(moved, WINDOW, at(START)), Ok(&v1));
     let came = START + Duration::from_secs(9);
     assert!(history.record(&split(&["v1", "v2"]), came, came));
