--- a/crates/version/src/history.rs
+++ b/crates/version/src/history.rs
@@ -5,7 +5,8 @@
 //! last confirmed; one that has not learned of the change by [`VALIDITY`] after it has nothing to go by, as
 //! its knowledge is older. Then each uses the new split, if it has been in contact to most others since:
 //! otherwise these may go by the former one in agreement, and it begins only streams for which both
-//! splits select the same version.
+//! splits select the same version. A split that some instances never see, as it comes and goes between
+//! their reads, is left to the instances that are told of streams ([`crate::homes`]).
 
 use {
     crate::{StreamId, split::Split},
@@ -27,11 +28,11 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Step {
     /// Latest time at which the former split was known to hold.
-    pub former: Mono,
+    pub former_held: Mono,
     /// When this instance first saw it.
-    pub seen: Mono,
+    pub seen_at: Mono,
     /// Time from which most instances can know it.
-    pub spread: Mono,
+    pub spread_at: Mono,
     /// The split.
     pub split: Split,
 }
@@ -39,7 +40,7 @@
 impl Step {
     /// Time until which the former split is used.
     fn former_end(&self) -> Mono {
-        (self.seen + VALIDITY).min(self.former + 2 * VALIDITY)
+        (self.seen_at + VALIDITY).min(self.former_held + 2 * VALIDITY)
     }
 }
 
@@ -55,7 +56,7 @@
 impl Moment {
     /// Whether instances may begin streams by `step`.
     fn is_in_force(&self, step: &Step) -> bool {
-        step.spread <= self.contact && step.spread + VALIDITY <= self.now
+        step.spread_at <= self.contact && step.spread_at + VALIDITY <= self.now
     }
 }
 
@@ -69,14 +70,14 @@
 
 impl History {
     /// Records the split of the endpoints that are listed at `now`; returns whether it is another one.
-    /// The former one was last known to hold at `former`. While there are none, the last split is kept.
-    pub fn record(&mut self, split: &Split, former: Mono, now: Mono) -> bool {
+    /// The former one was last known to hold at `former_held`. While there are none, the last split is kept.
+    pub fn record(&mut self, split: &Split, former_held: Mono, now: Mono) -> bool {
         if split.is_empty() || self.0.back().is_some_and(|last| last.split == *split) {
             return false;
         }
-        self.0.push_back(Step { former, seen: now, spread: now, split: split.clone() });
+        self.0.push_back(Step { former_held, seen_at: now, spread_at: now, split: split.clone() });
         let expired = |steps: &VecDeque<Step>| {
-            steps.len() > MAX_STEPS || steps.get(1).is_some_and(|s| s.spread + RETENTION < now)
+            steps.len() > MAX_STEPS || steps.get(1).is_some_and(|s| s.spread_at + RETENTION < now)
         };
         while expired(&self.0) {
             self.0.pop_front();
@@ -119,8 +120,8 @@
         let end = move |next: &Step, version: &Version| {
             // A version without endpoints begins no stream at an instance that knows this.
             let used = if next.split.versions().any(|v| v == version) { 2 } else { 1 };
-            let spread = if next.spread <= contact { next.spread } else { now };
-            spread + used * VALIDITY + window
+            let spread_at = if next.spread_at <= contact { next.spread_at } else { now };
+            spread_at + used * VALIDITY + window
         };
         let all = self.0.iter().zip(self.0.iter().skip(1));
         let all = all.flat_map(move |(step, next)| choose(&step.split).map(move |v| (v, next)));
@@ -156,8 +157,8 @@
     /// Counts the splits that were first seen since `contact` as known to others from `now` on only:
     /// most other instances were out of contact.
     pub fn postpone(&mut self, contact: Mono, now: Mono) {
-        for step in self.0.iter_mut().skip(1).filter(|s| s.spread > contact) {
-            step.spread = now;
+        for step in self.0.iter_mut().skip(1).filter(|s| s.spread_at > contact) {
+            step.spread_at = now;
         }
     }
 
@@ -165,10 +166,10 @@
     /// instances' clocks, so they may look later than the own ones.
     pub fn prepend(&mut self, steps: impl IntoIterator<Item = (Mono, Split)>) {
         let own = std::mem::take(&mut self.0);
-        let first = own.front().map(|s| s.seen);
+        let first = own.front().map(|s| s.seen_at);
         let earlier = steps.into_iter().map(|(at, split)| {
             let at = first.map_or(at, |f| at.min(f));
-            Step { former: at, seen: at, spread: at, split }
+            Step { former_held: at, seen_at: at, spread_at: at, split }
         });
         for step in earlier.chain(own) {
             if self.0.back().is_none_or(|last| last.split != step.split) {
--- a/crates/version/src/versions.rs
+++ b/crates/version/src/versions.rs
@@ -377,7 +377,7 @@
                 let dated = |at: Duration| wall.saturating_sub(now.saturating_sub(at));
                 history
                     .steps()
-                    .map(|Step { seen, split, .. }| (dated(*seen), split.clone()))
+                    .map(|Step { seen_at, split, .. }| (dated(*seen_at), split.clone()))
                     .collect()
             };
             Splits(histories.iter().map(|(service, h)| (service.clone(), of(h))).collect())
