Review: case 4, streams without a length are taken as whole when a draining worker exits

Ports of the stand-ins lie below the range of outgoing connections: one earlier run of another case could not start for want of its port.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,8 @@
 //! if it held, 2 if the case could not run.
 
 mod case2;
+mod case3;
+mod case4;
 mod http;
 mod json;
 mod machine;
@@ -15,6 +17,10 @@
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let (case, file) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
+    if case == "worker" {
+        let address = args.next().and_then(|a| a.parse().ok()).expect("an address");
+        case3::worker(&file, address);
+    }
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let Some(record) = Record::create(&file) else {
         eprintln!("cannot write {file}");
@@ -26,6 +32,8 @@
     }
     let held = match case.as_str() {
         "2" => case2::run(&record, &folder, trouble),
+        "3" => case3::run(&record, &folder, trouble),
+        "4" => case4::run(&record, &folder, trouble),
         _ => None,
     };
     if std::env::var_os("KEEP").is_none() {
--- a/review/standins/src/sys.rs
+++ b/review/standins/src/sys.rs
@@ -3,9 +3,13 @@
 use std::{
     net::{Shutdown, TcpListener, TcpStream, UdpSocket},
     os::fd::AsRawFd,
+    sync::atomic::{AtomicU32, Ordering::SeqCst},
 };
 
 pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+pub const SIGSTOP: i32 = 19;
+pub const SIGCONT: i32 = 18;
 
 #[repr(C)]
 struct Linger {
@@ -31,12 +35,15 @@
     let _ = io.shutdown(Shutdown::Read);
 }
 
-/// A free port of 127.0.0.1, for TCP and UDP.
+/// A free port of 127.0.0.1, for TCP and UDP. It is below those that the system gives to connections, so
+/// that none of these takes it before it is used.
 pub fn free_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(41) % 12_000;
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let port = tcp.local_addr().expect("an address").port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        let port = 20_000 + ((first + NEXT.fetch_add(1, SeqCst)) % 12_000) as u16;
+        let free = TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if free && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
             return port;
         }
     }
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -33,7 +33,16 @@
         name: &str,
         handler: impl Fn(&Request, &TcpStream) -> bool + Send + Sync + 'static,
     ) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Self::start_at(name, SocketAddr::from(([127, 0, 0, 1], 0)), handler)
+    }
+
+    /// Starts a worker at an address.
+    pub fn start_at(
+        name: &str,
+        address: SocketAddr,
+        handler: impl Fn(&Request, &TcpStream) -> bool + Send + Sync + 'static,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind(address).expect("a free port");
         let worker = Arc::new(Self {
             name: name.into(),
             address: listener.local_addr().expect("an address"),
