--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -114,13 +114,26 @@
     io.set_read_timeout(Some(limit)).ok()?;
     (&io).write_all(request.as_bytes()).ok()?;
     (&io).write_all(body).ok()?;
-    let mut io = BufReader::new(io);
+    let mut out = read_response_until(&mut BufReader::new(io), end)?;
+    out.framing = match (out.header("transfer-encoding"), out.header("content-length")) {
+        ("", "") => "close",
+        ("", _) => "length",
+        _ => "chunks",
+    };
+    Some(out)
+}
+
+/// Reads a response; `None` if there is no head.
+pub fn read_response(io: &mut impl BufRead) -> Option<Response> {
+    read_response_until(io, Instant::now() + Duration::from_secs(3_600))
+}
+
+fn read_response_until(mut io: &mut impl BufRead, end: Instant) -> Option<Response> {
     let first = line(&mut io).ok()?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
     let headers = headers(&mut io).ok()?;
     let mut out = Response { status, headers, body: Vec::new(), end: End::Complete, framing: "close" };
     if out.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
-        out.framing = "chunks";
         loop {
             match chunk(&mut io) {
                 Ok(part) if part.is_empty() => return Some(out),
@@ -133,8 +146,7 @@
         }
     }
     if let Ok(length) = out.header("content-length").parse::<u64>() {
-        out.framing = "length";
-        let read = io.take(length).read_to_end(&mut out.body);
+        let read = io.by_ref().take(length).read_to_end(&mut out.body);
         if read.is_err() || (out.body.len() as u64) < length {
             out.end = End::Broken;
         }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod case2;
 mod case3;
 mod case4;
+mod case5;
 mod http;
 mod json;
 mod machine;
@@ -34,6 +35,7 @@
         "2" => case2::run(&record, &folder, trouble),
         "3" => case3::run(&record, &folder, trouble),
         "4" => case4::run(&record, &folder, trouble),
+        "5" => case5::run(&record, &folder, trouble),
         _ => None,
     };
     if std::env::var_os("KEEP").is_none() {
