--- a/review/standins/src/case2.rs
+++ b/review/standins/src/case2.rs
@@ -129,7 +129,10 @@
             }
             Some(r) => {
                 let after = r.header("retry-after").parse().unwrap_or(0.6);
-                record.line(format!("client {n}: {id} at {} got {}, again in {after} s", machine.name, r.status));
+                record.line(format!(
+                    "client {n}: {id} at {} got {}, again in {after} s",
+                    machine.name, r.status
+                ));
                 if r.status != 503 && r.status != 429 {
                     break;
                 }
@@ -152,7 +155,8 @@
         let version = if n < 6 { "v1" } else { "v2" };
         let (name, log) = (format!("i-worker{n}"), record.clone());
         let own = name.clone();
-        workers.push(Worker::start(&name, move |request, io| serve(&log, &own, version, request, io)));
+        workers
+            .push(Worker::start(&name, move |request, io| serve(&log, &own, version, request, io)));
     }
     let entry = |n: usize, born: u64| {
         let version = if n < 5 { "v1" } else { "v2" };
@@ -163,7 +167,11 @@
     };
     store.lock().put("op/config", CONFIG.as_bytes(), 0);
     for (n, worker) in workers.iter().enumerate() {
-        store.lock().put(&format!("servers/{}", worker.name), entry(n, 1_790_000_000_000).as_bytes(), 0);
+        store.lock().put(
+            &format!("servers/{}", worker.name),
+            entry(n, 1_790_000_000_000).as_bytes(),
+            0,
+        );
     }
     let machines: Vec<Machine> = ["front-a-1", "front-a-2", "front-a-3"]
         .iter()
@@ -183,7 +191,9 @@
             while begun.elapsed() < Duration::from_millis(11_000) {
                 thread::sleep(Duration::from_millis(1_000 / RATE));
                 // New clients find no machine while all are down; those of before count here.
-                if begun.elapsed() > Duration::from_millis(6_400) && begun.elapsed() < Duration::from_millis(8_500) {
+                if begun.elapsed() > Duration::from_millis(6_400)
+                    && begun.elapsed() < Duration::from_millis(8_500)
+                {
                     continue;
                 }
                 let n = next.fetch_add(1, SeqCst);
@@ -193,7 +203,11 @@
                 });
             }
         });
-        let at = |ms| thread::sleep((begun + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
+        let at = |ms| {
+            thread::sleep(
+                (begun + Duration::from_millis(ms)).saturating_duration_since(Instant::now()),
+            )
+        };
         let only_v2: &Arc<Worker> = &workers[5];
         at(4_000);
         if crash {
@@ -220,10 +234,16 @@
     let streams = streams.into_inner().expect("not poisoned");
     let mixed: Vec<_> = streams.iter().filter(|(_, s)| s.versions().len() > 1).collect();
     let whole = streams.iter().filter(|(_, s)| s.whole).count();
-    let taken_up = streams.iter().filter(|(_, s)| s.whole && s.events.len() as u32 >= EVENTS).count();
+    let taken_up =
+        streams.iter().filter(|(_, s)| s.whole && s.events.len() as u32 >= EVENTS).count();
     for (n, stream) in &mixed {
-        let change = stream.events.windows(2).position(|w| w[0].split(' ').next() != w[1].split(' ').next());
-        record.say(format!("client {n} holds events of {:?}; the version changes after event {}", stream.versions(), change.map_or(0, |c| c + 1)));
+        let change =
+            stream.events.windows(2).position(|w| w[0].split(' ').next() != w[1].split(' ').next());
+        record.say(format!(
+            "client {n} holds events of {:?}; the version changes after event {}",
+            stream.versions(),
+            change.map_or(0, |c| c + 1)
+        ));
     }
     record.say(format!(
         "{} streams, {whole} whole ({taken_up} with all events); {} hold events of two versions (the rule allows 2)",
--- a/review/standins/src/case3.rs
+++ b/review/standins/src/case3.rs
@@ -82,7 +82,9 @@
         sent = sent
             && match unframed(id) {
                 true => out.write_all(text.as_bytes()).is_ok(),
-                false => out.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_ok(),
+                false => {
+                    out.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_ok()
+                }
             };
         if !sent {
             return false;
@@ -224,7 +226,11 @@
                 });
             }
         }
-        let at = |ms: u64| thread::sleep((begun + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
+        let at = |ms: u64| {
+            thread::sleep(
+                (begun + Duration::from_millis(ms)).saturating_duration_since(Instant::now()),
+            )
+        };
         let mut next_worker = workers.iter().cycle();
         // A machine stands still for 5 s; a worker crashes 1 s and 4 s after it has begun to.
         for (round, frozen) in [(0, 3), (1, 2), (2, 1)] {
--- a/review/standins/src/case4.rs
+++ b/review/standins/src/case4.rs
@@ -68,7 +68,9 @@
             }
         }
         let at = |ms: u64| {
-            thread::sleep((begun + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
+            thread::sleep(
+                (begun + Duration::from_millis(ms)).saturating_duration_since(Instant::now()),
+            );
         };
         // Of six workers three are replaced, a `release` with share 0.45.
         for n in 0..3 {
--- a/review/standins/src/case5.rs
+++ b/review/standins/src/case5.rs
@@ -9,13 +9,7 @@
         record::Record,
         worker::{Worker, answer},
     },
-    std::{
-        io::Write,
-        net::TcpStream,
-        path::Path,
-        thread,
-        time::Duration,
-    },
+    std::{io::Write, net::TcpStream, path::Path, thread, time::Duration},
 };
 
 const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
@@ -69,10 +63,15 @@
     let _ = (&io).write_all(text(&second, path, model).as_bytes());
     let due = if model == "m" { (200, EVENTS) } else { (404, NO_MODEL) };
     let got = http::read_response(&mut reader);
-    let shown = got.as_ref().map(|r| (r.status, r.end, String::from_utf8_lossy(&r.body).into_owned()));
-    record.line(format!("client of {}: {second} on {path}, model {model}: {shown:?}", machine.name));
+    let shown =
+        got.as_ref().map(|r| (r.status, r.end, String::from_utf8_lossy(&r.body).into_owned()));
+    record
+        .line(format!("client of {}: {second} on {path}, model {model}: {shown:?}", machine.name));
     match got {
-        Some(r) if r.end == End::Complete && (r.status, r.body.as_slice()) == (due.0, due.1.as_bytes()) => {
+        Some(r)
+            if r.end == End::Complete
+                && (r.status, r.body.as_slice()) == (due.0, due.1.as_bytes()) =>
+        {
             "answered as the worker did"
         }
         Some(r) if r.end == End::Complete && [429, 503].contains(&r.status) => "refused",
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -132,7 +132,8 @@
     let first = line(&mut io).ok()?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
     let headers = headers(&mut io).ok()?;
-    let mut out = Response { status, headers, body: Vec::new(), end: End::Complete, framing: "close" };
+    let mut out =
+        Response { status, headers, body: Vec::new(), end: End::Complete, framing: "close" };
     if out.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
         loop {
             match chunk(&mut io) {
--- a/review/standins/src/machine.rs
+++ b/review/standins/src/machine.rs
@@ -25,7 +25,13 @@
 
 impl Machine {
     /// Writes its settings, as the template of the deploy file makes them.
-    pub fn new(name: &str, zone: &str, folder: &Path, store: SocketAddr, cloud: SocketAddr) -> Self {
+    pub fn new(
+        name: &str,
+        zone: &str,
+        folder: &Path,
+        store: SocketAddr,
+        cloud: SocketAddr,
+    ) -> Self {
         let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
         let (listen, monitor, peers) =
             (at(sys::free_port()), at(sys::free_port()), at(sys::free_port()));
@@ -94,7 +100,6 @@
         http::call(self.monitor, request, b"", Duration::from_secs(1))
             .is_some_and(|r| r.status == 200)
     }
-
 }
 
 impl Drop for Machine {
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -38,8 +38,12 @@
             self.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(l, _)| *l).collect();
         for lease in ended {
             self.leases.remove(&lease);
-            let keys: Vec<String> =
-                self.items.iter().filter(|(_, i)| i.lease == lease).map(|(k, _)| k.clone()).collect();
+            let keys: Vec<String> = self
+                .items
+                .iter()
+                .filter(|(_, i)| i.lease == lease)
+                .map(|(k, _)| k.clone())
+                .collect();
             for key in keys {
                 self.remove(&key);
             }
@@ -108,7 +112,8 @@
         state.expire();
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         let field = |name: &str| {
-            let found = query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name);
+            let found =
+                query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name);
             found.map(|(_, v)| unescape(v)).unwrap_or_default()
         };
         let body = json::parse(&request.body).unwrap_or(Json::Null);
@@ -117,7 +122,10 @@
             let value = to_base64(&item.value);
             format!(
                 "{{\"key\":{},\"value\":\"{value}\",\"revision\":{},\"created\":{},\"lease\":{},\"at\":{at}}}",
-                quote(key), item.revision, item.created, item.lease
+                quote(key),
+                item.revision,
+                item.created,
+                item.lease
             )
         };
         match (request.method.as_str(), path) {
@@ -133,7 +141,10 @@
                 let found = state.items.iter();
                 let found = found.filter(|(k, _)| k.starts_with(&prefix) && **k > after);
                 let items: Vec<String> = found.map(|(k, i)| show(k, i)).collect();
-                (200, format!("{{\"items\":[{}],\"truncated\":false,\"at\":{at}}}", items.join(",")))
+                (
+                    200,
+                    format!("{{\"items\":[{}],\"truncated\":false,\"at\":{at}}}", items.join(",")),
+                )
             }
             ("POST", "/-/kv-txn") => transaction(&mut state, &body, show),
             ("POST", "/-/kv-lease") => {
@@ -193,7 +204,11 @@
     }
     let mut revision = state.revision;
     for write in writes {
-        revision = state.put(&write.text("key"), &from_base64(&write.text("value")), write.number("lease"));
+        revision = state.put(
+            &write.text("key"),
+            &from_base64(&write.text("value")),
+            write.number("lease"),
+        );
     }
     for key in body.list("remove") {
         if let Json::Text(key) = key {
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -105,7 +105,6 @@
         }
     }
 
-
     /// Listens again at the same address.
     pub fn restart(self: &Arc<Self>) {
         let listener = loop {
