--- a/review/standins/src/case2.rs
+++ b/review/standins/src/case2.rs
@@ -178,7 +178,9 @@
         .map(|name| Machine::new(name, "harju-a", folder, address, cloud))
         .collect();
     machines.iter().for_each(Machine::start);
-    wait_ready(&machines, Duration::from_secs(20));
+    if !wait_ready(&machines, Duration::from_secs(20)) {
+        return None;
+    }
     thread::sleep(Duration::from_secs(6));
     record.say("the machines are ready; traffic begins");
 
--- a/review/standins/src/case3.rs
+++ b/review/standins/src/case3.rs
@@ -13,7 +13,7 @@
     },
     std::{
         collections::BTreeMap,
-        io::{BufRead, BufReader, Write},
+        io::{BufRead, BufReader, Read, Write},
         net::{SocketAddr, TcpStream},
         path::Path,
         process::{Child, Command, Stdio},
@@ -55,9 +55,9 @@
 pub fn worker(name: &str, address: SocketAddr) {
     let own = name.to_owned();
     let _worker = Worker::start_at(name, address, move |request, io| serve(&own, request, io));
-    loop {
-        thread::park();
-    }
+    // The case holds the other end, so that no worker outlives it.
+    let _ = std::io::stdin().read_to_end(&mut Vec::new());
+    std::process::exit(0);
 }
 
 fn serve(worker: &str, request: &Request, io: &TcpStream) -> bool {
@@ -110,7 +110,7 @@
         let program = std::env::current_exe().expect("this program has a path");
         let child = Command::new(program)
             .args(["worker", &self.name, &self.address.to_string()])
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn();
         let mut child = child.expect("this program can be started");
@@ -206,7 +206,9 @@
     let machines: Vec<Machine> =
         names.iter().map(|name| Machine::new(name, "harju-a", folder, address, cloud)).collect();
     machines.iter().for_each(Machine::start);
-    wait_ready(&machines, Duration::from_secs(20));
+    if !wait_ready(&machines, Duration::from_secs(20)) {
+        return None;
+    }
     thread::sleep(Duration::from_secs(5));
     record.say("the machines are ready; traffic begins");
 
--- a/review/standins/src/case4.rs
+++ b/review/standins/src/case4.rs
@@ -47,7 +47,9 @@
     let machines: Vec<Machine> =
         names.iter().map(|name| Machine::new(name, "harju-a", folder, address, cloud)).collect();
     machines.iter().for_each(Machine::start);
-    wait_ready(&machines, Duration::from_secs(20));
+    if !wait_ready(&machines, Duration::from_secs(20)) {
+        return None;
+    }
     thread::sleep(Duration::from_secs(5));
     record.say("the machines are ready; traffic begins");
 
--- a/review/standins/src/machine.rs
+++ b/review/standins/src/machine.rs
@@ -70,7 +70,6 @@
             Ok(child) => *self.child.lock().expect("not poisoned") = Some(child),
             Err(e) => {
                 eprintln!("target/release/agatetrack: {e}");
-                std::process::exit(2);
             }
         }
     }
@@ -108,15 +107,15 @@
     }
 }
 
-/// Waits until all machines are ready; ends the program with 2 if that takes too long.
-pub fn wait_ready(machines: &[Machine], limit: Duration) {
+/// Waits until all machines are ready; returns whether they are within `limit`.
+pub fn wait_ready(machines: &[Machine], limit: Duration) -> bool {
     let end = Instant::now() + limit;
     while !machines.iter().all(Machine::is_ready) {
         if Instant::now() > end {
             eprintln!("the machines are not ready");
-            machines.iter().for_each(Machine::kill);
-            std::process::exit(2);
+            return false;
         }
         thread::sleep(Duration::from_millis(50));
     }
+    true
 }
