Tell how an endpoint ended a relayed connection

Cause: the instance that forwards a connection copied bytes both ways and closed both sides in the ordinary way, whatever ended them: a reset by the endpoint, its own stop, its kill. A response without a length or chunks ends with its connection, so the asking instance took the end for the endpoint's.

Change: the forwarding instance sends the endpoint's bytes in frames, and an empty frame once the endpoint has closed its side. A connection that ends without that mark fails, as does one that was reset. Earlier builds cannot decode a request for frames and close the connection; they are asked again as before, and a response that ends with such a connection is not taken for complete. What they request from this build is reset unless the endpoint closed it, by a linger time that is set from the start, so that it holds when the process is killed.

Why it works: only the endpoint's own close leads to the mark, so whatever else ends the connection is heard as the absence of a mark.

--- a/crates/path/src/handshake.rs
+++ b/crates/path/src/handshake.rs
@@ -2,12 +2,13 @@
 //!
 //! The relay sends a random challenge. The other instance answers with a sealed request that holds
 //! the challenge, so that nobody can use a recorded one, and the relay with a sealed reply. If that
-//! says that the connection is open, all further bytes belong to it. A request or reply is preceded
-//! by its length in two bytes.
+//! says that the connection is open, all further bytes belong to it: those of the endpoint in frames
+//! ([`crate::frames`]), unless the request is one of an earlier build. A request or reply is preceded by
+//! its length in two bytes.
 
 use {
     agate_wire::{Context, Keys, OVERHEAD, Reject, SealError, Tag, open, seal, tag_of},
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde::{Deserialize, Serialize},
     std::{io, net::SocketAddr},
     tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
 };
@@ -18,14 +19,30 @@
 /// Random bytes that a request has to hold.
 pub type Challenge = [u8; 16];
 
-/// Request for a connection.
+/// How a relay sends the bytes of the endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Transfer {
+    /// As they are, as earlier builds do. The end of the connection shows nothing about the endpoint.
+    Plain,
+    /// In frames, with a mark at the end.
+    Framed,
+}
+
+/// Request for a connection, as earlier builds send it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Request {
+struct PlainRequest {
     challenge: Challenge,
     /// Name of the endpoint.
     endpoint: String,
 }
 
+/// Request for a connection; earlier builds reject it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Request {
+    plain: PlainRequest,
+    transfer: Transfer,
+}
+
 /// Reply of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
@@ -61,8 +78,8 @@
 /// Result of a step of the handshake.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Reads the challenge of the relay at `relay` and requests a connection to `endpoint`; returns the
-/// reply.
+/// Reads the challenge of the relay at `relay` and requests a connection to `endpoint`, whose bytes come
+/// as `transfer` says; returns the reply.
 ///
 /// # Errors
 ///
@@ -72,19 +89,34 @@
     keys: &Keys,
     relay: SocketAddr,
     endpoint: &str,
+    transfer: Transfer,
 ) -> Result<Reply> {
     let mut challenge = Challenge::default();
     io.read_exact(&mut challenge).await?;
-    let request = Request { challenge, endpoint: endpoint.to_owned() };
-    let sealed = seal(keys, &request, Context::Request(relay))?;
+    let plain = PlainRequest { challenge, endpoint: endpoint.to_owned() };
+    let context = Context::Request(relay);
+    let sealed = match transfer {
+        Transfer::Plain => seal(keys, &plain, context)?,
+        Transfer::Framed => seal(keys, &Request { plain, transfer }, context)?,
+    };
     let tag = tag_of(&sealed).ok_or(Error::Rejected(Reject::Short))?;
     write(io, &sealed).await?;
-    let (reply, _) = read(io, keys, Context::Response(tag)).await?;
-    Ok(reply)
+    let sealed = read(io).await?;
+    open(keys, &sealed, Context::Response(tag)).map_err(Error::Rejected)
+}
+
+/// A request that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accepted {
+    /// Name of the endpoint.
+    pub endpoint: String,
+    /// How its bytes are sent.
+    pub transfer: Transfer,
+    /// What the reply has to refer to.
+    pub tag: Tag,
 }
 
-/// Sends a challenge as the relay at `own` and reads the request; returns the name of the endpoint
-/// and what the reply has to refer to.
+/// Sends a challenge as the relay at `own` and reads the request.
 ///
 /// # Errors
 ///
@@ -93,14 +125,23 @@
     io: &mut (impl AsyncRead + AsyncWrite + Unpin),
     keys: &Keys,
     own: SocketAddr,
-) -> Result<(String, Tag)> {
+) -> Result<Accepted> {
     let challenge: Challenge = rand::random();
     io.write_all(&challenge).await?;
-    let (request, tag) = read::<Request>(io, keys, Context::Request(own)).await?;
-    if request.challenge != challenge {
+    let sealed = read(io).await?;
+    let context = Context::Request(own);
+    let Request { plain, transfer } = match open(keys, &sealed, context) {
+        Err(Reject::Malformed) => {
+            let plain = open(keys, &sealed, context).map_err(Error::Rejected)?;
+            Request { plain, transfer: Transfer::Plain }
+        }
+        opened => opened.map_err(Error::Rejected)?,
+    };
+    if plain.challenge != challenge {
         return Err(Error::Challenge);
     }
-    Ok((request.endpoint, tag))
+    let tag = tag_of(&sealed).ok_or(Error::Rejected(Reject::Short))?;
+    Ok(Accepted { endpoint: plain.endpoint, transfer, tag })
 }
 
 /// Sends the reply to the request with `tag`.
@@ -125,18 +166,12 @@
     Ok(())
 }
 
-async fn read<T: DeserializeOwned>(
-    io: &mut (impl AsyncRead + Unpin),
-    keys: &Keys,
-    context: Context,
-) -> Result<(T, Tag)> {
+async fn read(io: &mut (impl AsyncRead + Unpin)) -> Result<Vec<u8>> {
     let length = usize::from(io.read_u16().await?);
     if length > MAX_LENGTH {
         return Err(Error::Rejected(Reject::Large));
     }
     let mut sealed = vec![0; length];
     io.read_exact(&mut sealed).await?;
-    let message = open(keys, &sealed, context).map_err(Error::Rejected)?;
-    let tag = tag_of(&sealed).ok_or(Error::Rejected(Reject::Short))?;
-    Ok((message, tag))
+    Ok(sealed)
 }
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -10,12 +10,14 @@
 //! - [`paths`]: opens and checks connections to endpoints.
 //! - [`relay`]: opens connections for other instances and forwards their bytes.
 //! - [`handshake`]: messages with which a relayed connection begins.
+//! - [`frames`]: bytes of an endpoint on a relayed connection, with a mark at their end.
 //!
 //! Invariants: a relayed connection ends at an endpoint of the relay's own list, so there are no
 //! loops; a path counts as broken only if another instance can open a connection that this one
-//! cannot.
+//! cannot; the end of a relayed connection counts as the endpoint's only if the relay marked it.
 
 pub mod decision;
+pub mod frames;
 pub mod handshake;
 pub mod metrics;
 pub mod paths;
--- a/crates/path/src/paths.rs
+++ b/crates/path/src/paths.rs
@@ -6,11 +6,12 @@
         decision::{
             Avoided, Change, DIRECT_GRACE, DIRECT_HEAD_START, Observation, PathState, choose_relay,
         },
-        handshake::{self, Reply},
+        frames,
+        handshake::{self, Reply, Transfer},
         metrics::Metrics,
         relay::OPEN_TIMEOUT,
     },
-    agate_transport::link::{self, Connection},
+    agate_transport::link::{self, Connection, Way},
     agate_view::{clock, peers::Peer, table::Name},
     agate_wire::Keys,
     futures_util::FutureExt,
@@ -122,17 +123,46 @@
     pub connection: Option<Connection>,
 }
 
+/// Connection through another instance.
+struct Relayed {
+    io: TcpStream,
+    transfer: Transfer,
+}
+
+impl Relayed {
+    async fn wrap(self) -> io::Result<Connection> {
+        link::configure(&self.io)?;
+        match self.transfer {
+            Transfer::Plain => link::wrap(self.io, Way::Spliced).await,
+            Transfer::Framed => link::wrap(frames::read_framed(self.io), Way::Relayed).await,
+        }
+    }
+}
+
 /// How a connection was opened, or why not.
 enum Opened {
     Direct(TcpStream),
-    Relayed(TcpStream),
+    Relayed(Relayed),
     Failed(io::Error),
 }
 
+impl Opened {
+    async fn wrap(self) -> io::Result<Connection> {
+        match self {
+            Self::Direct(io) => {
+                link::configure(&io)?;
+                link::wrap(io, Way::Direct).await
+            }
+            Self::Relayed(relayed) => relayed.wrap().await,
+            Self::Failed(e) => Err(e),
+        }
+    }
+}
+
 /// Result of a direct connection that failed with `error`, and of asking another instance.
-fn settle(error: io::Error, relayed: Result<TcpStream, Option<Reply>>) -> Opened {
+fn settle(error: io::Error, relayed: Result<Relayed, Option<Reply>>) -> Opened {
     match relayed {
-        Ok(io) => Opened::Relayed(io),
+        Ok(relayed) => Opened::Relayed(relayed),
         Err(Some(Reply::Refused)) => Opened::Failed(ErrorKind::ConnectionRefused.into()),
         Err(_) => Opened::Failed(error),
     }
@@ -152,14 +182,10 @@
             true => self.open_broken().await,
             false => self.open_either().await,
         };
-        match opened {
-            Opened::Direct(io) => link::wrap(io, false).await,
-            Opened::Relayed(io) => {
-                self.lock_state().suspect();
-                link::wrap(io, true).await
-            }
-            Opened::Failed(e) => Err(e),
+        if matches!(opened, Opened::Relayed(_)) {
+            self.lock_state().suspect();
         }
+        opened.wrap().await
     }
 
     /// Address of the endpoint, unless direct connections to it cannot be opened.
@@ -176,21 +202,17 @@
     /// Checks whether a direct connection can be opened, or only one through another instance.
     pub async fn check(&self) -> Checked {
         let (seen, opened) = match self.open_either().await {
-            Opened::Direct(io) => (Observation::Direct, Some((io, false))),
-            Opened::Relayed(io) => {
+            Opened::Relayed(relayed) => {
                 match timeout(DIRECT_GRACE, (self.shared.dial)(self.address)).await {
-                    Ok(Ok(direct)) => (Observation::Direct, Some((direct, false))),
-                    Ok(Err(_)) | Err(_) => (Observation::OnlyRelayed, Some((io, true))),
+                    Ok(Ok(direct)) => (Observation::Direct, Opened::Direct(direct)),
+                    Ok(Err(_)) | Err(_) => (Observation::OnlyRelayed, Opened::Relayed(relayed)),
                 }
             }
-            Opened::Failed(_) => (Observation::Neither, None),
+            Opened::Direct(io) => (Observation::Direct, Opened::Direct(io)),
+            failed @ Opened::Failed(_) => (Observation::Neither, failed),
         };
         let change = self.observe(seen);
-        let connection = match opened {
-            Some((io, relayed)) => link::wrap(io, relayed).await.ok(),
-            None => None,
-        };
-        Checked { change, connection }
+        Checked { change, connection: opened.wrap().await.ok() }
     }
 
     fn observe(&self, seen: Observation) -> Option<Change> {
@@ -246,7 +268,7 @@
     }
 
     /// Opens a connection through another instance; the error is its last reply, if any.
-    async fn open_relayed(&self) -> Result<TcpStream, Option<Reply>> {
+    async fn open_relayed(&self) -> Result<Relayed, Option<Reply>> {
         let Some(keys) = (self.shared.keys)() else { return Err(None) };
         let peers = (self.shared.peers)();
         let mut tried: Option<&Peer> = None;
@@ -258,8 +280,7 @@
                 choose_relay(&peers, &self.shared.own, tried, &avoided, draw, now)
             };
             let Some(relay) = relay else { break };
-            let request = request(relay, &keys, &self.name, &*self.shared.dial);
-            let result = timeout(RELAY_TIMEOUT, request).await;
+            let result = timeout(RELAY_TIMEOUT, self.request(relay, &keys)).await;
             let outcome = match &result {
                 Ok(Ok((_, Reply::Opened))) => "opened",
                 Ok(Ok((_, Reply::Refused))) => "refused",
@@ -268,7 +289,7 @@
             };
             self.shared.metrics.requested.with_label_values(&[outcome]).inc();
             match result {
-                Ok(Ok((io, Reply::Opened))) => return Ok(io),
+                Ok(Ok((relayed, Reply::Opened))) => return Ok(relayed),
                 Ok(Ok((_, reply @ (Reply::Refused | Reply::Unknown)))) => {
                     // The relay may be cut off itself without knowing it yet.
                     (last, tried) = (Some(reply), Some(relay));
@@ -284,6 +305,30 @@
         Err(last)
     }
 
+    /// Requests a connection from another instance, first in frames, then as earlier builds do.
+    async fn request(&self, relay: &Peer, keys: &Keys) -> handshake::Result<(Relayed, Reply)> {
+        match self.request_as(Transfer::Framed, relay, keys).await {
+            // An earlier build closes the connection in place of a reply.
+            Err(handshake::Error::Io(e)) if e.kind() == ErrorKind::UnexpectedEof => {
+                self.request_as(Transfer::Plain, relay, keys).await
+            }
+            result => result,
+        }
+    }
+
+    async fn request_as(
+        &self,
+        transfer: Transfer,
+        relay: &Peer,
+        keys: &Keys,
+    ) -> handshake::Result<(Relayed, Reply)> {
+        let mut io = (self.shared.dial)(relay.address).await?;
+        io.set_nodelay(true)?;
+        let (address, endpoint) = (relay.address, &*self.name);
+        let reply = handshake::request(&mut io, keys, address, endpoint, transfer).await?;
+        Ok((Relayed { io, transfer }, reply))
+    }
+
     fn lock_state(&self) -> MutexGuard<'_, PathState> {
         self.state.lock().expect("lock of a path is not poisoned")
     }
@@ -294,16 +339,3 @@
         self.avoided.lock().expect("lock of the avoided relays is not poisoned")
     }
 }
-
-/// Requests a connection to `endpoint` from another instance.
-async fn request(
-    relay: &Peer,
-    keys: &Keys,
-    endpoint: &str,
-    dial: &DialFn,
-) -> handshake::Result<(TcpStream, Reply)> {
-    let mut io = dial(relay.address).await?;
-    io.set_nodelay(true)?;
-    let reply = handshake::request(&mut io, keys, relay.address, endpoint).await?;
-    Ok((io, reply))
-}
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -2,18 +2,20 @@
 
 use {
     crate::{
-        DialFn, KeysFn, Path,
-        handshake::{self, Reply},
+        DialFn, KeysFn, Path, frames,
+        handshake::{self, Accepted, Reply, Transfer},
         metrics::Metrics,
     },
     agate_transport::link,
+    socket2::SockRef,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
-        io::copy_bidirectional,
+        io::{AsyncWriteExt, copy, copy_bidirectional},
         net::{TcpListener, TcpStream},
-        sync::Semaphore,
+        sync::{Semaphore, SemaphorePermit},
         task::JoinHandle,
         time::{sleep, timeout},
+        try_join,
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -144,7 +146,7 @@
     let begun = timeout(REQUEST_TIMEOUT, shared.begin(&mut io)).await;
     let begun = begun.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()));
     drop(handshake);
-    let (mut far, _permit) = match begun {
+    let Opened { mut far, transfer, _permit } = match begun {
         Ok(Some(opened)) => opened,
         Ok(None) => return,
         Err(e) => {
@@ -153,21 +155,44 @@
         }
     };
     shared.metrics.forwarding.inc();
-    if let Err(e) = copy_bidirectional(&mut io, &mut far).await {
+    if let Err(e) = forward(&mut io, &mut far, transfer).await {
         log::trace!("connection forwarded for {peer} ended: {e}");
     }
     shared.metrics.forwarding.dec();
 }
 
+/// Forwards bytes in both directions until both sides have ended, or one has failed.
+async fn forward(io: &mut TcpStream, far: &mut TcpStream, transfer: Transfer) -> io::Result<()> {
+    if transfer == Transfer::Plain {
+        // An instance of an earlier build takes an ordinary end for the endpoint's. Until there is one,
+        // whatever ends this task or process resets the connection.
+        SockRef::from(&*io).set_linger(Some(Duration::ZERO))?;
+        copy_bidirectional(io, far).await?;
+        return SockRef::from(&*io).set_linger(None);
+    }
+    let (mut io_reader, mut io_writer) = io.split();
+    let (mut far_reader, mut far_writer) = far.split();
+    let request = async {
+        copy(&mut io_reader, &mut far_writer).await?;
+        far_writer.shutdown().await
+    };
+    try_join!(request, frames::copy_framed(&mut far_reader, &mut io_writer))?;
+    Ok(())
+}
+
+/// Connection to an endpoint that another instance has requested.
+struct Opened<'a> {
+    far: TcpStream,
+    transfer: Transfer,
+    _permit: SemaphorePermit<'a>,
+}
+
 impl Shared {
     /// Carries out the handshake; returns the connection to the endpoint if it is open.
-    async fn begin(
-        &self,
-        io: &mut TcpStream,
-    ) -> handshake::Result<Option<(TcpStream, tokio::sync::SemaphorePermit<'_>)>> {
+    async fn begin(&self, io: &mut TcpStream) -> handshake::Result<Option<Opened<'_>>> {
         let Some(keys) = (self.keys)() else { return Ok(None) };
         link::configure(io)?;
-        let (endpoint, tag) = handshake::accept(io, &keys, self.own).await?;
+        let Accepted { endpoint, transfer, tag } = handshake::accept(io, &keys, self.own).await?;
         let permit = self.connections.try_acquire();
         let opened = match (&permit, (self.find)(&endpoint)) {
             (Err(_), _) => Err((Reply::Busy, "busy")),
@@ -180,7 +205,8 @@
         let (reply, outcome) = opened.as_ref().map_or_else(|e| *e, |_| (Reply::Opened, "opened"));
         self.metrics.relayed.with_label_values(&[outcome]).inc();
         handshake::reply(io, &keys, tag, reply).await?;
-        Ok(opened.ok().zip(permit.ok()))
+        let opened = opened.ok().zip(permit.ok());
+        Ok(opened.map(|(far, _permit)| Opened { far, transfer, _permit }))
     }
 
     async fn open(&self, address: SocketAddr) -> Result<TcpStream, (Reply, &'static str)> {
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -17,7 +17,7 @@
     },
     agate_route::ranking::{mix, name_hash},
     agate_transport::{
-        exchange::{Failure, Step},
+        exchange::{Ending, Failure, Step},
         proof::Grant,
     },
     agate_view::Entry,
@@ -206,10 +206,14 @@
         }
     }
 
-    /// Ends the call, which was sent `since` ago, with a response that ended with its connection.
-    /// Probes whether the endpoint crashed, which ends a response in the same way; returns whether the
-    /// response is complete.
-    pub async fn on_unframed_response(self, since: Duration) -> bool {
+    /// Ends the call, which was sent `since` ago, with a response without a length or chunks. Probes whether
+    /// the endpoint crashed, which ends a response in the same way; returns whether the response is
+    /// complete.
+    pub async fn on_unframed_response(self, ending: Ending, since: Duration) -> bool {
+        if ending == Ending::Unknown {
+            self.on_lost(false).await;
+            return false;
+        }
         // The endpoint may stop after its last response if it is leaving.
         if self.state.is_leaving(&self.endpoint) {
             self.on_error_response();
--- a/crates/relay/src/path_watch.rs
+++ b/crates/relay/src/path_watch.rs
@@ -3,6 +3,7 @@
 use {
     crate::{endpoint::Endpoint, proxy_state::ProxyState},
     agate_path::decision::{Change, MAX_SILENCE},
+    agate_transport::link::Way,
     std::{
         sync::{Arc, atomic::Ordering::Relaxed},
         time::{Duration, Instant},
@@ -45,7 +46,7 @@
     let begun = Instant::now();
     let checked = endpoint.path.check().await;
     let Some(connection) = checked.connection else { return };
-    if connection.relayed && (silent || checked.change == Some(Change::Broken)) {
+    if connection.way != Way::Direct && (silent || checked.change == Some(Change::Broken)) {
         let closed = endpoint.pool.cut(begun);
         log::info!(
             event = "connections_cut", endpoint = &*endpoint.entry.name, closed,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -22,7 +22,7 @@
     agate_quarantine::{Trial, Work},
     agate_route::{health::ExchangeResult, signals::Withheld},
     agate_transport::{
-        exchange::{self, EndpointResponse, Failure, Step, TimeLimits},
+        exchange::{self, Ending, EndpointResponse, Failure, Step, TimeLimits},
         in_flight::Guard,
         link::IDLE_LIMIT,
         proof::{Grant, NotRunProof, Retryable},
@@ -46,8 +46,9 @@
 /// Number of stale pooled connections after which a failed write counts as a failed attempt.
 const MAX_STALE: usize = 4;
 
-/// Cause of a response that ended with its connection, at which the endpoint crashed.
-pub const CRASHED_AT_END: &str = "the endpoint crashed at the end of its connection";
+/// Cause of a response that ended with its connection, if that does not show that it is complete.
+pub const UNPROVEN_END: &str =
+    "the end of the connection does not show that the response is complete";
 
 /// Response to the caller, or why there is none.
 pub type Outcome = Result<Response<Body>, Refused>;
@@ -468,7 +469,7 @@
 /// Buffers a complete response and returns it for the caller.
 async fn collect(state: &ProxyState, job: &Job, call: Call) -> Result<Response<Body>, Cause> {
     let Call { response, assignment, guard } = call;
-    let (status, framed) = (response.head.status, response.is_framed());
+    let (status, ending) = (response.head.status, response.ending());
     let (head, body) = match response.collect(MAX_BUFFERED, job.remaining()).await {
         Ok(whole) => whole,
         Err(failure) => {
@@ -480,10 +481,10 @@
     // An endpoint may return a server error before it runs the request, so that clears nothing.
     if status.is_server_error() {
         guard.on_error_response()
-    } else if framed {
+    } else if ending == Ending::Marked {
         guard.on_response(assignment.elapsed())
-    } else if !guard.on_unframed_response(assignment.elapsed()).await {
-        on_cut(state, job, &assignment, CRASHED_AT_END);
+    } else if !guard.on_unframed_response(ending, assignment.elapsed()).await {
+        on_cut(state, job, &assignment, UNPROVEN_END);
         return Err(Cause::Lost);
     }
     state.fleet.record_result(&assignment.endpoint, ExchangeResult::Success);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -18,7 +18,7 @@
     },
     agate_quarantine::Work,
     agate_route::health::ExchangeResult,
-    agate_transport::in_flight::Guard,
+    agate_transport::{exchange::Ending, in_flight::Guard},
     agate_view::Entry,
     bytes::Bytes,
     futures_util::stream,
@@ -132,10 +132,11 @@
     /// Ends the stream after a complete event.
     async fn on_end(&mut self) -> Next {
         let Some(Call { response, assignment, guard }) = self.call.take() else { return Next::End };
-        if response.is_framed() {
+        let ending = response.ending();
+        if ending == Ending::Marked {
             guard.on_response(assignment.elapsed());
-        } else if !guard.on_unframed_response(assignment.elapsed()).await {
-            self.record_cut(&assignment, run::CRASHED_AT_END, false);
+        } else if !guard.on_unframed_response(ending, assignment.elapsed()).await {
+            self.record_cut(&assignment, run::UNPROVEN_END, false);
             drop(assignment);
             return self.resume(Cause::Lost).await;
         }
--- a/crates/transport/src/counting_stream.rs
+++ b/crates/transport/src/counting_stream.rs
@@ -1,4 +1,4 @@
-//! TCP stream that counts the bytes written to it and limits the size of response heads.
+//! Stream that counts the bytes written to it and limits the size of response heads.
 //!
 //! The count decides whether a request may be reported as not run. The HTTP library may accept a
 //! request and fail later, so only the socket shows whether a byte left this process.
@@ -13,10 +13,7 @@
         },
         task::{Context, Poll},
     },
-    tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
-        net::TcpStream,
-    },
+    tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
 /// Number of bytes passed to the operating system on one connection.
@@ -49,16 +46,16 @@
     }
 }
 
-/// TCP stream with a count of written bytes and a limit on response heads.
-pub struct CountingStream {
-    io: TcpStream,
+/// Stream with a count of written bytes and a limit on response heads.
+pub struct CountingStream<T> {
+    io: T,
     written: WrittenBytes,
     head: HeadLimit,
 }
 
-impl CountingStream {
+impl<T> CountingStream<T> {
     /// Wraps `io`. The returned counters are shared with the stream.
-    pub fn wrap(io: TcpStream) -> (Self, WrittenBytes, HeadLimit) {
+    pub fn wrap(io: T) -> (Self, WrittenBytes, HeadLimit) {
         let (written, head) = (WrittenBytes::default(), HeadLimit::default());
         (Self { io, written: written.clone(), head: head.clone() }, written, head)
     }
@@ -70,7 +67,7 @@
     }
 }
 
-impl AsyncRead for CountingStream {
+impl<T: AsyncRead + Unpin> AsyncRead for CountingStream<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -88,7 +85,7 @@
     }
 }
 
-impl AsyncWrite for CountingStream {
+impl<T: AsyncWrite + Unpin> AsyncWrite for CountingStream<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        link::{Connection, Pool},
+        link::{Connection, Pool, Way},
         proof::{Declared, Grant},
     },
     bytes::Bytes,
@@ -97,6 +97,17 @@
     abandon: bool,
 }
 
+/// What the end of a response's body shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The body is complete: its end is marked, by a length or by chunks.
+    Marked,
+    /// The endpoint closed the connection, which also happens if its process ends amid the body.
+    Closed,
+    /// Nothing: the connection leads through an instance that does not tell who ended it.
+    Unknown,
+}
+
 /// Time limits of an exchange, and the idle time of its connection.
 #[derive(Clone, Copy, Debug)]
 pub struct TimeLimits {
@@ -188,13 +199,17 @@
 }
 
 impl EndpointResponse {
-    /// Whether the end of the body is marked, by a length or by chunks. Otherwise it ends with the
-    /// connection, which also happens if the endpoint ends amid the body.
-    pub fn is_framed(&self) -> bool {
+    /// What the end of the body shows.
+    pub fn ending(&self) -> Ending {
         let headers = &self.head.headers;
-        self.body.is_end_stream()
+        let framed = self.body.is_end_stream()
             || headers.contains_key(CONTENT_LENGTH)
-            || headers.contains_key(TRANSFER_ENCODING)
+            || headers.contains_key(TRANSFER_ENCODING);
+        match self.connection.way {
+            _ if framed => Ending::Marked,
+            Way::Direct | Way::Relayed => Ending::Closed,
+            Way::Spliced => Ending::Unknown,
+        }
     }
 
     /// Reads the next chunk of the body; `None` at its end.
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -24,7 +24,13 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, sync::watch, task::JoinHandle, time::timeout},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+        sync::watch,
+        task::JoinHandle,
+        time::timeout,
+    },
 };
 
 /// Longest time to open a connection.
@@ -45,6 +51,17 @@
 /// Most idle connections kept for one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
+/// Way that a connection takes to its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Directly.
+    Direct,
+    /// Through another instance, which tells whether the endpoint closed it.
+    Relayed,
+    /// Through an instance that does not tell this: it splices bytes, as earlier builds do.
+    Spliced,
+}
+
 /// One open connection.
 pub struct Connection {
     /// Sends a request on the connection.
@@ -57,8 +74,8 @@
     pub opened_at: Instant,
     /// Longest idle time after which it may be reused.
     pub max_idle: Duration,
-    /// Whether it leads through another instance.
-    pub relayed: bool,
+    /// Way to the endpoint.
+    pub way: Way,
     driver: JoinHandle<()>,
 }
 
@@ -85,7 +102,9 @@
 ///
 /// Errors: the operating system's error, or `TimedOut` after the connect limit.
 pub async fn open(address: SocketAddr) -> io::Result<Connection> {
-    wrap(connect(address).await?, false).await
+    let io = connect(address).await?;
+    configure(&io)?;
+    wrap(io, Way::Direct).await
 }
 
 /// Opens a TCP connection to `address`.
@@ -96,17 +115,18 @@
     connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
-/// Makes a connection for HTTP of an open one, which leads through another instance if `relayed`.
+/// Makes a connection for HTTP of an open one, which is configured already.
 ///
-/// Errors: the operating system's error.
-pub async fn wrap(io: TcpStream, relayed: bool) -> io::Result<Connection> {
-    configure(&io)?;
-    let peer = io.peer_addr()?;
+/// Errors: that of the first step of HTTP.
+pub async fn wrap(
+    io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    way: Way,
+) -> io::Result<Connection> {
     let (stream, written, head) = CountingStream::wrap(io);
     let (sender, conn) = handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         if let Err(e) = conn.await {
-            log::trace!("connection to {peer} ended: {e}");
+            log::trace!("connection to an endpoint ended: {e}");
         }
     });
     Ok(Connection {
@@ -115,7 +135,7 @@
         head,
         opened_at: Instant::now(),
         max_idle: IDLE_LIMIT,
-        relayed,
+        way,
         driver,
     })
 }
@@ -149,7 +169,7 @@
     fn is_stale(&self, conn: &Connection) -> bool {
         let before = |at: Option<Instant>| at.is_some_and(|at| conn.opened_at <= at);
         let relayed = before(self.restored) || conn.opened_at.elapsed() >= RELAYED_LIFETIME;
-        before(self.purged) || conn.relayed && relayed
+        before(self.purged) || conn.way != Way::Direct && relayed
     }
 }
 
@@ -282,7 +302,7 @@
     pub fn retire_relayed(&self) {
         let mut state = self.lock_state();
         state.restored = Some(Instant::now());
-        state.idle.retain(|i| !i.conn.relayed);
+        state.idle.retain(|i| i.conn.way == Way::Direct);
     }
 
     /// Number of idle connections.
