Record in the store when streams may begin at other versions

Cause: a stream that begins at another version than its name selects was known to three instances only, in memory. Instances that have just started answered "not known" like ones that would know, and the selected version was computed: nothing heard was taken for nothing changed.

Streams of other versions are computed as before.

Why it works: an instance cannot have forgotten an exception of which the store does not tell it at its start, since the record comes first.

--- a/crates/relay/src/stream_version.rs
+++ b/crates/relay/src/stream_version.rs
@@ -10,7 +10,7 @@
     },
     agate_route::ranking::name_hash,
     agate_transport::proof::NotRunProof,
-    agate_version::{Resumption, StreamId},
+    agate_version::{Resumption, StreamId, detours::VersionState},
     agate_view::{roster::Version, table::Kind},
     std::time::Duration,
     tokio::time::sleep,
@@ -80,15 +80,19 @@
     may_be_taken_up(job) && !attempts.begun && !state.versions.is_current()
 }
 
-/// Lets any version begin the stream after a failed attempt, or while its own has no healthy endpoint,
-/// provided that other instances know its endpoints and can be told.
+/// Lets any version begin the stream after a failed attempt, or while its own has no healthy endpoint, if
+/// the instances that may be asked for it later can tell.
 pub fn relax(state: &ProxyState, job: &Job, attempts: &mut Attempts) {
-    if attempts.begun || attempts.version.is_none() || !may_be_taken_up(job) {
+    if attempts.begun || !may_be_taken_up(job) {
         return;
     }
-    let failed = !attempts.tried.is_empty();
-    let unhealthy = || !state.fleet.has_healthy(&requirements(job, attempts, &[], None));
-    if (failed || unhealthy()) && state.versions.may_begin_elsewhere(&job.service) {
+    let Some(version) = &attempts.version else { return };
+    let reason = match state.fleet.has_healthy(&requirements(job, attempts, &[], None)) {
+        false => VersionState::Down,
+        true if attempts.tried.is_empty() => return,
+        true => VersionState::Failed,
+    };
+    if state.versions.may_begin_elsewhere(&job.service, version, reason) {
         attempts.version = None;
     }
 }
--- a/crates/version/src/history.rs
+++ b/crates/version/src/history.rs
@@ -149,11 +149,15 @@
     /// have.
     pub fn only_version(&self, window: Duration, moment: Moment) -> Option<&Version> {
         let former = self.former(Split::versions, window, moment).map(|(version, _)| version);
-        let last = self.0.back().into_iter().flat_map(|s| s.split.versions());
-        let versions: IndexSet<&Version> = former.chain(last).collect();
+        let versions: IndexSet<&Version> = former.chain(self.versions()).collect();
         versions.first().copied().filter(|_| versions.len() == 1)
     }
 
+    /// Versions of the latest split.
+    pub fn versions(&self) -> impl Iterator<Item = &Version> {
+        self.0.back().into_iter().flat_map(|last| last.split.versions())
+    }
+
     /// Counts the splits that were first seen since `contact` as known to others from `now` on only:
     /// most other instances were out of contact.
     pub fn postpone(&mut self, contact: Mono, now: Mono) {
--- a/crates/version/src/homes.rs
+++ b/crates/version/src/homes.rs
@@ -5,7 +5,7 @@
 //! them.
 
 use {
-    crate::StreamId,
+    crate::{StreamId, detours::Detour},
     agate_route::ranking::{mix, name_hash},
     agate_view::{peers::Peer, roster::Version, table::Name},
     serde::{Deserialize, Serialize},
@@ -40,6 +40,9 @@
     Asked(StreamId),
     /// Answers that this is not known.
     NotKnown(StreamId),
+    /// Answers that this is not known, from an instance that may have forgotten streams of these detours.
+    /// Earlier builds do not send it.
+    Forgotten(StreamId, Vec<Detour>),
 }
 
 /// Addresses of the homes of `stream` among `peers`, equal on all instances that know the same ones.
--- a/crates/version/src/known_streams.rs
+++ b/crates/version/src/known_streams.rs
@@ -4,6 +4,7 @@
     crate::{
         StreamId,
         begun::Begun,
+        detours::Detour,
         homes::{self, CHUNK_STREAMS, Message, Row},
     },
     agate_core::Mono,
@@ -30,6 +31,8 @@
     Version(Version),
     /// All but one at least answer that they do not know the stream.
     NotKnown,
+    /// Too few would know the stream if it had begun elsewhere: others have started since.
+    Forgotten,
     /// Too few answer.
     Silence,
 }
@@ -49,8 +52,8 @@
 /// A question to the homes of a stream.
 #[derive(Default)]
 struct Question {
-    /// Number of answers that the stream is not known.
-    denials: usize,
+    /// Answers that the stream is not known, with the detours whose streams may have been forgotten.
+    denials: Vec<Vec<Detour>>,
     /// Number of requests that wait for answers.
     waiting: usize,
 }
@@ -125,8 +128,9 @@
         }
     }
 
-    /// Applies a message of another instance; returns the answer, if there is one.
-    pub fn receive(&self, message: Message) -> Option<Message> {
+    /// Applies a message of another instance; returns the answer, if there is one. This instance may have
+    /// forgotten streams of the detours `forgotten`; `None` if it cannot tell.
+    pub fn receive(&self, message: Message, forgotten: Option<&[Detour]>) -> Option<Message> {
         match message {
             Message::Begun(rows) => {
                 let mut begun = self.begun();
@@ -140,48 +144,73 @@
             Message::Asked(stream) => {
                 let found = self.begun().get(stream).cloned();
                 let row = |(service, version)| Row { stream, service, version };
-                Some(found.map_or(Message::NotKnown(stream), |f| Message::Begun(vec![row(f)])))
-            }
-            Message::NotKnown(stream) => {
-                if let Some(question) = self.asked().get_mut(&stream) {
-                    question.denials += 1;
+                match (found, forgotten) {
+                    (Some(found), _) => Some(Message::Begun(vec![row(found)])),
+                    (None, Some([])) => Some(Message::NotKnown(stream)),
+                    (None, Some(detours)) => Some(Message::Forgotten(stream, detours.to_vec())),
+                    (None, None) => None,
                 }
-                self.told.notify_waiters();
-                None
             }
+            Message::NotKnown(stream) => self.on_denial(stream, Vec::new()),
+            Message::Forgotten(stream, detours) => self.on_denial(stream, detours),
+        }
+    }
+
+    fn on_denial(&self, stream: StreamId, forgotten: Vec<Detour>) -> Option<Message> {
+        if let Some(question) = self.asked().get_mut(&stream) {
+            question.denials.push(forgotten);
         }
+        self.told.notify_waiters();
+        None
     }
 
-    /// Asks the homes of a stream which version began it.
-    pub async fn ask(&self, stream: StreamId) -> Answer {
+    /// Asks the homes of a stream which version began it. `may_be` tells whether the stream may be of one of
+    /// some detours, `forgotten` are those whose streams this instance may have forgotten.
+    pub async fn ask(
+        &self,
+        stream: StreamId,
+        may_be: impl Fn(&[Detour]) -> bool,
+        forgotten: &[Detour],
+    ) -> Answer {
         let Some(Contact { own, peers, send }) = self.contact.get() else { return Answer::Silence };
         let peers = peers();
         let mut homes = homes::asked_homes(stream, &peers);
+        let asked = homes.len();
         homes.retain(|home| home != own);
+        let own_forgot = homes.len() < asked && may_be(forgotten);
         if homes.is_empty() {
-            return if peers.is_empty() { Answer::Silence } else { Answer::NotKnown };
+            return match (peers.is_empty(), own_forgot) {
+                (true, _) => Answer::Silence,
+                (_, true) => Answer::Forgotten,
+                (_, false) => Answer::NotKnown,
+            };
         }
         let _question = self.begin_question(stream);
-        let mut denied = false;
+        let (mut denied, mut forgot) = (false, own_forgot);
         let mut version = None;
         for _ in 0..ASKS {
             homes.iter().for_each(|home| send(Message::Asked(stream), *home));
             let answered = timeout(ASK_TIMEOUT / ASKS, self.answers(stream, homes.len())).await;
             // All but one, as the last one in rank need not have been told.
-            let needed = homes.len().saturating_sub(1).max(1);
-            denied |= self.asked().get(&stream).is_some_and(|q| q.denials >= needed);
+            let needed = homes.len() - usize::from(!own_forgot && homes.len() > 1);
+            if let Some(question) = self.asked().get(&stream) {
+                let sound = question.denials.iter().filter(|d| !may_be(d)).count();
+                denied |= sound >= needed;
+                forgot |= sound < question.denials.len();
+            }
             if let Ok(answer) = answered {
                 version = answer;
                 break;
             }
             // The next answers are counted anew, unless another request counts them too.
             if let Some(question) = self.asked().get_mut(&stream).filter(|q| q.waiting == 1) {
-                question.denials = 0;
+                question.denials.clear();
             }
         }
         match version {
             Some(version) => Answer::Version(version),
             None if denied => Answer::NotKnown,
+            None if forgot => Answer::Forgotten,
             None => Answer::Silence,
         }
     }
@@ -197,7 +226,7 @@
             let mut told = pin!(self.told.notified());
             told.as_mut().enable();
             let known = self.get(stream);
-            let denied = self.asked().get(&stream).is_some_and(|q| q.denials >= homes);
+            let denied = self.asked().get(&stream).is_some_and(|q| q.denials.len() >= homes);
             if known.is_some() || denied {
                 return known;
             }
--- a/crates/version/src/lib.rs
+++ b/crates/version/src/lib.rs
@@ -8,6 +8,7 @@
 //!   equal on all instances that know the same endpoints.
 //! - [`history`]: the splits of a service in the recent past, as versions come and go.
 //! - [`record`]: those splits in the store, for instances that start.
+//! - [`detours`]: versions whose streams may begin at others for now.
 //! - [`begun`]: versions of streams that began lately.
 //! - [`homes`]: instances that remember them for others while the split changes.
 //! - [`known_streams`]: what instances tell each other of those.
@@ -17,6 +18,7 @@
 //! the version cannot be told.
 
 pub mod begun;
+pub mod detours;
 pub mod history;
 pub mod homes;
 pub mod known_streams;
--- a/crates/version/src/versions.rs
+++ b/crates/version/src/versions.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         StreamId, begun,
+        detours::{Detour, Detours, VersionState},
         history::{History, Moment, Step, Unsettled, VALIDITY},
         homes::{Message, Row},
         known_streams::{Answer, KnownStreams},
@@ -29,7 +30,10 @@
         },
         time::Duration,
     },
-    tokio::time::{sleep, timeout},
+    tokio::{
+        join,
+        time::{sleep, timeout},
+    },
 };
 
 /// Time for which a confirmation of the endpoints is waited for.
@@ -92,6 +96,7 @@
     allowed_gap: Mutex<Option<Range<Mono>>>,
     streams: KnownStreams,
     record: SharedRecord<Splits>,
+    detours: Detours,
     view: Arc<LocalView>,
     /// Metrics of the streams that callers take up.
     pub metrics: Metrics,
@@ -114,6 +119,7 @@
             started: clock::now(),
             allowed_gap: Mutex::default(),
             streams: KnownStreams::default(),
+            detours: Detours::new(store.clone()),
             view,
             metrics: Metrics::default(),
             record: SharedRecord::new(store, record::KEY, record::merge, |_, _| {}),
@@ -134,7 +140,7 @@
 
     /// Applies a message of another instance; returns the answer, if there is one.
     pub fn receive(&self, message: Message) -> Option<Message> {
-        self.streams.receive(message)
+        self.streams.receive(message, self.detours.forgotten())
     }
 
     fn histories(&self) -> MutexGuard<'_, IndexMap<Name, History>> {
@@ -213,12 +219,22 @@
         clock::now() < self.latest_contact() + MAX_CONTACT_AGE
     }
 
-    /// Whether a new stream of `service` may begin at another version than its name selects: other
-    /// instances can be told of it, and know of the versions that there are.
-    pub fn may_begin_elsewhere(&self, service: &Name) -> bool {
+    /// Whether a new stream of `service` whose name selects `version` may begin at another one: a detour is
+    /// recorded, other instances can be told of the stream, and they know of the versions that there are. If
+    /// the version does not work, a detour is recorded soon.
+    pub fn may_begin_elsewhere(
+        &self,
+        service: &Name,
+        version: &Version,
+        state: VersionState,
+    ) -> bool {
         let mut histories = self.histories();
         let moment = self.moment(&mut histories);
-        self.has_contact() && histories.get(service).is_none_or(|h| h.is_settled(moment))
+        let known = histories.get(service);
+        let settled = known.is_some_and(|h| h.is_settled(moment) && h.versions().nth(1).is_some());
+        drop(histories);
+        let detour = (service.clone(), version.clone());
+        settled && self.has_contact() && self.detours.allows(&detour, state)
     }
 
     fn latest_contact(&self) -> Mono {
@@ -278,8 +294,18 @@
         }
         let current = self.confirm().await;
         if let Some(stream) = stream.filter(|_| !current || self.is_divided(service)) {
-            match self.streams.ask(stream).await {
+            let computed = self.deduce(service, Some(stream), window);
+            let may_be = |detours: &[Detour]| match &computed {
+                Resumption::At(version) => detours.contains(&(service.clone(), version.clone())),
+                Resumption::Unknown(_) | Resumption::Outdated => false,
+            };
+            let forgotten = self.detours.forgotten().unwrap_or_default();
+            match self.streams.ask(stream, may_be, forgotten).await {
                 Answer::Version(version) => return (Resumption::At(version), Source::Told),
+                Answer::Forgotten => return (Resumption::Unknown(Some(window)), Source::Nothing),
+                Answer::Silence if may_be(forgotten) => {
+                    return (Resumption::Unknown(Some(window)), Source::Nothing);
+                }
                 // The stream may have begun at another version than its name selects.
                 Answer::Silence if current && !self.has_contact() => {
                     return (Resumption::Unknown(None), Source::Nothing);
@@ -327,6 +353,7 @@
         let mut histories = self.histories();
         let moment = self.moment(&mut histories);
         self.streams.add(stream, service, version, moment.now);
+        self.detours.on_begun(&(service.clone(), version.clone()));
         let open = histories
             .get(service)
             .is_some_and(|h| h.version(stream, begun::RETENTION, moment) != Ok(version));
@@ -338,10 +365,16 @@
         }
     }
 
-    /// Reads the splits from before the start, then keeps the stored ones current; never returns.
+    /// Reads the splits and detours from before the start, then keeps the stored ones current; never
+    /// returns.
     pub async fn follow(&self, role: impl Fn() -> Role) {
+        self.detours.open().await;
         self.record.open().await;
         self.seeded.get_or_init(|| self.seed());
+        join!(self.follow_splits(&role), self.detours.follow(&role));
+    }
+
+    async fn follow_splits(&self, role: impl Fn() -> Role) {
         let mut polls = 0;
         loop {
             let caught_up = self.record.next(&mut polls, &role).await;
