Bound what all incomplete responses together take of the memory

Other operators saw instances run out of memory, and the requests of other callers end with them, while endpoints sent bytes without end. It does happen here: with eight endpoints of 4,096 slots whose responses have no end, and 800 callers, a process took 996 MB; machines have 260.

Cause: a limit for each response (512 KiB of a head, 1 MiB of a body or an event) was taken for a limit of the process. The number of responses follows from the slots that endpoints state.

Change: heads that are due, bodies and incomplete events draw on one budget for what they hold beyond 16 KiB each, an eighth of the new setting `memory` (256 MB by default). A response that finds it exhausted is given up like one that broke off. The read buffer of a connection is limited to 64 KiB.

Why it works: what grows with the number of responses is drawn from the budget before more is read, but for 16 KiB and a read buffer each.

--- a/crates/cli/src/edge.rs
+++ b/crates/cli/src/edge.rs
@@ -33,7 +33,7 @@
         sender::ReachFn,
     },
     agate_task::Supervisor,
-    agate_transport::link,
+    agate_transport::{buffer_budget::BufferBudget, link},
     agate_version::Versions,
     agate_view::{
         LocalView,
@@ -323,7 +323,8 @@
 ) -> Paths {
     let (view, keys) = (view.clone(), keys.clone());
     let peers = move || view.peers.load_full();
-    Paths::new(settings.name.as_str(), dial, move || keys.load(), peers, Metrics::default())
+    let budget = BufferBudget::new(settings.buffer_limit());
+    Paths::new(settings.name.as_str(), dial, move || keys.load(), peers, Metrics::default(), budget)
 }
 
 /// Starts the tasks that keep the state of the request path up to date.
--- a/crates/cli/src/edge/settings.rs
+++ b/crates/cli/src/edge/settings.rs
@@ -31,6 +31,9 @@
     /// shares are preferred as coordinators.
     #[serde(default = "whole_core")]
     pub processor: f64,
+    /// Memory that the instance may use, in MB.
+    #[serde(default = "usual_memory")]
+    pub memory: u32,
     /// API keys.
     pub keys: Keys,
     /// Budget of retries of the whole fleet.
@@ -48,7 +51,20 @@
     1.0
 }
 
+fn usual_memory() -> u32 {
+    256
+}
+
+/// Share of the memory for incomplete responses, as a divisor. It leaves room for the read buffers of
+/// connections and for what the instance holds otherwise.
+const BUFFER_DIVISOR: usize = 8;
+
 impl Settings {
+    /// Limit on incomplete responses of endpoints, in bytes.
+    pub fn buffer_limit(&self) -> usize {
+        (self.memory as usize * 1_000_000) / BUFFER_DIVISOR
+    }
+
     /// Share of a processor core in percent, 1 to 10000.
     pub fn weight(&self) -> u16 {
         (self.processor * 100.0).round().clamp(1.0, 10_000.0) as u16
@@ -127,9 +143,10 @@
 
 /// Validates parsed settings and returns all problems.
 pub fn check(settings: &Settings) -> Vec<String> {
-    let Settings { name, zone, processor, keys, retries, stop, usage, log, .. } = settings;
-    let rules: [(bool, &str); 10] = [
+    let Settings { name, zone, processor, memory, keys, retries, stop, usage, log, .. } = settings;
+    let rules: [(bool, &str); 11] = [
         (*processor <= 0.0, "processor: accepted are shares above zero"),
+        (*memory < 32, "memory: accepted are 32 MB and more"),
         (name.is_empty(), "name: must not be empty"),
         (zone.is_empty(), "zone: must not be empty"),
         (keys.age.is_zero(), "keys.age: accepted are durations above zero"),
--- a/crates/path/src/paths.rs
+++ b/crates/path/src/paths.rs
@@ -11,7 +11,10 @@
         metrics::Metrics,
         relay::OPEN_TIMEOUT,
     },
-    agate_transport::link::{self, Connection, Way},
+    agate_transport::{
+        buffer_budget::BufferBudget,
+        link::{self, Connection, Way},
+    },
     agate_view::{clock, peers::Peer, table::Name},
     agate_wire::Keys,
     futures_util::FutureExt,
@@ -42,6 +45,7 @@
     peers: Box<PeersFn>,
     avoided: Mutex<Avoided>,
     metrics: Metrics,
+    budget: BufferBudget,
 }
 
 /// Paths of one instance; clones share its state.
@@ -58,19 +62,20 @@
     /// Paths of an instance that knows no other one.
     fn default() -> Self {
         let dial: Arc<DialFn> = Arc::new(|address| link::connect(address).boxed());
-        Self::new("", dial, || None, Arc::default, Metrics::default())
+        Self::new("", dial, || None, Arc::default, Metrics::default(), BufferBudget::default())
     }
 }
 
 impl Paths {
     /// Paths of the instance `own`, which opens direct connections with `dial` and authenticates
-    /// requests to other instances with `keys`.
+    /// requests to other instances with `keys`. The endpoints' responses draw on `budget`.
     pub fn new(
         own: impl Into<String>,
         dial: Arc<DialFn>,
         keys: impl Fn() -> Option<Arc<Keys>> + Send + Sync + 'static,
         peers: impl Fn() -> Arc<Vec<Peer>> + Send + Sync + 'static,
         metrics: Metrics,
+        budget: BufferBudget,
     ) -> Self {
         Self(Arc::new(Shared {
             own: own.into(),
@@ -79,6 +84,7 @@
             peers: Box::new(peers),
             avoided: Mutex::default(),
             metrics,
+            budget,
         }))
     }
 
@@ -130,11 +136,13 @@
 }
 
 impl Relayed {
-    async fn wrap(self) -> io::Result<Connection> {
+    async fn wrap(self, budget: BufferBudget) -> io::Result<Connection> {
         link::configure(&self.io)?;
         match self.transfer {
-            Transfer::Plain => link::wrap(self.io, Way::Spliced).await,
-            Transfer::Framed => link::wrap(frames::read_framed(self.io), Way::Relayed).await,
+            Transfer::Plain => link::wrap(self.io, Way::Spliced, budget).await,
+            Transfer::Framed => {
+                link::wrap(frames::read_framed(self.io), Way::Relayed, budget).await
+            }
         }
     }
 }
@@ -147,13 +155,13 @@
 }
 
 impl Opened {
-    async fn wrap(self) -> io::Result<Connection> {
+    async fn wrap(self, budget: &BufferBudget) -> io::Result<Connection> {
         match self {
             Self::Direct(io) => {
                 link::configure(&io)?;
-                link::wrap(io, Way::Direct).await
+                link::wrap(io, Way::Direct, budget.clone()).await
             }
-            Self::Relayed(relayed) => relayed.wrap().await,
+            Self::Relayed(relayed) => relayed.wrap(budget.clone()).await,
             Self::Failed(e) => Err(e),
         }
     }
@@ -185,7 +193,7 @@
         if matches!(opened, Opened::Relayed(_)) {
             self.lock_state().suspect();
         }
-        opened.wrap().await
+        opened.wrap(&self.shared.budget).await
     }
 
     /// Address of the endpoint, unless direct connections to it cannot be opened.
@@ -212,7 +220,7 @@
             failed @ Opened::Failed(_) => (Observation::Neither, failed),
         };
         let change = self.observe(seen);
-        Checked { change, connection: opened.wrap().await.ok() }
+        Checked { change, connection: opened.wrap(&self.shared.budget).await.ok() }
     }
 
     fn observe(&self, seen: Observation) -> Option<Change> {
--- a/crates/path/tests/relayed_connections.rs
+++ b/crates/path/tests/relayed_connections.rs
@@ -6,7 +6,10 @@
         handshake::{self, Challenge, Reply, Transfer},
         metrics::Metrics,
     },
-    agate_transport::link::{self, Way},
+    agate_transport::{
+        buffer_budget::BufferBudget,
+        link::{self, Way},
+    },
     agate_view::peers::Peer,
     agate_wire::{Context, Keys, tag_of},
     futures_util::FutureExt,
@@ -195,7 +198,14 @@
     // Nothing listens here any more.
     let endpoint = TcpListener::bind("127.0.0.1:0").await.and_then(|l| l.local_addr());
     let known = move || peers.clone();
-    let paths = Paths::new("own", direct(), || Some(keys(1)), known, Metrics::default());
+    let paths = Paths::new(
+        "own",
+        direct(),
+        || Some(keys(1)),
+        known,
+        Metrics::default(),
+        BufferBudget::default(),
+    );
     let path = paths.to("known".into(), endpoint.expect("free"));
     let opened = timeout(LIMIT, path.open()).await.expect("in time").expect("a connection");
     assert_eq!(opened.way, Way::Spliced);
@@ -282,7 +292,14 @@
     let (name, zone) = ("other".to_owned(), "a".to_owned());
     let peers = Arc::new(vec![Peer { name, zone, address: relay.address(), weight: 1 }]);
     let known = move || peers.clone();
-    let paths = Paths::new("own", dial, || Some(keys(1)), known, Metrics::default());
+    let paths = Paths::new(
+        "own",
+        dial,
+        || Some(keys(1)),
+        known,
+        Metrics::default(),
+        BufferBudget::default(),
+    );
     let path = paths.to("known".into(), endpoint);
     let opened = timeout(LIMIT, path.open()).await.expect("in time");
     assert_eq!(opened.map(|c| c.way == Way::Relayed).map_err(|e| e.kind()), expected);
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -47,6 +47,11 @@
         self.partial.len() > MAX_EVENT
     }
 
+    /// Bytes of memory that the incomplete event takes.
+    pub fn held(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Discards the incomplete event of an interrupted stream.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -18,7 +18,7 @@
     },
     agate_quarantine::Work,
     agate_route::health::ExchangeResult,
-    agate_transport::{exchange::Ending, in_flight::Guard},
+    agate_transport::{buffer_budget::BufferAccount, exchange::Ending, in_flight::Guard},
     agate_view::Entry,
     bytes::Bytes,
     futures_util::stream,
@@ -34,6 +34,8 @@
     call: Option<Call>,
     attempts: Attempts,
     splitter: Splitter,
+    /// What the incomplete event takes.
+    account: BufferAccount,
     status: StatusCode,
     started: bool,
     _guard: Option<Guard>,
@@ -63,9 +65,18 @@
     let status = call.response.head.status;
     let splitter = Splitter::default();
     let started = false;
-    let call = Some(call);
-    let stream =
-        StreamState { state, job, call, attempts, splitter, status, started, _guard: guard };
+    let account = call.response.account();
+    let stream = StreamState {
+        state,
+        job,
+        call: Some(call),
+        attempts,
+        splitter,
+        account,
+        status,
+        started,
+        _guard: guard,
+    };
     let body = StreamBody::new(stream::unfold(Some(stream), advance));
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = status;
@@ -116,6 +127,9 @@
                     if self.splitter.overflows() {
                         return Next::Broken(Cause::InvalidResponse);
                     }
+                    if let Err(e) = self.account.set(self.splitter.held()) {
+                        return self.on_break(&e.to_string(), false).await;
+                    }
                     if !whole.is_empty() {
                         return Next::Bytes(whole);
                     }
@@ -187,6 +201,9 @@
             return Next::Broken(cause);
         }
         self.splitter.discard_partial();
+        if let Err(e) = self.account.set(0) {
+            log::debug!("returning the memory of an incomplete event: {e}");
+        }
         let resume = self.splitter.last_id().or(self.job.info.resume.as_deref()).map(str::to_owned);
         match run::open_call(&self.state, &self.job, &mut self.attempts, resume.as_deref(), None)
             .await
--- a/crates/transport/src/counting_stream.rs
+++ b/crates/transport/src/counting_stream.rs
@@ -4,6 +4,7 @@
 //! request and fail later, so only the socket shows whether a byte left this process.
 
 use {
+    crate::buffer_budget::{BufferAccount, BufferBudget},
     std::{
         io,
         pin::Pin,
@@ -20,7 +21,7 @@
 pub type WrittenBytes = Arc<AtomicU64>;
 
 /// Most bytes read before a response head is complete, interim responses included. It is above the
-/// HTTP library's own limit for one head.
+/// HTTP library's limit for one head.
 const MAX_HEAD_BYTES: u64 = 512 << 10;
 
 /// Number of bytes read on one connection while a response head is due.
@@ -39,10 +40,12 @@
         self.0.store(0, Ordering::Release);
     }
 
-    /// Counts bytes; returns whether the limit still holds.
-    fn add(&self, bytes: u64) -> bool {
-        let due = self.0.load(Ordering::Acquire) > 0;
-        !due || self.0.fetch_add(bytes, Ordering::AcqRel) <= MAX_HEAD_BYTES
+    /// Counts bytes; returns how many there are of a head that is due, zero if none is.
+    fn add(&self, bytes: u64) -> u64 {
+        match self.0.load(Ordering::Acquire) > 0 {
+            true => self.0.fetch_add(bytes, Ordering::AcqRel) + bytes,
+            false => 0,
+        }
     }
 }
 
@@ -51,13 +54,15 @@
     io: T,
     written: WrittenBytes,
     head: HeadLimit,
+    account: BufferAccount,
 }
 
 impl<T> CountingStream<T> {
-    /// Wraps `io`. The returned counters are shared with the stream.
-    pub fn wrap(io: T) -> (Self, WrittenBytes, HeadLimit) {
+    /// Wraps `io`, whose response heads draw on `budget`. The returned counters are shared with the stream.
+    pub fn wrap(io: T, budget: &BufferBudget) -> (Self, WrittenBytes, HeadLimit) {
         let (written, head) = (WrittenBytes::default(), HeadLimit::default());
-        (Self { io, written: written.clone(), head: head.clone() }, written, head)
+        let account = budget.account();
+        (Self { io, written: written.clone(), head: head.clone(), account }, written, head)
     }
 
     fn record(&self, done: &Poll<io::Result<usize>>) {
@@ -75,12 +80,12 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.io).poll_read(cx, buf);
-        if !self.head.add((buf.filled().len() - before) as u64) {
-            return Poll::Ready(Err(io::Error::new(
-                io::ErrorKind::InvalidData,
-                "response head too large",
-            )));
+        let held = self.head.add((buf.filled().len() - before) as u64);
+        if held > MAX_HEAD_BYTES {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "response head too large");
+            return Poll::Ready(Err(error));
         }
+        self.account.set(held as usize)?;
         read
     }
 }
--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        buffer_budget::BufferAccount,
         link::{Connection, Pool, Way},
         proof::{Declared, Grant},
     },
@@ -199,6 +200,11 @@
 }
 
 impl EndpointResponse {
+    /// Accounts for what the caller of [`Self::next`] holds of the body.
+    pub fn account(&self) -> BufferAccount {
+        self.connection.budget.account()
+    }
+
     /// What the end of the body shows.
     pub fn ending(&self) -> Ending {
         let headers = &self.head.headers;
@@ -257,12 +263,16 @@
     /// Errors: those of [`EndpointResponse::next`], or the body is larger than `max`.
     pub async fn collect(mut self, max: usize, limit: Duration) -> Result<(Parts, Bytes)> {
         let mut all = Vec::new();
+        let mut account = self.account();
         let end = Instant::now() + limit;
         while let Some(piece) = self.next(end.saturating_duration_since(Instant::now())).await? {
             if all.len() + piece.len() > max {
                 return Err(fail(Step::Body, self.peer, "response too large", None));
             }
             all.extend_from_slice(&piece);
+            // A vector that grows holds up to twice its content.
+            let drawn = account.set(all.capacity());
+            drawn.map_err(|e| fail(Step::Body, self.peer, e, None))?;
         }
         let head = self.release();
         Ok((head, Bytes::from(all)))
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,9 +3,10 @@
 //! [`link`] opens connections and pools idle ones, [`counting_stream`] counts the bytes written to
 //! a connection, [`in_flight`] counts the requests in progress, [`proof`] has the proof that a request
 //! was not run, [`retry_after`] reads for how long a rejection asks for rest, [`exchange`] sends one request to an endpoint and returns the permission that
-//! remains after a failure, and [`call`] is a client for the services of the platform. The markers
+//! remains after a failure, [`buffer_budget`] limits what all responses together may buffer, and [`call`] is a client for the services of the platform. The markers
 //! in an interface's responses are passed in as [`exchange::ResponseMarkers`].
 
+pub mod buffer_budget;
 pub mod call;
 pub mod counting_stream;
 pub mod exchange;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -7,12 +7,15 @@
 //! time only.
 
 use {
-    crate::counting_stream::{CountingStream, HeadLimit, WrittenBytes},
+    crate::{
+        buffer_budget::BufferBudget,
+        counting_stream::{CountingStream, HeadLimit, WrittenBytes},
+    },
     bytes::Bytes,
     futures_util::future::BoxFuture,
     http::HeaderMap,
     http_body_util::Full,
-    hyper::client::conn::http1::{SendRequest, handshake},
+    hyper::client::conn::http1::{Builder, SendRequest},
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
     std::{
@@ -62,6 +65,9 @@
     Spliced,
 }
 
+/// Most bytes that the HTTP library buffers of one connection, which limits a response head.
+const MAX_READ_BUFFER: usize = 64 << 10;
+
 /// One open connection.
 pub struct Connection {
     /// Sends a request on the connection.
@@ -76,6 +82,8 @@
     pub max_idle: Duration,
     /// Way to the endpoint.
     pub way: Way,
+    /// What its responses draw on.
+    pub budget: BufferBudget,
     driver: JoinHandle<()>,
 }
 
@@ -104,7 +112,7 @@
 pub async fn open(address: SocketAddr) -> io::Result<Connection> {
     let io = connect(address).await?;
     configure(&io)?;
-    wrap(io, Way::Direct).await
+    wrap(io, Way::Direct, BufferBudget::default()).await
 }
 
 /// Opens a TCP connection to `address`.
@@ -115,15 +123,17 @@
     connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
-/// Makes a connection for HTTP of an open one, which is configured already.
+/// Makes a connection for HTTP of an open one, which is configured already. Its responses draw on `budget`.
 ///
 /// Errors: that of the first step of HTTP.
 pub async fn wrap(
     io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
     way: Way,
+    budget: BufferBudget,
 ) -> io::Result<Connection> {
-    let (stream, written, head) = CountingStream::wrap(io);
-    let (sender, conn) = handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let (stream, written, head) = CountingStream::wrap(io, &budget);
+    let builder = Builder::new().max_buf_size(MAX_READ_BUFFER).to_owned();
+    let (sender, conn) = builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         if let Err(e) = conn.await {
             log::trace!("connection to an endpoint ended: {e}");
@@ -136,6 +146,7 @@
         opened_at: Instant::now(),
         max_idle: IDLE_LIMIT,
         way,
+        budget,
         driver,
     })
 }
