Compute the versions of streams from entries that the store has

Change: splits are computed from the entries that the store has (LocalView::stored_entries). Retained endpoints are used as before.

Why it works: two instances that have read the store after the outage compute from the same entries, whatever each of them remembers.

--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -151,7 +151,9 @@
             let listed = self.view.listed.age();
             let listed = listed.is_some_and(|age| self.with_instance_count(|c| c.is_recent(age)));
             self.fleet.set_instances(instances, listed);
-            self.versions.install(&Split::of_services(&entries), digest);
+            // Instances that have started since an outage do not know the endpoints that others retain.
+            let stored = self.view.stored_entries();
+            self.versions.install(&Split::of_services(&stored), digest);
             self.fleet.install(&entries, table.as_deref(), instances);
             let pause = next_decrease.map_or(MAX_POLL, |at| at.saturating_sub(now));
             tokio::select! {
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -263,12 +263,12 @@
             roster.confirm(clock::now().saturating_sub(age));
         }
         let changed = roster.step(input, clock::now());
-        view.set_retaining(roster.missing() > 0);
+        view.set_retained(roster.missing().cloned().collect());
         if changed {
             let list: Vec<Entry> = roster.entries().cloned().collect();
             log::info!(
                 event = "endpoints_changed", known = list.len(),
-                leaving = list.iter().filter(|e| e.leaving).count(), missing = roster.missing(),
+                leaving = list.iter().filter(|e| e.leaving).count(), missing = roster.missing().count(),
                 reading = list.iter().filter(|e| e.stage == Some(Stage::Prefill)).count(),
                 generating = list.iter().filter(|e| e.stage == Some(Stage::Decode)).count(),
                 spot = list.iter().filter(|e| e.spot).count();
--- a/crates/view/src/local_view.rs
+++ b/crates/view/src/local_view.rs
@@ -5,11 +5,12 @@
     crate::{
         clock,
         peers::Peer,
-        roster::{Digest, Entry},
+        roster::{Digest, EndpointName, Entry},
         table::Table,
     },
     agate_core::Mono,
     arc_swap::{ArcSwap, ArcSwapOption},
+    indexmap::IndexSet,
     std::{
         ops::Range,
         sync::{
@@ -109,9 +110,9 @@
     pub entries: ArcSwap<Vec<Entry>>,
     /// Digest of the endpoint entries; instances with the same entries have the same digest.
     pub roster_digest: AtomicU64,
-    /// Whether endpoints are retained whose entries are missing since a store outage that this
+    /// Endpoints that are retained although their entries are missing since a store outage that this
     /// instance saw.
-    retaining: AtomicBool,
+    retained: ArcSwap<IndexSet<EndpointName>>,
     /// Whether this instance is the active coordinator, which reads the store for others.
     active: AtomicBool,
     /// Whether another instance responds to it as its coordinator.
@@ -145,7 +146,7 @@
             config: LastConfirmed::default(),
             entries: ArcSwap::default(),
             roster_digest: AtomicU64::new(0),
-            retaining: AtomicBool::new(false),
+            retained: ArcSwap::default(),
             active: AtomicBool::new(false),
             has_coordinator: AtomicBool::new(false),
             roster: LastConfirmed::default(),
@@ -265,9 +266,19 @@
         self.active.load(Ordering::Acquire)
     }
 
-    /// Sets whether endpoints are retained although their entries are missing.
-    pub fn set_retaining(&self, retaining: bool) {
-        self.retaining.store(retaining, Ordering::Release);
+    /// Sets the endpoints that are retained although their entries are missing, and notifies subscribers
+    /// if they are others.
+    pub fn set_retained(&self, retained: IndexSet<EndpointName>) {
+        if **self.retained.load() != retained {
+            self.retained.store(Arc::new(retained));
+            self.notify_changed();
+        }
+    }
+
+    /// Endpoint entries in force that the store has: what other instances may know too.
+    pub fn stored_entries(&self) -> Vec<Entry> {
+        let (entries, retained) = (self.entries.load(), self.retained.load());
+        entries.iter().filter(|e| !retained.contains(&e.name)).cloned().collect()
     }
 
     /// Digest of the entries and age of their confirmation, if this instance may confirm them to
@@ -275,7 +286,7 @@
     /// have affected only this instance, and the others have newer data.
     pub fn confirmed_roster(&self) -> Option<(u64, Duration)> {
         let digest = self.roster_digest.load(Ordering::Acquire);
-        let may_confirm = digest != 0 && !self.retaining.load(Ordering::Acquire);
+        let may_confirm = digest != 0 && self.retained.load().is_empty();
         self.roster.age().filter(|_| may_confirm).map(|age| (digest, age))
     }
 
--- a/crates/view/src/roster.rs
+++ b/crates/view/src/roster.rs
@@ -204,9 +204,9 @@
         self.known.values().map(|k| &k.entry)
     }
 
-    /// Number of endpoints that are retained although their entry is missing.
-    pub fn missing(&self) -> usize {
-        self.known.values().filter(|k| k.missing).count()
+    /// Endpoints that are retained although their entry is missing.
+    pub fn missing(&self) -> impl Iterator<Item = &EndpointName> {
+        self.known.iter().filter(|(_, k)| k.missing).map(|(name, _)| name)
     }
 
     /// Digest of the entries; instances with the same entries have the same digest.
--- a/crates/view/tests/confirmed_entries.rs
+++ b/crates/view/tests/confirmed_entries.rs
@@ -26,7 +26,7 @@
 
 fn install_roster(view: &LocalView, roster: &Roster) {
     let entries = roster.entries().cloned().collect();
-    view.set_retaining(roster.missing() > 0);
+    view.set_retained(roster.missing().cloned().collect());
     view.install_entries(entries, roster.digest());
     view.roster.confirm(clock::now());
 }
@@ -46,7 +46,7 @@
     install_roster(&view, &roster);
     assert_eq!(view.confirmed_roster().map(|(digest, _)| digest), Some(roster.digest()));
     roster.step(read(vec![entry("y", 2)], 106), Duration::from_secs(106));
-    assert_eq!(roster.missing(), 1);
+    assert_eq!(roster.missing().count(), 1);
     install_roster(&view, &roster);
     assert!(view.confirmed_roster().is_none());
     for at in [107, 108, 109] {
