Prove that an endpoint outlived the end of its response

Same question as that of relayed connections: what does the end of a connection show?

Cause: a process that ends closes its connections in the ordinary way. A probe that had no result within 40 ms, and an endpoint that was leaving, were taken for the proof that the response is complete.

Change: CallGuard::on_end decides for plain responses and streams alike. A response that ends with its connection is complete if the endpoint accepts a connection 30 ms later, the answer to that comes within 300 ms, and it is the same incarnation by a list of endpoints that is at most a second old. Otherwise it was broken off: a stream that may be resumed goes on elsewhere after its last event, a request that may be repeated is sent again.

Why it works: the proof is something that only a living process does after the end; whatever is late, refused or unknown is no proof.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -21,6 +21,7 @@
         proof::Grant,
     },
     agate_view::Entry,
+    http::StatusCode,
     indexmap::IndexSet,
     std::{
         io, iter,
@@ -33,6 +34,9 @@
 /// Maximum time that a request waits to learn whether its endpoint crashed; a few round trips to
 /// another availability zone.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
+/// Maximum time that a request waits for the proof that its response is complete: a direct connection, which
+/// may hang, and one through another instance.
+const PROOF_WAIT: Duration = Duration::from_millis(300);
 /// Time between two probes of an endpoint.
 const PROBE_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -206,35 +210,42 @@
         }
     }
 
-    /// Ends the call, which was sent `since` ago, with a response without a length or chunks. Probes whether
-    /// the endpoint crashed, which ends a response in the same way; returns whether the response is
-    /// complete.
-    pub async fn on_unframed_response(self, ending: Ending, since: Duration) -> bool {
-        if ending == Ending::Unknown {
-            self.on_lost(false).await;
-            return false;
-        }
-        // The endpoint may stop after its last response if it is leaving.
-        if self.state.is_leaving(&self.endpoint) {
-            self.on_error_response();
-            return true;
-        }
+    /// Ends the call, which was sent `since` ago, with a body that ended as `ending` says; returns whether it is
+    /// proved complete. A complete response with `status` clears the request of suspicion, unless the
+    /// endpoint may have returned it before it ran the request.
+    ///
+    /// A body that ends with its connection is complete if the endpoint outlived that: the operating system
+    /// closes the connections of a process that ends in the same way.
+    pub async fn on_end(self, ending: Ending, status: StatusCode, since: Duration) -> bool {
         let sent = Instant::now() - since;
-        match timeout(PROBE_WAIT, probe(&self.endpoint, Instant::now())).await {
-            Ok(Probe::Refused) => {
-                self.on_crash();
-                return false;
+        let found = match ending {
+            Ending::Marked => Probe::Alive,
+            Ending::Closed => {
+                let limit = PROOF_WAIT.min(self.job.remaining());
+                timeout(limit, self.probe_survival()).await.unwrap_or(Probe::Unknown)
             }
-            Ok(Probe::Alive) => drop(tokio::spawn(async move {
-                match probe_again(&self.endpoint).await {
-                    Probe::Refused => self.on_crash(),
-                    Probe::Alive => self.on_response(sent.elapsed()),
-                    Probe::Unknown => self.on_error_response(),
-                }
-            })),
-            Ok(Probe::Unknown) | Err(_) => self.on_error_response(),
+            Ending::Unknown => Probe::Unknown,
+        };
+        match found {
+            Probe::Alive if status.is_server_error() => self.on_error_response(),
+            Probe::Alive => self.on_response(sent.elapsed()),
+            // It stopped as it had announced.
+            Probe::Refused if self.state.is_leaving(&self.endpoint) => self.on_error_response(),
+            Probe::Refused => self.on_crash(),
+            Probe::Unknown => self.on_lost(false).await,
+        }
+        found == Probe::Alive
+    }
+
+    /// Probes whether the endpoint's process has outlived the end of a connection.
+    async fn probe_survival(&self) -> Probe {
+        match probe_again(&self.endpoint).await {
+            // Another process may have taken its place if this instance stood still, or learns of the end
+            // late.
+            Probe::Alive if !self.state.versions.confirm().await => Probe::Unknown,
+            Probe::Alive if self.state.is_replaced(&self.endpoint) => Probe::Unknown,
+            found => found,
         }
-        true
     }
 
     /// Ends the call without a response at an endpoint that crashed.
@@ -331,8 +342,8 @@
     Unknown,
 }
 
-/// Probes an endpoint once more that accepted a connection. While a process ends, its connections may
-/// be closed before its listener is.
+/// Probes an endpoint a little later than its connection ended or it accepted one. While a process ends, its
+/// connections may be closed before its listener is.
 async fn probe_again(endpoint: &Endpoint) -> Probe {
     sleep(PROBE_INTERVAL).await;
     probe(endpoint, Instant::now()).await
--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -186,6 +186,14 @@
         listed.is_none_or(|e| e.leaving) || !endpoint.takes_work()
     }
 
+    /// Whether another incarnation is known under the name or at the address of an endpoint.
+    pub fn is_replaced(&self, endpoint: &Endpoint) -> bool {
+        let (entries, own) = (self.view.entries.load(), &endpoint.entry);
+        let same_place = |e: &&Entry| e.name == own.name || e.address == own.address;
+        let mut others = entries.iter().filter(same_place);
+        others.any(|e| !e.same_incarnation(own))
+    }
+
     /// Whether [`Self::announce_stop`] was called.
     pub fn stopping(&self) -> bool {
         self.stop_end.get().is_some()
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -22,7 +22,7 @@
     agate_quarantine::{Trial, Work},
     agate_route::{health::ExchangeResult, signals::Withheld},
     agate_transport::{
-        exchange::{self, Ending, EndpointResponse, Failure, Step, TimeLimits},
+        exchange::{self, EndpointResponse, Failure, Step, TimeLimits},
         in_flight::Guard,
         link::IDLE_LIMIT,
         proof::{Grant, NotRunProof, Retryable},
@@ -478,12 +478,7 @@
             return Err(if failure.silent { Cause::Late } else { Cause::Lost });
         }
     };
-    // An endpoint may return a server error before it runs the request, so that clears nothing.
-    if status.is_server_error() {
-        guard.on_error_response()
-    } else if ending == Ending::Marked {
-        guard.on_response(assignment.elapsed())
-    } else if !guard.on_unframed_response(ending, assignment.elapsed()).await {
+    if !guard.on_end(ending, status, assignment.elapsed()).await {
         on_cut(state, job, &assignment, UNPROVEN_END);
         return Err(Cause::Lost);
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -18,7 +18,7 @@
     },
     agate_quarantine::Work,
     agate_route::health::ExchangeResult,
-    agate_transport::{buffer_budget::BufferAccount, exchange::Ending, in_flight::Guard},
+    agate_transport::{buffer_budget::BufferAccount, in_flight::Guard},
     agate_view::Entry,
     bytes::Bytes,
     futures_util::stream,
@@ -146,10 +146,7 @@
     /// Ends the stream after a complete event.
     async fn on_end(&mut self) -> Next {
         let Some(Call { response, assignment, guard }) = self.call.take() else { return Next::End };
-        let ending = response.ending();
-        if ending == Ending::Marked {
-            guard.on_response(assignment.elapsed());
-        } else if !guard.on_unframed_response(ending, assignment.elapsed()).await {
+        if !guard.on_end(response.ending(), self.status, assignment.elapsed()).await {
             self.record_cut(&assignment, run::UNPROVEN_END, false);
             drop(assignment);
             return self.resume(Cause::Lost).await;
