--- a/crates/version/src/lib.rs
+++ b/crates/version/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`begun`]: versions of streams that began lately.
 //! - [`homes`]: instances that remember them for others while the split changes.
 //! - [`known_streams`]: what instances tell each other of those.
+//! - [`resumption`]: where a stream that is taken up may go on.
 //! - [`versions`]: all services of an instance.
 //!
 //! Invariant: a stream that is taken up goes on at the version that began it, or is refused while
@@ -24,13 +25,11 @@
 pub mod known_streams;
 pub mod metrics;
 pub mod record;
+pub mod resumption;
 pub mod split;
 pub mod versions;
 
-pub use {
-    split::Split,
-    versions::{Resumption, Versions},
-};
+pub use {resumption::Resumption, split::Split, versions::Versions};
 
 /// Hash of the identifier of the request that brought the first event of a stream.
 pub type StreamId = u64;
--- a/crates/version/src/metrics.rs
+++ b/crates/version/src/metrics.rs
@@ -5,7 +5,7 @@
 /// Metrics of the streams that callers take up at one instance.
 #[derive(Clone, Debug)]
 pub struct Metrics {
-    /// Attempts to take a stream up, by what told its version; see [`crate::versions::Source`].
+    /// Attempts to take a stream up, by what told its version; see [`crate::resumption::Source`].
     pub taken_up: IntCounterVec,
 }
 
--- a/crates/version/src/versions.rs
+++ b/crates/version/src/versions.rs
@@ -9,6 +9,7 @@
         known_streams::{Answer, KnownStreams},
         metrics::Metrics,
         record::{self, Splits},
+        resumption::{Resumption, Source},
         split::Split,
     },
     agate_core::{Mono, Wall},
@@ -43,46 +44,6 @@
 /// Age of the latest contact to most other instances above which they are out of reach.
 const MAX_CONTACT_AGE: Duration = Duration::from_millis(1_250);
 
-/// Where a stream that a caller takes up may go on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Resumption {
-    /// At endpoints of this version.
-    At(Version),
-    /// Nowhere yet: it cannot be told which version began it. If it has gone on for as long as this,
-    /// it can.
-    Unknown(Option<Duration>),
-    /// Nowhere: what is known of the endpoints is too old to tell.
-    Outdated,
-}
-
-/// What told the version of a stream that a caller takes up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// This instance forwarded the stream, or is one of its homes.
-    Remembered,
-    /// A home of the stream.
-    Told,
-    /// The splits of its service.
-    Computed,
-    /// Nothing: it cannot be told.
-    Nothing,
-    /// Nothing: what is known of the endpoints is too old to tell.
-    Outdated,
-}
-
-impl Source {
-    /// Stable name in logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Remembered => "remembered",
-            Self::Told => "told",
-            Self::Computed => "computed",
-            Self::Nothing => "nothing",
-            Self::Outdated => "outdated",
-        }
-    }
-}
-
 /// Present time of day.
 type WallFn = dyn Fn() -> Wall + Send + Sync;
 
