Log what proves complete each response that ended with its connection

An end that is taken for complete left no line, so the operators' record of responses that ended early could not tell its hypotheses apart. Each response that ends with its connection now has one line with the request: the proof or why there is none, after how long it was found, by a direct connection or another instance, and the age of the endpoint list; agate_closed_ends_total counts them by proof. No decision changes: the probes move to a module of their own.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -10,6 +10,7 @@
         proxy_state::ProxyState,
         refusal::{Cause, Refused},
         serve::Job,
+        survival::{self, Probe, Proof, probe, probe_again},
     },
     agate_quarantine::{
         Decision, EndpointHash, Fingerprint, Property, Trial, Work, evidence::Call, hex,
@@ -24,11 +25,11 @@
     http::StatusCode,
     indexmap::IndexSet,
     std::{
-        io, iter,
+        iter,
         sync::{Arc, OnceLock},
         time::{Duration, Instant},
     },
-    tokio::time::{sleep, timeout},
+    tokio::time::timeout,
 };
 
 /// Maximum time that a request waits to learn whether its endpoint crashed; a few round trips to
@@ -37,8 +38,6 @@
 /// Maximum time that a request waits for the proof that its response is complete: a direct connection, which
 /// may hang, and one through another instance.
 const PROOF_WAIT: Duration = Duration::from_millis(300);
-/// Time between two probes of an endpoint.
-const PROBE_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Properties of one request by which the quarantine recognises it; hashed on first use.
 #[derive(Debug, Default)]
@@ -218,34 +217,17 @@
     /// closes the connections of a process that ends in the same way.
     pub async fn on_end(self, ending: Ending, status: StatusCode, since: Duration) -> bool {
         let sent = Instant::now() - since;
-        let found = match ending {
-            Ending::Marked => Probe::Alive,
-            Ending::Closed => {
-                let limit = PROOF_WAIT.min(self.job.remaining());
-                timeout(limit, self.probe_survival()).await.unwrap_or(Probe::Unknown)
-            }
-            Ending::Unknown => Probe::Unknown,
-        };
-        match found {
-            Probe::Alive if status.is_server_error() => self.on_error_response(),
-            Probe::Alive => self.on_response(sent.elapsed()),
+        let limit = PROOF_WAIT.min(self.job.remaining());
+        let proof = survival::prove(&self.state, &self.job, &self.endpoint, ending, limit).await;
+        match proof {
+            _ if proof.is_complete() && status.is_server_error() => self.on_error_response(),
+            _ if proof.is_complete() => self.on_response(sent.elapsed()),
             // It stopped as it had announced.
-            Probe::Refused if self.state.is_leaving(&self.endpoint) => self.on_error_response(),
-            Probe::Refused => self.on_crash(),
-            Probe::Unknown => self.on_lost(false).await,
-        }
-        found == Probe::Alive
-    }
-
-    /// Probes whether the endpoint's process has outlived the end of a connection.
-    async fn probe_survival(&self) -> Probe {
-        match probe_again(&self.endpoint).await {
-            // Another process may have taken its place if this instance stood still, or learns of the end
-            // late.
-            Probe::Alive if !self.state.versions.confirm().await => Probe::Unknown,
-            Probe::Alive if self.state.is_replaced(&self.endpoint) => Probe::Unknown,
-            found => found,
+            Proof::Refused if self.state.is_leaving(&self.endpoint) => self.on_error_response(),
+            Proof::Refused => self.on_crash(),
+            _ => self.on_lost(false).await,
         }
+        proof.is_complete()
     }
 
     /// Ends the call without a response at an endpoint that crashed.
@@ -292,11 +274,11 @@
             match probe(&endpoint, failed_at).await {
                 Probe::Refused => state.quarantine.on_crash(incarnation, "refused"),
                 // The network path may have lost the state of all connections of that age.
-                Probe::Alive if silent => close_idle(&endpoint),
-                Probe::Alive => drop(tokio::spawn(async move {
+                Probe::Alive(_) if silent => close_idle(&endpoint),
+                Probe::Alive(_) => drop(tokio::spawn(async move {
                     match probe_again(&endpoint).await {
                         Probe::Refused => state.quarantine.on_crash(incarnation, "refused"),
-                        Probe::Alive => state.quarantine.on_alive(&call, incarnation),
+                        Probe::Alive(_) => state.quarantine.on_alive(&call, incarnation),
                         Probe::Unknown => {}
                     }
                 })),
@@ -330,40 +312,3 @@
         "closed idle connections: one timed out while a new one works"
     );
 }
-
-/// Result of opening a new connection to an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Probe {
-    /// Connection refused: nothing listens at its address any more.
-    Refused,
-    /// Connection accepted.
-    Alive,
-    /// Any other error, which does not show whether the endpoint is alive.
-    Unknown,
-}
-
-/// Probes an endpoint a little later than its connection ended or it accepted one. While a process ends, its
-/// connections may be closed before its listener is.
-async fn probe_again(endpoint: &Endpoint) -> Probe {
-    sleep(PROBE_INTERVAL).await;
-    probe(endpoint, Instant::now()).await
-}
-
-/// Opens a connection to the endpoint, or returns the result of a probe begun after `since`.
-async fn probe(endpoint: &Endpoint, since: Instant) -> Probe {
-    let mut last = endpoint.stats.last_probe.lock().await;
-    if let Some((_, result)) = last.filter(|(at, _)| *at >= since) {
-        return result;
-    }
-    let at = Instant::now();
-    let result = match endpoint.pool.open().await {
-        Ok(link) => {
-            endpoint.pool.put(link);
-            Probe::Alive
-        }
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => Probe::Refused,
-        Err(_) => Probe::Unknown,
-    };
-    *last = Some((at, result));
-    result
-}
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        crash::Probe,
         fleet::Requirements,
         latency::{LatencyModel, Sample},
         load::{PrefillLoad, SpeedRatio},
         placement::Candidate,
         signal_store::SharedSignals,
+        survival::Probe,
     },
     agate_core::Mono,
     agate_path::Path,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod started;
 pub mod stream;
 mod stream_version;
+mod survival;
 
 use {
     bytes::Bytes,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -34,6 +34,8 @@
     pub resting_calls: IntCounterVec,
     /// Failed exchanges with endpoints, by step.
     pub failures: IntCounterVec,
+    /// Responses that ended with their connection, by what proves them complete, or why nothing does.
+    pub closed_ends: IntCounterVec,
     /// Streams resumed at another endpoint.
     pub resumed: IntCounter,
     /// Time from a request's arrival to the first byte of its response, by kind.
@@ -92,6 +94,11 @@
                 &["part"],
             ),
             failures: counter("agate_failures_total", "failed exchanges", &["step"]),
+            closed_ends: counter(
+                "agate_closed_ends_total",
+                "responses that ended with their connection, by proof",
+                &["proof"],
+            ),
             resumed,
             first_byte: histogram(
                 "agate_first_byte_seconds",
