Take a response's end for whole only if the endpoint itself responds afterwards

Cause: a response without a length ends with its connection, and the operating system closes the connections of a process that ends in the same way. A new connection that was accepted counted as the proof that the process had lived on. But a forwarder on the path, a gateway, a process that took its place, and any listener that outlives it accept too. The class: a sign that others can give is taken for a sign of life.

Change: survival::prove asks the endpoint for its health after the end. Complete is what ended before a response that bears the endpoint's name, or rejects the check as an endpoint does; another name, a misdirected check, a gateway's own response and silence prove nothing. The incarnation must still be the listed one, as before. One check serves all responses of the endpoint that ended before it was sent. A request that can be repeated waits 300 ms for the proof, any other until its deadline, so that whole responses of a busy or slow endpoint are served. Decided in one place, for plain responses and streams, direct and relayed connections.

Why it works: only the endpoint's process can respond with its name to a request that was sent after the end.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -35,8 +35,8 @@
 /// Maximum time that a request waits to learn whether its endpoint crashed; a few round trips to
 /// another availability zone.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
-/// Maximum time that a request waits for the proof that its response is complete: a direct connection, which
-/// may hang, and one through another instance.
+/// Maximum time that a request waits for the proof that its response is complete if another endpoint could
+/// serve it.
 const PROOF_WAIT: Duration = Duration::from_millis(300);
 
 /// Properties of one request by which the quarantine recognises it; hashed on first use.
@@ -213,11 +213,17 @@
     /// proved complete. A complete response with `status` clears the request of suspicion, unless the
     /// endpoint may have returned it before it ran the request.
     ///
-    /// A body that ends with its connection is complete if the endpoint outlived that: the operating system
-    /// closes the connections of a process that ends in the same way.
-    pub async fn on_end(self, ending: Ending, status: StatusCode, since: Duration) -> bool {
+    /// If the request `may_repeat`, the proof is waited for only as long as that costs less than to repeat it.
+    pub async fn on_end(
+        self,
+        ending: Ending,
+        status: StatusCode,
+        since: Duration,
+        may_repeat: bool,
+    ) -> bool {
         let sent = Instant::now() - since;
-        let limit = PROOF_WAIT.min(self.job.remaining());
+        let left = self.job.remaining();
+        let limit = if may_repeat { left.min(PROOF_WAIT) } else { left };
         let proof = survival::prove(&self.state, &self.job, &self.endpoint, ending, limit).await;
         match proof {
             _ if proof.is_complete() && status.is_server_error() => self.on_error_response(),
@@ -274,11 +280,11 @@
             match probe(&endpoint, failed_at).await {
                 Probe::Refused => state.quarantine.on_crash(incarnation, "refused"),
                 // The network path may have lost the state of all connections of that age.
-                Probe::Alive(_) if silent => close_idle(&endpoint),
-                Probe::Alive(_) => drop(tokio::spawn(async move {
+                Probe::Accepted if silent => close_idle(&endpoint),
+                Probe::Accepted => drop(tokio::spawn(async move {
                     match probe_again(&endpoint).await {
                         Probe::Refused => state.quarantine.on_crash(incarnation, "refused"),
-                        Probe::Alive(_) => state.quarantine.on_alive(&call, incarnation),
+                        Probe::Accepted => state.quarantine.on_alive(&call, incarnation),
                         Probe::Unknown => {}
                     }
                 })),
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -54,6 +54,19 @@
     pub handle: String,
 }
 
+/// Who returned a response, as far as it tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Responder {
+    /// The endpoint that the request was meant for, by its name.
+    Named,
+    /// An endpoint that rejects the request, although it was meant for it.
+    Rejecting,
+    /// Another endpoint.
+    Other,
+    /// Unknown: it may come from something between this instance and the endpoint.
+    Unknown,
+}
+
 /// Functions that implement one protocol.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -63,6 +76,10 @@
     pub parse_request: fn(&HeaderMap) -> RequestInfo,
     /// Makes the headers sent to an endpoint from the caller's headers.
     pub request_headers: fn(&HeaderMap, &Outgoing<'_>) -> HeaderMap,
+    /// Makes the headers of a request that asks the endpoint with this name for its health.
+    pub health_headers: fn(&str) -> HeaderMap,
+    /// Tells who returned the response to such a request.
+    pub responder: fn(&Parts, &str) -> Responder,
     /// Classifies an endpoint's response head.
     pub classify_response: fn(&Parts) -> Verdict,
     /// Reads what an endpoint states about itself in a response.
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -7,7 +7,7 @@
         load::{PrefillLoad, SpeedRatio},
         placement::Candidate,
         signal_store::SharedSignals,
-        survival::Probe,
+        survival::{Probe, Proof},
     },
     agate_core::Mono,
     agate_path::Path,
@@ -79,6 +79,8 @@
     pub prefill_queue: Mutex<PrefillQueue>,
     /// Start time and result of the last connection probe.
     pub last_probe: AsyncMutex<Option<(Instant, Probe)>>,
+    /// Start time and result of the last health check that had one.
+    pub(crate) last_check: AsyncMutex<Option<(Instant, Proof)>>,
 }
 
 impl EndpointStats {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -135,7 +135,8 @@
             log_taken_up(&job, &call.assignment);
             return Ok(stream::forward(state.clone(), job, call, attempts, guard));
         }
-        match collect(state, &job, call).await {
+        let may_repeat = job.route.kind.retryable() && !last;
+        match collect(state, &job, call, may_repeat).await {
             Ok(response) => return Ok(response),
             Err(cause) => retry(state, &job, &mut attempts, cause)?,
         }
@@ -154,7 +155,7 @@
 }
 
 /// Whether the route and the remaining time allow another attempt.
-fn may_continue(job: &Job, attempts: &Attempts) -> bool {
+pub fn may_continue(job: &Job, attempts: &Attempts) -> bool {
     attempts.sent < job.route.attempts
         && attempts.tried.len() < MAX_TRIED
         && job.remaining() > MIN_REMAINING
@@ -467,7 +468,12 @@
 }
 
 /// Buffers a complete response and returns it for the caller.
-async fn collect(state: &ProxyState, job: &Job, call: Call) -> Result<Response<Body>, Cause> {
+async fn collect(
+    state: &ProxyState,
+    job: &Job,
+    call: Call,
+    may_repeat: bool,
+) -> Result<Response<Body>, Cause> {
     let Call { response, assignment, guard } = call;
     let (status, ending) = (response.head.status, response.ending());
     let (head, body) = match response.collect(MAX_BUFFERED, job.remaining()).await {
@@ -478,7 +484,7 @@
             return Err(if failure.silent { Cause::Late } else { Cause::Lost });
         }
     };
-    if !guard.on_end(ending, status, assignment.elapsed()).await {
+    if !guard.on_end(ending, status, assignment.elapsed(), may_repeat).await {
         on_cut(state, job, &assignment, UNPROVEN_END);
         return Err(Cause::Lost);
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -146,7 +146,10 @@
     /// Ends the stream after a complete event.
     async fn on_end(&mut self) -> Next {
         let Some(Call { response, assignment, guard }) = self.call.take() else { return Next::End };
-        if !guard.on_end(response.ending(), self.status, assignment.elapsed()).await {
+        let may_repeat =
+            self.job.route.kind.retryable() && run::may_continue(&self.job, &self.attempts);
+        let (ending, took) = (response.ending(), assignment.elapsed());
+        if !guard.on_end(ending, self.status, took, may_repeat).await {
             self.record_cut(&assignment, run::UNPROVEN_END, false);
             drop(assignment);
             return self.resume(Cause::Lost).await;
--- a/crates/view/src/table.rs
+++ b/crates/view/src/table.rs
@@ -120,6 +120,8 @@
 pub struct Service {
     /// Connections that one endpoint accepts from all instances together.
     pub connections: u32,
+    /// Path at which its endpoints tell their names; `None` if they do not.
+    pub health: Option<String>,
     /// Capacity of its engines, if it serves models.
     pub engine: Option<Engine>,
     /// Scaling limits; `None` if the operator does not allow scaling.
