Clear a request of a crash only if its endpoint responds afterwards

After a call without a response a new connection that was accepted counted as the proof that only the connection had broken, which clears the request; and behind a forwarder no connection is ever refused, so no crash was left to see.

Change: the call stays unanswered unless the endpoint itself responds to a health check within a second. If it does not, the crash shows once its entry is gone.

Why it works: a request is cleared by what only the endpoint's process could have done after the call.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -10,7 +10,7 @@
         proxy_state::ProxyState,
         refusal::{Cause, Refused},
         serve::Job,
-        survival::{self, Probe, Proof, probe, probe_again},
+        survival::{self, Probe, Proof, probe, prove_survival},
     },
     agate_quarantine::{
         Decision, EndpointHash, Fingerprint, Property, Trial, Work, evidence::Call, hex,
@@ -38,6 +38,8 @@
 /// Maximum time that a request waits for the proof that its response is complete if another endpoint could
 /// serve it.
 const PROOF_WAIT: Duration = Duration::from_millis(300);
+/// Maximum time after a call without a response in which its endpoint may show that it is alive.
+const SURVIVAL_WAIT: Duration = Duration::from_secs(1);
 
 /// Properties of one request by which the quarantine recognises it; hashed on first use.
 #[derive(Debug, Default)]
@@ -282,10 +284,13 @@
                 // The network path may have lost the state of all connections of that age.
                 Probe::Accepted if silent => close_idle(&endpoint),
                 Probe::Accepted => drop(tokio::spawn(async move {
-                    match probe_again(&endpoint).await {
-                        Probe::Refused => state.quarantine.on_crash(incarnation, "refused"),
-                        Probe::Accepted => state.quarantine.on_alive(&call, incarnation),
-                        Probe::Unknown => {}
+                    let survival = prove_survival(&state, &endpoint);
+                    match timeout(SURVIVAL_WAIT, survival).await {
+                        Ok(Proof::Refused) => state.quarantine.on_crash(incarnation, "refused"),
+                        Ok(proof) if proof.is_complete() => {
+                            state.quarantine.on_alive(&call, incarnation);
+                        }
+                        Ok(_) | Err(_) => {}
                     }
                 })),
                 Probe::Unknown => {}
--- a/crates/relay/src/survival.rs
+++ b/crates/relay/src/survival.rs
@@ -107,7 +107,7 @@
 }
 
 /// Waits until a health check that is sent from now on shows whether the endpoint's process lives.
-async fn prove_survival(state: &ProxyState, endpoint: &Endpoint) -> Proof {
+pub async fn prove_survival(state: &ProxyState, endpoint: &Endpoint) -> Proof {
     // A process that ends may close some connections before others.
     sleep(PROBE_INTERVAL).await;
     match check(state, endpoint, Instant::now()).await {
@@ -201,13 +201,6 @@
     Unknown,
 }
 
-/// Probes an endpoint a little later than it accepted a connection. While a process ends, its connections may
-/// be closed before its listener is.
-pub async fn probe_again(endpoint: &Endpoint) -> Probe {
-    sleep(PROBE_INTERVAL).await;
-    probe(endpoint, Instant::now()).await
-}
-
 /// Opens a connection to the endpoint, or returns the result of a probe begun after `since`.
 pub async fn probe(endpoint: &Endpoint, since: Instant) -> Probe {
     let mut last = endpoint.stats.last_probe.lock().await;
