Count a body as marked only by a length or chunks

Callers would see a part of a body, framed as complete, of an endpoint that exits amid a response whose transfer coding is not chunked.

Cause: a response with any transfer-encoding, or with a content-length beside one, counted as one whose end is marked. Unless the last coding is chunked, such a body ends with its connection (RFC 9112, section 6.3), and the HTTP client reads it so. The class is that of the other ways: an end counts as complete by something that does not show it.

Change: marked is what the client reads by length, or in chunks as the last coding of HTTP/1.1. All else needs the proof that the endpoint lived on.

--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -10,11 +10,7 @@
         proof::{Declared, Grant},
     },
     bytes::Bytes,
-    http::{
-        HeaderName, Request,
-        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-        response::Parts,
-    },
+    http::{HeaderName, Request, Version, header::TRANSFER_ENCODING, response::Parts},
     http_body_util::{BodyExt, Full},
     hyper::body::{Body, Incoming},
     std::{
@@ -93,11 +89,22 @@
     /// Address of the endpoint.
     pub peer: SocketAddr,
     body: Incoming,
+    /// Whether a length or the last chunk marks the end of the body.
+    marked: bool,
     connection: Connection,
     pool: Arc<Pool>,
     abandon: bool,
 }
 
+/// Whether the body comes in chunks. Otherwise a transfer coding makes it end with its connection, whatever
+/// length is given (RFC 9112, section 6.3).
+fn chunked(head: &Parts) -> bool {
+    let codings = head.headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = codings.and_then(|v| v.to_str().ok()?.rsplit(',').next());
+    head.version >= Version::HTTP_11
+        && last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// What the end of a response's body shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -196,7 +203,8 @@
         return Err(failure);
     }
     let (pool, abandon) = (pool.clone(), time_limits.abandon);
-    Ok(EndpointResponse { head, peer, body, connection, pool, abandon })
+    let marked = body.size_hint().exact().is_some() || chunked(&head);
+    Ok(EndpointResponse { head, peer, body, marked, connection, pool, abandon })
 }
 
 impl EndpointResponse {
@@ -207,12 +215,8 @@
 
     /// What the end of the body shows.
     pub fn ending(&self) -> Ending {
-        let headers = &self.head.headers;
-        let framed = self.body.is_end_stream()
-            || headers.contains_key(CONTENT_LENGTH)
-            || headers.contains_key(TRANSFER_ENCODING);
         match self.connection.way {
-            _ if framed => Ending::Marked,
+            _ if self.marked => Ending::Marked,
             Way::Direct | Way::Relayed => Ending::Closed,
             Way::Spliced => Ending::Unknown,
         }
