Reset a caller's connection of HTTP/1.0 when its response is broken off

A caller of HTTP/1.0 saw a stream that was broken off end as a whole one does.

Cause: responses to HTTP/1.0 have no chunks, and the connection of a stream that ended with an error was closed in the ordinary way, so this system made the very end that it no longer takes for whole itself.

Change: a connection whose last request was of HTTP/1.0 and that ends with an error is reset. Callers of HTTP/1.1 see a missing last chunk, as before.

Evidence: old_callers::stream_ends, broken_off, read an ordinary end after three of six events before, an error now; the whole stream ends as before. An instance that is killed amid such a stream still ends it in the ordinary way.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -4,12 +4,21 @@
     crate::{proxy_state::ProxyState, serve},
     agate_transport::link,
     http::{
-        HeaderValue, Request,
+        HeaderValue, Request, Version,
         header::{CONNECTION, TRANSFER_ENCODING},
     },
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering::Relaxed},
+        },
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         time::{sleep, timeout},
@@ -108,8 +117,11 @@
         return log::debug!("connection of caller {peer}: {e}");
     }
     let limits = state.view.table.load().as_ref().map(|t| t.limits).unwrap_or_default();
+    let old_version = Arc::<AtomicBool>::default();
+    let is_old = old_version.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let state = state.clone();
+        is_old.store(request.version() < Version::HTTP_11, Relaxed);
         async move {
             // hyper lets chunked encoding override a Content-Length without reporting it, so the
             // bytes that follow on the connection may belong to this body (request smuggling).
@@ -128,15 +140,20 @@
         .header_read_timeout(limits.idle)
         .max_header_size(limits.headers)
         .max_headers(MAX_HEADERS);
-    let mut conn = pin!(builder.serve_connection(TokioIo::new(io), service));
+    let mut conn = builder.serve_connection(TokioIo::new(io), service);
     let result = tokio::select! {
-        result = conn.as_mut() => result,
+        result = &mut conn => result,
         () = shutdown.cancelled() => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
+            Pin::new(&mut conn).graceful_shutdown();
+            (&mut conn).await
         }
     };
-    if let Err(e) = result {
-        log::debug!("connection of caller {peer}: {e}");
+    let Err(e) = result else { return };
+    log::debug!("connection of caller {peer}: {e}");
+    // Responses to earlier versions of HTTP have no chunks, so only a reset shows that one was broken off.
+    if old_version.load(Relaxed)
+        && let Err(e) = conn.into_parts().io.into_inner().set_zero_linger()
+    {
+        log::debug!("resetting the connection of caller {peer}: {e}");
     }
 }
