Reset a caller's connection of HTTP/1.0 only when a response was broken off

The idle timeout of a kept connection of HTTP/1.0 also ends it with an error; a reset then could discard what a slow caller has not read of a whole response. Only an error of the response's body resets the connection now. Found by review; by reading, no run showed it.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -152,6 +152,7 @@
     log::debug!("connection of caller {peer}: {e}");
     // Responses to earlier versions of HTTP have no chunks, so only a reset shows that one was broken off.
     if old_version.load(Relaxed)
+        && e.is_user()
         && let Err(e) = conn.into_parts().io.into_inner().set_zero_linger()
     {
         log::debug!("resetting the connection of caller {peer}: {e}");
