Count a prefill without a whole result as unanswered if its connection ended

A prefill response without a length that its engine breaks off by crashing does not parse, and counted as the response of an engine that is alive, so the crash was not held against the request. Same class as responses that end early; the handle itself cannot be cut short, since it must parse.

--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -20,7 +20,7 @@
     agate_quarantine::{Trial, Work},
     agate_route::health::ExchangeResult,
     agate_transport::{
-        exchange::{Failure, Step},
+        exchange::{Ending, Failure, Step},
         proof::{Grant, Retryable},
     },
     agate_view::{
@@ -163,6 +163,7 @@
     let grant = Retryable::idempotent(true).map(Grant::Again).expect("a prefill may be retried");
     let guard = CallGuard::begin(state, job, &endpoint, Work::Prefill, trial);
     let sent = send(state, job, &assignment, &outgoing, grant, admission).await;
+    let ending = sent.as_ref().map_or(Ending::Marked, |response| response.ending());
     let answered = match sent {
         Ok(response) => response.collect(MAX_RESPONSE, job.remaining()).await,
         Err(failure) => Err(failure),
@@ -177,7 +178,10 @@
     };
     let handle = if head.status.is_success() { (state.dialect.parse_prefill)(&body) } else { None };
     let Some(handle) = handle else {
-        guard.on_error_response();
+        match ending {
+            Ending::Marked => guard.on_error_response(),
+            Ending::Closed | Ending::Unknown => guard.on_lost(false).await,
+        }
         state.fleet.record_result(&endpoint, ExchangeResult::Failure);
         log::info!(
             event = "reading_failed", request = job.info.id.as_str(),
