Bound the wait for the proof that an endpoint lived on, and spare endpoints that prove nothing

Findings of a review of the proof by health check, each by reading: - A request that cannot be repeated waited until its deadline, up to 15 s, in which an endpoint can restart under its name before its entry says so. The wait is at most 1 s, shorter than a restart; a request that can be repeated leaves half of its time for that instead of giving up after 300 ms, so that full endpoints have time to respond. - A proof that is late, or impossible because the endpoint list is old, counted as a failure of the endpoint, and could take sound ones out of use. Only a refusal or another endpoint's response does now. - A response to a health check that is sent twice could pass for one to a later check on the same connection. The connection of a check is not used again. - An endpoint that resets new connections while it is full was asked on new ones only after one failure; pooled ones are now left out only after one was silent. - A retained entry at the same address counted as a replacement, though the response names the endpoint. Names decide. - The health path was looked up at the end, when a configuration may have dropped the service. It stays with the endpoint. - What an endpoint states in its response to a check (rest, rate, leaving) is read as in any other.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -35,10 +35,8 @@
 /// Maximum time that a request waits to learn whether its endpoint crashed; a few round trips to
 /// another availability zone.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
-/// Maximum time that a request waits for the proof that its response is complete if another endpoint could
-/// serve it.
-const PROOF_WAIT: Duration = Duration::from_millis(300);
-/// Maximum time after a call without a response in which its endpoint may show that it is alive.
+/// Maximum time after the end of a connection in which its endpoint may show that it is alive; shorter than a
+/// restart takes, since a new process may have the endpoint's name.
 const SURVIVAL_WAIT: Duration = Duration::from_secs(1);
 
 /// Properties of one request by which the quarantine recognises it; hashed on first use.
@@ -211,21 +209,21 @@
         }
     }
 
-    /// Ends the call, which was sent `since` ago, with a body that ended as `ending` says; returns whether it is
-    /// proved complete. A complete response with `status` clears the request of suspicion, unless the
-    /// endpoint may have returned it before it ran the request.
+    /// Ends the call, which was sent `since` ago, with a body that ended as `ending` says; returns what proves it
+    /// complete, or why nothing does. A complete response with `status` clears the request of suspicion,
+    /// unless the endpoint may have returned it before it ran the request.
     ///
-    /// If the request `may_repeat`, the proof is waited for only as long as that costs less than to repeat it.
+    /// If the request `may_repeat`, half of its time is left for that.
     pub async fn on_end(
         self,
         ending: Ending,
         status: StatusCode,
         since: Duration,
         may_repeat: bool,
-    ) -> bool {
+    ) -> Proof {
         let sent = Instant::now() - since;
-        let left = self.job.remaining();
-        let limit = if may_repeat { left.min(PROOF_WAIT) } else { left };
+        let left = self.job.remaining() / if may_repeat { 2 } else { 1 };
+        let limit = left.min(SURVIVAL_WAIT);
         let proof = survival::prove(&self.state, &self.job, &self.endpoint, ending, limit).await;
         match proof {
             _ if proof.is_complete() && status.is_server_error() => self.on_error_response(),
@@ -235,7 +233,7 @@
             Proof::Refused => self.on_crash(),
             _ => self.on_lost(false).await,
         }
-        proof.is_complete()
+        proof
     }
 
     /// Ends the call without a response at an endpoint that crashed.
@@ -286,7 +284,9 @@
                 Probe::Accepted => drop(tokio::spawn(async move {
                     let survival = prove_survival(&state, &endpoint);
                     match timeout(SURVIVAL_WAIT, survival).await {
-                        Ok(Proof::Refused) => state.quarantine.on_crash(incarnation, "refused"),
+                        Ok(Proof::Refused) if !state.is_leaving(&endpoint) => {
+                            state.quarantine.on_crash(incarnation, "refused");
+                        }
                         Ok(proof) if proof.is_complete() => {
                             state.quarantine.on_alive(&call, incarnation);
                         }
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -21,6 +21,7 @@
         roster::{Entry, Stage, Version},
         table::Name,
     },
+    http::Uri,
     std::{
         sync::{
             Arc, Mutex, MutexGuard,
@@ -56,6 +57,8 @@
     pub stats: Arc<EndpointStats>,
     /// What it stated in its responses, kept when the entry changes.
     pub(crate) signals: SharedSignals,
+    /// Path of its health check; `None` if it has none.
+    pub(crate) health: Option<Uri>,
     /// Maximum number of concurrent requests from this instance.
     pub max_open: u32,
     /// Latency model of endpoints of its kind.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -11,6 +11,7 @@
         placement::{self, Candidate, Choice, EndpointKey, Workload},
         rate_share::RateShares,
         signal_store::SignalStore,
+        survival,
     },
     agate_core::Mono,
     agate_path::{Path, Paths},
@@ -186,6 +187,7 @@
                 pool,
                 stats,
                 signals,
+                health: service.and_then(survival::health_path),
                 max_open,
                 latency,
             };
--- a/crates/relay/src/proxy_state.rs
+++ b/crates/relay/src/proxy_state.rs
@@ -186,12 +186,10 @@
         listed.is_none_or(|e| e.leaving) || !endpoint.takes_work()
     }
 
-    /// Whether another incarnation is known under the name or at the address of an endpoint.
+    /// Whether another incarnation is known under the name of an endpoint.
     pub fn is_replaced(&self, endpoint: &Endpoint) -> bool {
         let (entries, own) = (self.view.entries.load(), &endpoint.entry);
-        let same_place = |e: &&Entry| e.name == own.name || e.address == own.address;
-        let mut others = entries.iter().filter(same_place);
-        others.any(|e| !e.same_incarnation(own))
+        entries.iter().any(|e| e.name == own.name && !e.same_incarnation(own))
     }
 
     /// Whether [`Self::announce_stop`] was called.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -457,8 +457,14 @@
     );
 }
 
-fn on_cut(state: &ProxyState, job: &Job, assignment: &Assignment, cause: &str) {
-    state.fleet.record_result(&assignment.endpoint, ExchangeResult::Failure);
+fn on_cut(
+    state: &ProxyState,
+    job: &Job,
+    assignment: &Assignment,
+    cause: &str,
+    result: ExchangeResult,
+) {
+    state.fleet.record_result(&assignment.endpoint, result);
     log::info!(
         event = "answer_cut", request = job.info.id.as_str(),
         print = fingerprint_text(job, Work::Run).as_str(), parts = parts_text(job, Work::Run).as_str(),
@@ -479,13 +485,14 @@
     let (head, body) = match response.collect(MAX_BUFFERED, job.remaining()).await {
         Ok(whole) => whole,
         Err(failure) => {
-            on_cut(state, job, &assignment, &failure.cause);
+            on_cut(state, job, &assignment, &failure.cause, ExchangeResult::Failure);
             guard.on_lost(failure.silent).await;
             return Err(if failure.silent { Cause::Late } else { Cause::Lost });
         }
     };
-    if !guard.on_end(ending, status, assignment.elapsed(), may_repeat).await {
-        on_cut(state, job, &assignment, UNPROVEN_END);
+    let proof = guard.on_end(ending, status, assignment.elapsed(), may_repeat).await;
+    if !proof.is_complete() {
+        on_cut(state, job, &assignment, UNPROVEN_END, proof.result());
         return Err(Cause::Lost);
     }
     state.fleet.record_result(&assignment.endpoint, ExchangeResult::Success);
--- a/crates/relay/src/signals.rs
+++ b/crates/relay/src/signals.rs
@@ -9,6 +9,7 @@
     },
     agate_route::signals::Change,
     agate_transport::exchange::{EndpointResponse, Result},
+    http::response::Parts,
     std::sync::atomic::Ordering::Relaxed,
 };
 
@@ -47,6 +48,17 @@
         Err(failure) => failure.head.as_deref(),
     };
     let Some(head) = head else { return };
+    read(state, job.info.id.as_str(), endpoint, part_label(outgoing.part), head);
+}
+
+/// Applies the statements in the head of a response to `part` of the work of `request`.
+pub fn read(
+    state: &ProxyState,
+    request: &str,
+    endpoint: &Endpoint,
+    part: &'static str,
+    head: &Parts,
+) {
     // Another endpoint process that listens at the address speaks for itself only.
     if (state.dialect.misdirected)(head) {
         endpoint.stats.replaced.store(true, Relaxed);
@@ -54,23 +66,23 @@
     }
     let signals = (state.dialect.read_signals)(head);
     for change in state.fleet.on_signals(endpoint, &signals) {
-        record_change(state, job, endpoint, outgoing.part, change);
+        record_change(state, request, endpoint, part, change);
     }
 }
 
 fn record_change(
     state: &ProxyState,
-    job: &Job,
+    request: &str,
     endpoint: &Endpoint,
-    part: Part<'_>,
+    part: &'static str,
     change: Change,
 ) {
-    let (request, name) = (job.info.id.as_str(), &*endpoint.entry.name);
+    let name = &*endpoint.entry.name;
     let label = match change {
         Change::RateLimit(rate) => {
             log::info!(
                 event = "rate_limit_changed", request = request, endpoint = name,
-                per_second = rate, part = part_label(part);
+                per_second = rate, part = part;
                 "an endpoint states another rate limit"
             );
             "rate_limit"
@@ -85,7 +97,7 @@
         Change::Rest(rest) => {
             log::info!(
                 event = "rest_begun", request = request, endpoint = name,
-                for_ms = rest.as_millis() as u64, part = part_label(part);
+                for_ms = rest.as_millis() as u64, part = part;
                 "an endpoint wants no requests for a while"
             );
             "rest"
@@ -93,7 +105,7 @@
         Change::Leaving => {
             log::info!(
                 event = "leaving_stated", request = request, endpoint = name,
-                part = part_label(part),
+                part = part,
                 roster_age_ms = state.view.roster.age().map(|a| a.as_millis() as u64);
                 "an endpoint states that it is leaving"
             );
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -149,8 +149,9 @@
         let may_repeat =
             self.job.route.kind.retryable() && run::may_continue(&self.job, &self.attempts);
         let (ending, took) = (response.ending(), assignment.elapsed());
-        if !guard.on_end(ending, self.status, took, may_repeat).await {
-            self.record_cut(&assignment, run::UNPROVEN_END, false);
+        let proof = guard.on_end(ending, self.status, took, may_repeat).await;
+        if !proof.is_complete() {
+            self.record_cut(&assignment, run::UNPROVEN_END, false, proof.result());
             drop(assignment);
             return self.resume(Cause::Lost).await;
         }
@@ -177,14 +178,14 @@
     async fn on_break(&mut self, why: &str, silent: bool) -> Next {
         let Some(Call { response, assignment, guard }) = self.call.take() else { return Next::End };
         drop(response);
-        self.record_cut(&assignment, why, silent);
+        self.record_cut(&assignment, why, silent, ExchangeResult::Failure);
         drop(assignment);
         guard.on_lost(silent).await;
         self.resume(if silent { Cause::Late } else { Cause::Lost }).await
     }
 
-    fn record_cut(&self, assignment: &Assignment, why: &str, silent: bool) {
-        self.state.fleet.record_result(&assignment.endpoint, ExchangeResult::Failure);
+    fn record_cut(&self, assignment: &Assignment, why: &str, silent: bool, result: ExchangeResult) {
+        self.state.fleet.record_result(&assignment.endpoint, result);
         log::info!(
             event = "stream_cut", request = self.job.info.id.as_str(),
             print = fingerprint_text(&self.job, Work::Run).as_str(), parts = parts_text(&self.job, Work::Run).as_str(),
--- a/crates/relay/src/survival.rs
+++ b/crates/relay/src/survival.rs
@@ -4,19 +4,23 @@
 //! would, so a response that ends with its connection is complete only if the process lived on. Only a
 //! response to a request that was sent after the end, from the endpoint itself, proves that. An accepted
 //! connection does not: a forwarder, a gateway or another process at the address accepts connections too.
+//! What cannot be told is whether the endpoint or a forwarder between ended the connection while both live.
 
 use {
-    crate::{dialect::Responder, endpoint::Endpoint, proxy_state::ProxyState, serve::Job},
+    crate::{dialect::Responder, endpoint::Endpoint, proxy_state::ProxyState, serve::Job, signals},
+    agate_route::health::ExchangeResult,
     agate_transport::{
         exchange::{self, Ending, EndpointResponse, TimeLimits},
         link::IDLE_LIMIT,
         proof::{Grant, Retryable},
     },
+    agate_view::table::Service,
     bytes::Bytes,
     http::{Request, Uri, header::HOST},
     http_body_util::Full,
     std::{
         io,
+        sync::atomic::Ordering::Relaxed,
         time::{Duration, Instant},
     },
     tokio::time::{sleep, timeout},
@@ -29,9 +33,7 @@
 /// Maximum time that a health check takes on a reused connection, which may have been lost silently.
 const REUSED_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum time that a health check takes.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum size of the body of the response to a health check, in bytes.
-const MAX_BODY: usize = 16 << 10;
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What proves that a response is complete, or why nothing does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,8 +46,7 @@
     Rejecting,
     /// Nothing listens at the endpoint's address any more.
     Refused,
-    /// Another endpoint responds at its address, or another incarnation is known under its name or at its
-    /// address.
+    /// Another endpoint responds at its address, or another incarnation is known under its name.
     Replaced,
     /// Which incarnation responds at the address is not known: the endpoints were not confirmed recently.
     EndpointsOld,
@@ -63,6 +64,17 @@
         matches!(self, Self::Marked | Self::Named | Self::Rejecting)
     }
 
+    /// What it shows of the endpoint, for its failure detector.
+    pub fn result(self) -> ExchangeResult {
+        match self {
+            Self::Marked | Self::Named | Self::Rejecting => ExchangeResult::Success,
+            Self::Refused | Self::Replaced => ExchangeResult::Failure,
+            Self::EndpointsOld | Self::Untold | Self::Unchecked | Self::Late => {
+                ExchangeResult::Neutral
+            }
+        }
+    }
+
     /// Stable name in logs and metrics.
     fn label(self) -> &'static str {
         match self {
@@ -124,7 +136,7 @@
 /// Sends health checks until one shows who listens at the endpoint's address, or returns what one sent after
 /// `since` has shown.
 async fn check(state: &ProxyState, endpoint: &Endpoint, since: Instant) -> Proof {
-    let Some(uri) = health_uri(state, endpoint) else { return Proof::Unchecked };
+    let Some(uri) = &endpoint.health else { return Proof::Unchecked };
     let mut last = endpoint.stats.last_check.lock().await;
     if let Some((_, proof)) = last.filter(|(at, _)| *at >= since) {
         return proof;
@@ -132,36 +144,52 @@
     let (mut interval, mut max_idle) = (PROBE_INTERVAL, IDLE_LIMIT);
     loop {
         let at = Instant::now();
-        if let Some(proof) = check_once(state, endpoint, &uri, max_idle).await {
-            *last = Some((at, proof));
-            return proof;
+        match check_once(state, endpoint, uri, max_idle).await {
+            Checked::Shown(proof) => {
+                *last = Some((at, proof));
+                return proof;
+            }
+            // Other idle connections may have been lost with it.
+            Checked::Silent => max_idle = Duration::ZERO,
+            Checked::Nothing => {}
         }
         sleep(interval).await;
         interval = (interval * 2).min(MAX_CHECK_INTERVAL);
-        max_idle = Duration::ZERO;
     }
 }
 
-fn health_uri(state: &ProxyState, endpoint: &Endpoint) -> Option<Uri> {
-    let table = state.view.table.load();
-    let service = table.as_ref()?.services.get(&endpoint.entry.service)?;
-    let path = service.health.as_deref()?;
-    path.parse().inspect_err(|e| log::warn!(event = "health_path_invalid", service = &*endpoint.entry.service, cause:% = e; "a service's health path is not a path")).ok()
+/// Path of the health check of a service's endpoints.
+pub fn health_path(service: &Service) -> Option<Uri> {
+    let parsed = service.health.as_ref()?.parse();
+    if let Err(e) = &parsed {
+        log::debug!(event = "health_path_invalid", cause:% = e; "a service's health path cannot be parsed");
+    }
+    parsed.ok()
+}
+
+/// What one health check shows.
+enum Checked {
+    /// Who listens at the endpoint's address.
+    Shown(Proof),
+    /// Nothing, and the connection was silent.
+    Silent,
+    /// Nothing.
+    Nothing,
 }
 
-/// Sends one health check; `None` if it does not show who listens at the endpoint's address.
+/// Sends one health check. Its connection is not used again: a response that is sent twice could pass for one to
+/// a later check.
 async fn check_once(
     state: &ProxyState,
     endpoint: &Endpoint,
     uri: &Uri,
     max_idle: Duration,
-) -> Option<Proof> {
+) -> Checked {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = uri.clone();
     *request.headers_mut() = (state.dialect.health_headers)(&endpoint.entry.name);
-    let host =
-        endpoint.entry.address.to_string().parse().expect("an address is a valid header value");
-    request.headers_mut().insert(HOST, host);
+    let host = endpoint.entry.address.to_string();
+    request.headers_mut().insert(HOST, host.parse().expect("an address is a valid header value"));
     let grant = Grant::Again(Retryable::idempotent(true).expect("a health check may be repeated"));
     let time_limits =
         TimeLimits { fresh: CHECK_TIMEOUT, reused: REUSED_TIMEOUT, max_idle, abandon: false };
@@ -169,25 +197,27 @@
         exchange::send(&endpoint.pool, request, "", &state.dialect.markers, grant, time_limits)
             .await;
     let head = match &sent {
-        Ok(EndpointResponse { head, .. }) => Some(head),
-        Err(failure) if failure.refused => return Some(Proof::Refused),
-        Err(failure) => {
-            log::debug!(event = "health_check_failed", endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(); "a health check failed");
-            failure.head.as_deref()
-        }
+        Ok(EndpointResponse { head, .. }) => head,
+        Err(failure) if failure.refused => return Checked::Shown(Proof::Refused),
+        Err(failure) => match failure.head.as_deref() {
+            Some(head) => head,
+            None => {
+                log::debug!(event = "health_check_failed", endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(); "a health check failed");
+                return if failure.silent { Checked::Silent } else { Checked::Nothing };
+            }
+        },
     };
-    let proof = match (state.dialect.responder)(head?, &endpoint.entry.name) {
-        Responder::Named => Some(Proof::Named),
-        Responder::Rejecting => Some(Proof::Rejecting),
-        Responder::Other => Some(Proof::Replaced),
-        Responder::Unknown => None,
+    let proof = match (state.dialect.responder)(head, &endpoint.entry.name) {
+        Responder::Named => Proof::Named,
+        Responder::Rejecting => Proof::Rejecting,
+        Responder::Other => {
+            endpoint.stats.replaced.store(true, Relaxed);
+            return Checked::Shown(Proof::Replaced);
+        }
+        Responder::Unknown => return Checked::Nothing,
     };
-    if let Ok(response) = sent
-        && let Err(e) = response.collect(MAX_BODY, REUSED_TIMEOUT).await
-    {
-        log::debug!("reading the response to a health check: {e}");
-    }
-    proof
+    signals::read(state, "", endpoint, "health", head);
+    Checked::Shown(proof)
 }
 
 /// Result of opening a new connection to an endpoint.
@@ -195,7 +225,7 @@
 pub enum Probe {
     /// Connection refused: nothing listens at its address any more.
     Refused,
-    /// Connection accepted: the network path works.
+    /// Connection accepted, by whatever listens there.
     Accepted,
     /// Any other error, which does not show whether the endpoint is alive.
     Unknown,
