Take only marked responses of services for whole on the product's own interface

A caller of a service would see a part of a body as whole when the service exits amid a response without a length, and with an idempotency key the part is stored and replayed. Found by review of the same fault on the platform's path.

Cause: crates/flow collected a body until its connection ended and did not look at what the end shows.

Change: services mark the ends of their responses (docs/INTERFACES.md); one that would end with its connection is a failed exchange, whose request may have run. There is no health check to ask on this interface, so nothing could prove more.

Evidence: transport body_ends::marked_only, three cases; at the level of a service by reading only.

--- a/crates/flow/src/service.rs
+++ b/crates/flow/src/service.rs
@@ -184,7 +184,7 @@
     .await?;
     state.record_load(target.id, &response.head);
     observe_rest(state, target.id, &response.head);
-    response.collect(state.limits().answer, time_limits.fresh).await
+    response.collect_marked(state.limits().answer, time_limits.fresh).await
 }
 
 /// Time limits of one attempt. An idempotent call leaves time for another attempt over a new
--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -282,6 +282,22 @@
         Ok((head, Bytes::from(all)))
     }
 
+    /// Like [`EndpointResponse::collect`], for endpoints that mark the ends of their responses.
+    ///
+    /// Errors: those of [`EndpointResponse::collect`], or the response would end with its connection, which
+    /// does not show that it is complete.
+    pub async fn collect_marked(self, max: usize, limit: Duration) -> Result<(Parts, Bytes)> {
+        match self.ending() {
+            Ending::Marked => self.collect(max, limit).await,
+            Ending::Closed | Ending::Unknown => Err(fail(
+                Step::Body,
+                self.peer,
+                "the response has neither a length nor chunks",
+                None,
+            )),
+        }
+    }
+
     /// Returns the connection to the pool after the body was read to its end, unless the response
     /// closes it. Returns the response head.
     pub fn release(self) -> Parts {
--- a/crates/transport/tests/body_ends.rs
+++ b/crates/transport/tests/body_ends.rs
@@ -3,7 +3,7 @@
 use {
     Expected::{Broken, End},
     agate_transport::{
-        exchange::{self, Ending, ResponseMarkers, TimeLimits},
+        exchange::{self, Ending, EndpointResponse, ResponseMarkers, TimeLimits},
         link::{IDLE_LIMIT, Pool},
         proof::{Grant, NotRunProof},
     },
@@ -28,8 +28,8 @@
     Broken,
 }
 
-/// Serves `response` to one request and closes the connection; returns how the body ended.
-async fn receive(response: &'static str) -> Expected {
+/// Serves `response` to one request and closes the connection; returns its head as it was received.
+async fn open(response: &'static str) -> exchange::Result<EndpointResponse> {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let pool = Arc::new(Pool::new(listener.local_addr().expect("an address")));
     tokio::spawn(async move {
@@ -43,8 +43,12 @@
         TimeLimits { fresh: LIMIT, reused: LIMIT, max_idle: IDLE_LIMIT, abandon: false };
     let request = Request::get("/").body(Full::<Bytes>::default()).expect("a request");
     let grant = Grant::First(NotRunProof::accept());
-    let sent = exchange::send(&pool, request, "r", &markers, grant, time_limits).await;
-    let Ok(mut response) = sent else { return Broken };
+    exchange::send(&pool, request, "r", &markers, grant, time_limits).await
+}
+
+/// Receives `response`; returns how the body ended.
+async fn receive(response: &'static str) -> Expected {
+    let Ok(mut response) = open(response).await else { return Broken };
     loop {
         match response.next(LIMIT).await {
             Ok(Some(_)) => {}
@@ -95,3 +99,15 @@
     let response = "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n";
     assert_ne!(receive(response).await, End(Ending::Marked));
 }
+
+/// Guards against a body that ends with its connection and is taken for whole where no proof of that is
+/// looked for.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody", true)]
+#[case::neither("HTTP/1.1 200 OK\r\n\r\nbody", false)]
+#[case::other_coding("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nbody", false)]
+#[tokio::test]
+async fn marked_only(#[case] response: &'static str, #[case] whole: bool) {
+    let response = open(response).await.expect("a head");
+    assert_eq!(response.collect_marked(1 << 10, LIMIT).await.is_ok(), whole);
+}
