--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -35,9 +35,12 @@
 /// Maximum time that a request waits to learn whether its endpoint crashed; a few round trips to
 /// another availability zone.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
-/// Maximum time after the end of a connection in which its endpoint may show that it is alive; shorter than a
-/// restart takes, since a new process may have the endpoint's name.
-const SURVIVAL_WAIT: Duration = Duration::from_secs(1);
+/// Maximum time that a request waits for the proof that its response is complete; shorter than a restart takes,
+/// since a new process may have the endpoint's name.
+const PROOF_WAIT: Duration = Duration::from_secs(1);
+/// Maximum time after a call without a response in which its endpoint may show that it is alive. No request
+/// waits for that, so the endpoint is left alone soon.
+const SURVIVAL_WAIT: Duration = Duration::from_millis(300);
 
 /// Properties of one request by which the quarantine recognises it; hashed on first use.
 #[derive(Debug, Default)]
@@ -223,7 +226,7 @@
     ) -> Proof {
         let sent = Instant::now() - since;
         let left = self.job.remaining() / if may_repeat { 2 } else { 1 };
-        let limit = left.min(SURVIVAL_WAIT);
+        let limit = left.min(PROOF_WAIT);
         let proof = survival::prove(&self.state, &self.job, &self.endpoint, ending, limit).await;
         match proof {
             _ if proof.is_complete() && status.is_server_error() => self.on_error_response(),
