--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,17 @@
+//! Stand-ins and drivers of the cases of the second review. See `review/N/run.sh`.
+
+mod case6;
+mod case7;
+mod http;
+mod site;
+mod store;
+mod worker;
+
+fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("worker") => worker::run(),
+        Some("case6") => case6::run(),
+        Some("case7") => case7::run(),
+        _ => site::cannot_run("usage: review-standins-2 case6|case7 FOLDER"),
+    }
+}
--- /dev/null
+++ b/review/standins-2/src/worker.rs
@@ -0,0 +1,242 @@
+//! A worker process, plain or with an engine. Its answers have neither a length nor chunks and end with
+//! their connections; those to health checks have a length.
+//!
+//! Arguments: name, service, version, stage (empty for none), zone, address of the store, microseconds that the
+//! memory of one token takes the link, milliseconds until it serves. The listening socket is its standard input,
+//! so that what supervises it keeps the socket across restarts.
+
+use {
+    crate::http::{self, Message},
+    serde_json::{Value, json},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        env,
+        io::{self, BufReader, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        os::fd::AsFd,
+        sync::{Arc, Mutex},
+        thread,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Lines of a plain answer.
+const LINES: usize = 40;
+/// Pause in the middle of a plain answer.
+const WORK: Duration = Duration::from_millis(300);
+/// Pause before each event of a stream.
+pub const EVENT_PAUSE: Duration = Duration::from_millis(40);
+/// Events of a stream.
+pub const EVENTS: u64 = 171;
+/// Prompt tokens of a stream.
+pub const PROMPT: u64 = 220;
+
+/// Whole body of the plain answer to a request.
+pub fn plain_body(id: &str) -> String {
+    (1..=LINES).map(|n| format!("{id} line {n}\n")).collect()
+}
+
+/// Whole body of a stream after event `after`.
+pub fn stream_body(after: u64) -> String {
+    (after + 1..=EVENTS).map(event).collect()
+}
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
+/// What a worker knows of its runs.
+#[derive(Default)]
+struct Runs {
+    /// Events that each run has made, by request.
+    made: BTreeMap<String, u64>,
+    /// Runs that were stopped to be moved.
+    stopped: BTreeSet<String>,
+    /// Tokens of each run that were copied.
+    copied: BTreeMap<String, u64>,
+    /// When the link is free again.
+    link_free: Option<Instant>,
+    next_handle: u64,
+}
+
+struct Worker {
+    name: String,
+    stage: String,
+    /// Time that the memory of one token takes the link.
+    token: Duration,
+    draining: Mutex<bool>,
+    runs: Mutex<Runs>,
+}
+
+fn say(text: &str) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    println!("{:.3} {text}", now.as_secs_f64());
+}
+
+pub fn run() -> ! {
+    let args: Vec<String> = env::args().skip(2).collect();
+    let [name, service, version, stage, zone, store, token_us, boot_ms] = &args[..] else {
+        panic!("eight arguments")
+    };
+    let socket = io::stdin().as_fd().try_clone_to_owned().expect("a listening socket");
+    let listener = TcpListener::from(socket);
+    let millis = |text: &str| Duration::from_millis(text.parse().expect("milliseconds"));
+    thread::sleep(millis(boot_ms));
+    let store: SocketAddr = store.parse().expect("an address");
+    let entry = entry(&listener, service, version, stage, zone);
+    register(store, name, &entry);
+    let worker = Arc::new(Worker {
+        name: name.clone(),
+        stage: stage.clone(),
+        token: Duration::from_micros(token_us.parse().expect("microseconds")),
+        draining: Mutex::default(),
+        runs: Mutex::default(),
+    });
+    say(&format!("started {version}"));
+    let beats = entry.clone();
+    let own_name = name.clone();
+    let beating = worker.clone();
+    thread::spawn(move || loop {
+        thread::sleep(Duration::from_millis(1_200));
+        if !*beating.draining.lock().expect("not poisoned") {
+            register(store, &own_name, &beats);
+        }
+    });
+    http::serve(listener, move |reader, writer| worker.serve(reader, writer, &entry, store));
+    unreachable!("the listener does not end")
+}
+
+fn entry(listener: &TcpListener, service: &str, version: &str, stage: &str, zone: &str) -> Value {
+    let address = listener.local_addr().expect("an address").to_string();
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let mut entry = json!({"service": service, "address": address, "zone": zone, "version": version,
+        "slots": 12, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": born});
+    if !stage.is_empty() {
+        entry["stage"] = stage.into();
+        entry["spot"] = true.into();
+    }
+    entry
+}
+
+fn register(store: SocketAddr, name: &str, entry: &Value) {
+    let body = entry.to_string();
+    let path = format!("/servers/{name}");
+    http::call(store, "PUT", &path, &[], body.as_bytes(), Duration::from_secs(1));
+}
+
+impl Worker {
+    fn serve(
+        &self,
+        mut reader: BufReader<TcpStream>,
+        mut writer: TcpStream,
+        entry: &Value,
+        store: SocketAddr,
+    ) -> io::Result<()> {
+        loop {
+            let request = http::read_request(&mut reader)?;
+            let own = [("Instance-Id", self.name.as_str())];
+            if request.header("expect-instance").is_some_and(|n| n != self.name) {
+                writer.write_all(&http::response(421, &own, b""))?;
+                continue;
+            }
+            let draining = *self.draining.lock().expect("not poisoned");
+            match request.path() {
+                "/health" => {
+                    let status = if draining { 503 } else { 200 };
+                    writer.write_all(&http::response(status, &own, b""))?;
+                }
+                // The case tells a spot worker that it is reclaimed.
+                "/drain" => {
+                    *self.draining.lock().expect("not poisoned") = true;
+                    let mut entry = entry.clone();
+                    (entry["state"], entry["leaves_ms"]) = ("draining".into(), 2_500.into());
+                    register(store, &self.name, &entry);
+                    say("draining");
+                    writer.write_all(&http::response(200, &own, b""))?;
+                }
+                "/-/kv-move" => {
+                    let answer = self.copy_run(&request);
+                    writer.write_all(&answer)?;
+                }
+                "/-/report" => {
+                    let report = json!({"stage": self.stage, "models": [], "busy": false, "seq": 0});
+                    writer.write_all(&http::response(200, &[], report.to_string().as_bytes()))?;
+                }
+                path if path.starts_with("/-/") => {
+                    writer.write_all(&http::response(200, &[], b"{}"))?;
+                }
+                path if path.starts_with("/model/") => return self.stream(&request, writer),
+                _ => return self.plain(&request, writer),
+            }
+        }
+    }
+
+    fn head(&self, request: &Message) -> String {
+        let id = request.header("request-id").unwrap_or_default();
+        format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal.{id}\r\n\r\n")
+    }
+
+    fn plain(&self, request: &Message, mut writer: TcpStream) -> io::Result<()> {
+        let id = request.header("request-id").unwrap_or_default();
+        say(&format!("run {id} {}", request.path()));
+        let body = plain_body(id);
+        let (first, second) = body.split_at(body.len() / 2);
+        writer.write_all(format!("{}{first}", self.head(request)).as_bytes())?;
+        thread::sleep(WORK);
+        writer.write_all(second.as_bytes())?;
+        say(&format!("end {id}"));
+        Ok(())
+    }
+
+    fn stream(&self, request: &Message, mut writer: TcpStream) -> io::Result<()> {
+        let id = request.header("request-id").unwrap_or_default().to_owned();
+        let after = request.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let source = request.header("kv-source").unwrap_or("none");
+        say(&format!("run {id} {} after {after} source {source}", request.path()));
+        self.runs.lock().expect("not poisoned").stopped.remove(&id);
+        writer.write_all(self.head(request).as_bytes())?;
+        for number in after + 1..=EVENTS {
+            thread::sleep(EVENT_PAUSE);
+            let mut runs = self.runs.lock().expect("not poisoned");
+            if runs.stopped.contains(&id) {
+                say(&format!("closed {id} at {}", number - 1));
+                return Ok(());
+            }
+            runs.made.insert(id.clone(), number);
+            drop(runs);
+            writer.write_all(event(number).as_bytes())?;
+        }
+        self.runs.lock().expect("not poisoned").made.remove(&id);
+        say(&format!("end {id}"));
+        Ok(())
+    }
+
+    /// Copies a run; with `last`, the run stops first. Copies go over the link one after another.
+    fn copy_run(&self, request: &Message) -> Vec<u8> {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let id = body["id"].as_str().unwrap_or_default().to_owned();
+        let last = body["last"].as_bool().unwrap_or_default();
+        let mut runs = self.runs.lock().expect("not poisoned");
+        let Some(created) = runs.made.get(&id).copied() else {
+            return http::response(404, &[], b"");
+        };
+        if last {
+            runs.stopped.insert(id.clone());
+        }
+        // Only what is new is copied.
+        let tokens = PROMPT + created;
+        let copied = runs.copied.insert(id.clone(), tokens).unwrap_or(0);
+        let takes = self.token * tokens.saturating_sub(copied) as u32;
+        let free = runs.link_free.unwrap_or_else(Instant::now).max(Instant::now()) + takes;
+        runs.link_free = Some(free);
+        runs.next_handle += 1;
+        let handle = format!("{}-{}", self.name, runs.next_handle);
+        drop(runs);
+        let begun = Instant::now();
+        thread::sleep(free.saturating_duration_since(begun));
+        let took = begun.elapsed().as_millis();
+        say(&format!("copied {id} last {last} created {created} handle {handle} in {took} ms"));
+        let body = json!({"handle": handle, "created": created}).to_string();
+        http::response(200, &[("Content-Type", "application/json")], body.as_bytes())
+    }
+}
