--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod case6;
 mod case7;
+mod case8;
 mod http;
 mod site;
 mod store;
@@ -12,6 +13,7 @@
         Some("worker") => worker::run(),
         Some("case6") => case6::run(),
         Some("case7") => case7::run(),
-        _ => site::cannot_run("usage: review-standins-2 case6|case7 FOLDER"),
+        Some("case8") => case8::run(),
+        _ => site::cannot_run("usage: review-standins-2 case6|case7|case8 FOLDER"),
     }
 }
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -78,7 +78,22 @@
 pub struct Instance {
     pub listen: SocketAddr,
     pub monitor: SocketAddr,
-    _process: Process,
+    process: Process,
+    file: PathBuf,
+    log: PathBuf,
+}
+
+impl Instance {
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.process.0.kill();
+        let _ = self.process.0.wait();
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn start(&mut self) {
+        self.process = spawn_instance(&self.file, &self.log);
+    }
 }
 
 /// Folder of one run, removed at its end.
@@ -124,11 +139,11 @@
     let (file, log) =
         (folder.0.join(format!("{name}.yaml")), folder.0.join(format!("{name}.log")));
     fs::write(&file, text).expect("a writable folder");
-    Instance { listen, monitor, _process: spawn_instance(&file, &log) }
+    Instance { listen, monitor, process: spawn_instance(&file, &log), file, log }
 }
 
 fn spawn_instance(file: &Path, log: &Path) -> Process {
-    let out = File::create(log).expect("a writable folder");
+    let out = fs::OpenOptions::new().create(true).append(true).open(log).expect("a log");
     let errors = out.try_clone().expect("a log");
     let started = Command::new(binary())
         .args(["edge", "--settings"])
@@ -194,10 +209,15 @@
 
 /// A configuration with the given routes and services.
 pub fn config(version: u64, routes: &[Value], services: &[Value]) -> Value {
+    config_with(version, routes, services, &[KEY])
+}
+
+/// The same with the keys of the tenant.
+pub fn config_with(version: u64, routes: &[Value], services: &[Value], keys: &[&str]) -> Value {
     json!({"version": version, "routes": routes, "services": services,
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000},
-        "tenants": [{"name": "huka270", "apiKeys": [KEY]}]})
+        "tenants": [{"name": "huka270", "apiKeys": keys}]})
 }
 
 /// A route; its prefix is its name.
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -14,7 +14,7 @@
     },
 };
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 struct Item {
     value: Vec<u8>,
     revision: u64,
@@ -22,14 +22,21 @@
     lease: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct Data {
     items: BTreeMap<String, Item>,
     /// Time to live and end of each lease.
     leases: BTreeMap<u64, (Duration, Instant)>,
     revision: u64,
+    /// Number of times that the store came back from a copy, plus one.
+    era: u64,
+    /// Whether the store is away: it closes each connection that a call comes over.
+    away: bool,
 }
 
+/// Copy of the store, from which it can come back.
+pub struct Copy(Data);
+
 impl Data {
     fn expire(&mut self) {
         let now = Instant::now();
@@ -62,16 +69,16 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let orders = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = |l: &TcpListener| l.local_addr().expect("an address");
-        let data = Data { revision: 100, ..Data::default() };
+        let data = Data { revision: 100, era: 1, ..Data::default() };
         let store =
             Self { data: Arc::new(Mutex::new(data)), address: address(&listener), orders: address(&orders) };
         let own = store.clone();
         thread::spawn(move || {
             http::serve(listener, move |mut reader, mut writer| loop {
                 let request = http::read_request(&mut reader)?;
-                let (status, body) = own.respond(&request);
-                let body = body.to_string();
-                let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
+                let Some((status, body, era)) = own.respond(&request) else { return Ok(()) };
+                let (body, era) = (body.to_string(), era.to_string());
+                let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
                 writer.write_all(&http::response(status, &headers, body.as_bytes()))?;
             })
         });
@@ -95,9 +102,48 @@
         self.lock().put(key, value.to_string().into_bytes(), 0);
     }
 
-    fn respond(&self, request: &Message) -> (u16, Value) {
-        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    /// Lets the store be away, or return as it was.
+    pub fn set_away(&self, away: bool) {
+        self.lock().away = away;
+    }
+
+    /// Copies the store.
+    pub fn copy(&self) -> Copy {
+        Copy(self.lock().clone())
+    }
+
+    /// Returns from `copy`, which begins the next era: all that was written since is gone, leases too. Returns
+    /// what operators and workers had written since, which they write again.
+    pub fn come_back(&self, copy: Copy) -> Vec<(String, Value)> {
+        let mut data = self.lock();
+        let theirs = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
+        let newer = data.items.iter().filter(|(key, item)| {
+            theirs(key) && copy.0.items.get(*key).is_none_or(|old| old.value != item.value)
+        });
+        let parse = |item: &Item| serde_json::from_slice(&item.value).unwrap_or_default();
+        let newer = newer.map(|(key, item)| (key.clone(), parse(item))).collect();
+        let now = Instant::now();
+        let mut next = copy.0;
+        next.leases.values_mut().for_each(|(ttl, end)| *end = now + *ttl);
+        next.era = data.era + 1;
+        *data = next;
+        newer
+    }
+
+    /// Status, body and era of the response; `None` while the store is away.
+    fn respond(&self, request: &Message) -> Option<(u16, Value, u64)> {
         let mut data = self.lock();
+        if data.away {
+            return None;
+        }
+        let era = data.era;
+        let (status, body) = answer(&mut data, request);
+        Some((status, body, era))
+    }
+}
+
+fn answer(data: &mut Data, request: &Message) -> (u16, Value) {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let path = request.path();
         match path {
             "/-/kv-key" => {
@@ -118,7 +164,7 @@
                 let items: Vec<Value> = items.map(|(k, i)| shown(k, i)).collect();
                 (200, json!({"items": items, "truncated": false, "at": data.revision}))
             }
-            "/-/kv-txn" => transact(&mut data, &body),
+            "/-/kv-txn" => transact(data, &body),
             "/-/kv-lease" => {
                 let ttl = Duration::from_millis(body["ttlMs"].as_u64().unwrap_or(1000).max(1000));
                 data.revision += 1;
@@ -147,7 +193,6 @@
                 }
             }
         }
-    }
 }
 
 fn shown(key: &str, item: &Item) -> Value {
