Review: case 9, streams of two software versions

Two of twelve workers crash twice, a second apart, and are of a newer version when they start again under their ids.

--- a/review/standins-2/src/case7.rs
+++ b/review/standins-2/src/case7.rs
@@ -63,6 +63,7 @@
             zone: if reclaimed { "a" } else { "b" }.into(),
             token_us: TOKEN_US * slow,
             boot_ms: 0,
+            chunked: false,
         };
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let process = site::worker(folder, &store, &spec, &listener);
@@ -118,7 +119,7 @@
         ("Prompt-Prefix", &prefix), ("Deadline-Ms", "15000"), ("Api-Key", KEY),
     ];
     let answer = http::call(address, "POST", "/model/2f", &headers, b"question", DEADLINE);
-    let whole = answer.body == stream_body(0).as_bytes();
+    let whole = answer.body == stream_body().as_bytes();
     let text = match (answer.complete, whole) {
         (true, true) => "whole",
         (true, false) => "COMPLETE BUT SHORT",
--- a/review/standins-2/src/case8.rs
+++ b/review/standins-2/src/case8.rs
@@ -66,6 +66,7 @@
                 zone: "a".into(),
                 token_us: 0,
                 boot_ms: 0,
+                chunked: false,
             };
             let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
             let process = site::worker(folder, &store, &spec, &listener);
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 mod case6;
 mod case7;
 mod case8;
+mod case9;
 mod http;
 mod site;
 mod store;
@@ -14,6 +15,7 @@
         Some("case6") => case6::run(),
         Some("case7") => case7::run(),
         Some("case8") => case8::run(),
-        _ => site::cannot_run("usage: review-standins-2 case6|case7|case8 FOLDER"),
+        Some("case9") => case9::run(),
+        _ => site::cannot_run("usage: review-standins-2 case6|case7|case8|case9 FOLDER"),
     }
 }
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -36,13 +36,14 @@
     (1..=LINES).map(|n| format!("{id} line {n}\n")).collect()
 }
 
-/// Whole body of a stream after event `after`.
-pub fn stream_body(after: u64) -> String {
-    (after + 1..=EVENTS).map(event).collect()
+/// Whole body of a stream of `v1`.
+pub fn stream_body() -> String {
+    (1..=EVENTS).map(|id| event(id, "v1")).collect()
 }
 
-fn event(id: u64) -> String {
-    format!("id: {id}\ndata: token {id}\n\n")
+/// An event names the version that made it.
+fn event(id: u64, version: &str) -> String {
+    format!("id: {id}\ndata: {version} token {id}\n\n")
 }
 
 /// What a worker knows of its runs.
@@ -61,6 +62,9 @@
 
 struct Worker {
     name: String,
+    version: String,
+    /// Whether its streams come in chunks.
+    chunked: bool,
     stage: String,
     /// Time that the memory of one token takes the link.
     token: Duration,
@@ -87,6 +91,8 @@
     register(store, name, &entry);
     let worker = Arc::new(Worker {
         name: name.clone(),
+        version: version.clone(),
+        chunked: env::var_os("CHUNKED").is_some(),
         stage: stage.clone(),
         token: Duration::from_micros(token_us.parse().expect("microseconds")),
         draining: Mutex::default(),
@@ -141,9 +147,12 @@
             }
             let draining = *self.draining.lock().expect("not poisoned");
             match request.path() {
+                "/health" if draining => {
+                    let headers = [own[0], ("Connection", "close")];
+                    return writer.write_all(&http::response(503, &headers, b""));
+                }
                 "/health" => {
-                    let status = if draining { 503 } else { 200 };
-                    writer.write_all(&http::response(status, &own, b""))?;
+                    writer.write_all(&http::response(200, &own, b""))?;
                 }
                 // The case tells a spot worker that it is reclaimed.
                 "/drain" => {
@@ -156,7 +165,7 @@
                 }
                 "/-/kv-move" => {
                     let answer = self.copy_run(&request);
-                    writer.write_all(&answer)?;
+                    return writer.write_all(&answer);
                 }
                 "/-/report" => {
                     let report = json!({"stage": self.stage, "models": [], "busy": false, "seq": 0});
@@ -194,8 +203,14 @@
         let source = request.header("kv-source").unwrap_or("none");
         say(&format!("run {id} {} after {after} source {source}", request.path()));
         self.runs.lock().expect("not poisoned").stopped.remove(&id);
-        writer.write_all(self.head(request).as_bytes())?;
-        for number in after + 1..=EVENTS {
+        let head = self.head(request);
+        let head = match self.chunked {
+            true => head.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n"),
+            false => head,
+        };
+        writer.write_all(head.as_bytes())?;
+        let asked = request.target().split_once("events=").and_then(|(_, n)| n.parse().ok());
+        for number in after + 1..=asked.unwrap_or(EVENTS) {
             thread::sleep(EVENT_PAUSE);
             let mut runs = self.runs.lock().expect("not poisoned");
             if runs.stopped.contains(&id) {
@@ -204,7 +219,15 @@
             }
             runs.made.insert(id.clone(), number);
             drop(runs);
-            writer.write_all(event(number).as_bytes())?;
+            let event = event(number, &self.version);
+            let event = match self.chunked {
+                true => format!("{:x}\r\n{event}\r\n", event.len()),
+                false => event,
+            };
+            writer.write_all(event.as_bytes())?;
+        }
+        if self.chunked {
+            writer.write_all(b"0\r\n\r\n")?;
         }
         self.runs.lock().expect("not poisoned").made.remove(&id);
         say(&format!("end {id}"));
@@ -218,7 +241,7 @@
         let last = body["last"].as_bool().unwrap_or_default();
         let mut runs = self.runs.lock().expect("not poisoned");
         let Some(created) = runs.made.get(&id).copied() else {
-            return http::response(404, &[], b"");
+            return http::response(404, &[("Connection", "close")], b"");
         };
         if last {
             runs.stopped.insert(id.clone());
@@ -237,6 +260,7 @@
         let took = begun.elapsed().as_millis();
         say(&format!("copied {id} last {last} created {created} handle {handle} in {took} ms"));
         let body = json!({"handle": handle, "created": created}).to_string();
-        http::response(200, &[("Content-Type", "application/json")], body.as_bytes())
+        let headers = [("Content-Type", "application/json"), ("Connection", "close")];
+        http::response(200, &headers, body.as_bytes())
     }
 }
