--- a/review/standins-2/src/case6.rs
+++ b/review/standins-2/src/case6.rs
@@ -23,7 +23,7 @@
 
 /// Workers of the service; one of them crashes, once.
 const WORKERS: usize = 6;
-const CLIENTS: usize = 18;
+const CLIENTS: usize = 36;
 /// Time until the worker serves again after its crash.
 const BOOT_MS: u64 = 100;
 /// Time that a client gives a request.
