Review: case 10, streams that were run to their end are broken off under load

With 1.9 times the usual users for 10 s, requests wait for slots at the workers, and with them the health checks that prove answers without a length whole.

--- a/review/standins-2/src/case7.rs
+++ b/review/standins-2/src/case7.rs
@@ -64,6 +64,7 @@
             token_us: TOKEN_US * slow,
             boot_ms: 0,
             chunked: false,
+            slots: "",
         };
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let process = site::worker(folder, &store, &spec, &listener);
--- a/review/standins-2/src/case9.rs
+++ b/review/standins-2/src/case9.rs
@@ -57,6 +57,7 @@
             token_us: 0,
             boot_ms: 20,
             chunked: true,
+            slots: "",
         };
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let process = site::worker(folder, &store, &spec, &listener);
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -162,6 +162,53 @@
     answer
 }
 
+/// A connection that is kept for several requests.
+pub struct Kept(BufReader<TcpStream>);
+
+impl Kept {
+    pub fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let io = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        io.set_nodelay(true)?;
+        io.set_read_timeout(Some(limit))?;
+        Ok(Self(BufReader::new(io)))
+    }
+
+    /// Sends a request with a body and reads the response, which has a length or comes in chunks.
+    pub fn post(&mut self, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Answer {
+        let mut answer = Answer::default();
+        let _ = self.exchange(path, headers, body, &mut answer);
+        answer
+    }
+
+    fn exchange(
+        &mut self,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+        answer: &mut Answer,
+    ) -> io::Result<()> {
+        let mut text = format!("POST {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+        for (name, value) in headers {
+            text += &format!("{name}: {value}\r\n");
+        }
+        self.0.get_mut().write_all(&[text.as_bytes(), b"\r\n", body].concat())?;
+        let head = read_head(&mut self.0)?;
+        answer.status = head.status();
+        if head.header("transfer-encoding").is_some() {
+            while let Some(chunk) = read_chunk(&mut self.0)? {
+                answer.body.extend(chunk);
+            }
+        } else {
+            let length = head.header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+            let mut rest = vec![0; length];
+            self.0.read_exact(&mut rest)?;
+            answer.body = rest;
+        }
+        answer.complete = true;
+        Ok(())
+    }
+}
+
 fn exchange(
     address: SocketAddr,
     method: &str,
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and drivers of the cases of the second review. See `review/N/run.sh`.
 
+mod case10;
 mod case6;
 mod case7;
 mod case8;
@@ -16,6 +17,7 @@
         Some("case7") => case7::run(),
         Some("case8") => case8::run(),
         Some("case9") => case9::run(),
-        _ => site::cannot_run("usage: review-standins-2 case6|case7|case8|case9 FOLDER"),
+        Some("case10") => case10::run(),
+        _ => site::cannot_run("usage: review-standins-2 case6|case7|case8|case9|case10 FOLDER"),
     }
 }
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -185,6 +185,8 @@
     pub boot_ms: u64,
     /// Whether its streams come in chunks; otherwise they end with their connections.
     pub chunked: bool,
+    /// Places to run and to wait, such as `6+18`; empty if there is no limit.
+    pub slots: &'static str,
 }
 
 /// Starts a worker that serves on `listener`, which the caller keeps open across its restarts.
@@ -193,11 +195,14 @@
     let path = folder.0.join(format!("{}.runs", spec.name));
     let log = fs::OpenOptions::new().create(true).append(true).open(path).expect("a log");
     let input = OwnedFd::from(listener.try_clone().expect("a listener"));
-    let WorkerSpec { name, service, version, stage, zone, token_us, boot_ms, chunked } = spec;
+    let WorkerSpec { name, service, version, stage, zone, token_us, boot_ms, chunked, slots } = spec;
     let mut command = Command::new(own);
     if *chunked {
         command.env("CHUNKED", "1");
     }
+    if !slots.is_empty() {
+        command.env("SLOTS", slots);
+    }
     let started = command
         .args(["worker", name, service, version, stage, zone])
         .args([store.address.to_string(), token_us.to_string(), boot_ms.to_string()])
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -14,7 +14,7 @@
         io::{self, BufReader, Write},
         net::{SocketAddr, TcpListener, TcpStream},
         os::fd::AsFd,
-        sync::{Arc, Mutex},
+        sync::{Arc, Condvar, Mutex},
         thread,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
@@ -60,8 +60,42 @@
     next_handle: u64,
 }
 
+/// Places for requests that run at the same time, and for those that wait for one, first come, first served.
+struct Slots {
+    /// Number of places to run and to wait; `None` if there is no limit.
+    limits: Option<(u64, u64)>,
+    /// Requests that came, that began to run, and that ended.
+    state: Mutex<(u64, u64, u64)>,
+    changed: Condvar,
+}
+
+impl Slots {
+    /// Waits for a place to run; false if there is none to wait either.
+    fn enter(&self) -> bool {
+        let Some((run, wait)) = self.limits else { return true };
+        let mut state = self.state.lock().expect("not poisoned");
+        if state.0 - state.2 >= run + wait {
+            return false;
+        }
+        let own = state.0;
+        state.0 += 1;
+        while state.1 != own || state.1 - state.2 >= run {
+            state = self.changed.wait(state).expect("not poisoned");
+        }
+        state.1 += 1;
+        self.changed.notify_all();
+        true
+    }
+
+    fn leave(&self) {
+        self.state.lock().expect("not poisoned").2 += 1;
+        self.changed.notify_all();
+    }
+}
+
 struct Worker {
     name: String,
+    slots: Slots,
     version: String,
     /// Whether its streams come in chunks.
     chunked: bool,
@@ -91,6 +125,14 @@
     register(store, name, &entry);
     let worker = Arc::new(Worker {
         name: name.clone(),
+        slots: Slots {
+            limits: env::var("SLOTS").ok().and_then(|text| {
+                let (run, wait) = text.split_once('+')?;
+                Some((run.parse().ok()?, wait.parse().ok()?))
+            }),
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        },
         version: version.clone(),
         chunked: env::var_os("CHUNKED").is_some(),
         stage: stage.clone(),
@@ -151,8 +193,17 @@
                     let headers = [own[0], ("Connection", "close")];
                     return writer.write_all(&http::response(503, &headers, b""));
                 }
+                // It waits for a slot, or is rejected, in the same way as any other request.
                 "/health" => {
-                    writer.write_all(&http::response(200, &own, b""))?;
+                    let entered = self.slots.enter();
+                    say(&format!("health check, admitted {entered}"));
+                    if !entered {
+                        writer.write_all(&http::response(503, &[("Not-Executed", "1")], b""))?;
+                        continue;
+                    }
+                    let written = writer.write_all(&http::response(200, &own, b""));
+                    self.slots.leave();
+                    written?;
                 }
                 // The case tells a spot worker that it is reclaimed.
                 "/drain" => {
@@ -174,7 +225,17 @@
                 path if path.starts_with("/-/") => {
                     writer.write_all(&http::response(200, &[], b"{}"))?;
                 }
-                path if path.starts_with("/model/") => return self.stream(&request, writer),
+                path if path.starts_with("/model/") => {
+                    if !self.slots.enter() {
+                        let id = request.header("request-id").unwrap_or_default();
+                        let headers = [("Request-Id", id), ("Not-Executed", "1")];
+                        writer.write_all(&http::response(503, &headers, b""))?;
+                        continue;
+                    }
+                    let ended = self.stream(&request, writer);
+                    self.slots.leave();
+                    return ended;
+                }
                 _ => return self.plain(&request, writer),
             }
         }
