--- a/review/standins-2/src/case10.rs
+++ b/review/standins-2/src/case10.rs
@@ -31,7 +31,8 @@
 const DEADLINE: Duration = Duration::from_secs(15);
 
 pub fn run() -> ! {
-    let out = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
+    let out =
+        PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
     let record = Record::open(&out.join("record.txt"));
     let folder = Folder::create("10");
     let broken = play(&record, &folder);
@@ -87,7 +88,7 @@
         thread::sleep(next.saturating_duration_since(Instant::now()));
         let pressed = site::trouble() && burst.contains(&begun.elapsed());
         let rate = if pressed { USUAL * BURST } else { USUAL };
-        next += Duration::from_secs_f64(1.0 / rate);
+        next += Duration::from_micros((1e6 / rate) as u64);
         let (address, seen) = (instances[index % instances.len()].listen, seen.clone());
         open.push(thread::spawn(move || client(index, address, &seen)));
         index += 1;
@@ -107,17 +108,29 @@
     for s in seen.iter() {
         let done = s.status == 200 && s.complete && s.events == EVENTS;
         // The worker ended it well before the deadline and the route's timeout.
-        let cut = s.status == 200 && !s.complete && ended.contains(&s.id) && s.took < DEADLINE / 10 * 7;
+        let cut =
+            s.status == 200 && !s.complete && ended.contains(&s.id) && s.took < DEADLINE / 10 * 7;
         whole += usize::from(done);
         lost += usize::from(cut);
         refused += usize::from(matches!(s.status, 429 | 503));
         record.line(&format!(
             "stream {} status {} complete {} events {} of {EVENTS} after {} ms{}",
-            s.id, s.status, s.complete, s.events, s.took.as_millis(),
-            if cut { ": RUN TO ITS END, CONNECTION CLOSED WITHOUT THE END OF THE ANSWER" } else { "" }
+            s.id,
+            s.status,
+            s.complete,
+            s.events,
+            s.took.as_millis(),
+            if cut {
+                ": RUN TO ITS END, CONNECTION CLOSED WITHOUT THE END OF THE ANSWER"
+            } else {
+                ""
+            }
         ));
     }
-    let text = format!("streams {} whole {whole} refused {refused} closed without the end {lost}", seen.len());
+    let text = format!(
+        "streams {} whole {whole} refused {refused} closed without the end {lost}",
+        seen.len()
+    );
     record.line(&text);
     println!("{text}");
     if whole < 50 {
@@ -143,8 +156,13 @@
 fn ask(kept: &mut Kept, id: &str, events: usize) -> crate::http::Answer {
     let (counts, prefix) = (format!("220,{events}"), format!("{}:220", &id[8..]));
     let headers = [
-        ("Host", HOST), ("Request-Id", id), ("Model", "m"), ("Token-Counts", &counts),
-        ("Prompt-Prefix", &prefix), ("Deadline-Ms", "15000"), ("Api-Key", KEY),
+        ("Host", HOST),
+        ("Request-Id", id),
+        ("Model", "m"),
+        ("Token-Counts", &counts),
+        ("Prompt-Prefix", &prefix),
+        ("Deadline-Ms", "15000"),
+        ("Api-Key", KEY),
     ];
     kept.post(&format!("/model/2f?events={events}"), &headers, id.as_bytes())
 }
--- a/review/standins-2/src/case6.rs
+++ b/review/standins-2/src/case6.rs
@@ -40,7 +40,8 @@
 }
 
 pub fn run() -> ! {
-    let out = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
+    let out =
+        PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
     let record = Record::open(&out.join("record.txt"));
     let folder = Folder::create("6");
     let broken = play(&record, &folder);
@@ -107,7 +108,9 @@
     let short = count(&counts.short);
     record.line(&format!(
         "whole {} short {short} refused {} failed {}",
-        count(&counts.whole), count(&counts.refused), count(&counts.failed)
+        count(&counts.whole),
+        count(&counts.refused),
+        count(&counts.failed)
     ));
     if count(&counts.whole) < 100 {
         site::cannot_run("too few requests were served");
@@ -123,8 +126,12 @@
         }
         let id = format!("{number:04x}{index:012x}");
         let route = if (number + index) % 4 == 3 { "safe" } else { "unsafe" };
-        let headers =
-            [("Host", HOST), ("Request-Id", id.as_str()), ("Deadline-Ms", "4000"), ("Api-Key", KEY)];
+        let headers = [
+            ("Host", HOST),
+            ("Request-Id", id.as_str()),
+            ("Deadline-Ms", "4000"),
+            ("Api-Key", KEY),
+        ];
         let answer =
             http::call(address, "POST", &format!("/{route}/2f"), &headers, b"booking", DEADLINE);
         let whole = answer.body == plain_body(&id).as_bytes();
@@ -137,7 +144,10 @@
         count.fetch_add(1, SeqCst);
         record.line(&format!(
             "client {number}: {route} {id} status {} complete {} bytes {} of {}: {text}",
-            answer.status, answer.complete, answer.body.len(), plain_body(&id).len()
+            answer.status,
+            answer.complete,
+            answer.body.len(),
+            plain_body(&id).len()
         ));
         // Clients are not in step with each other.
         thread::sleep(Duration::from_millis(5 + (number as u64 * 37 + index as u64 * 61) % 90));
--- a/review/standins-2/src/case7.rs
+++ b/review/standins-2/src/case7.rs
@@ -35,7 +35,8 @@
 const DEADLINE: Duration = Duration::from_secs(15);
 
 pub fn run() -> ! {
-    let out = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
+    let out =
+        PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
     let record = Record::open(&out.join("record.txt"));
     let folder = Folder::create("7");
     let broken = play(&record, &folder);
@@ -116,8 +117,13 @@
     let id = format!("9c41d07be2a3{number:04x}");
     let (counts, prefix) = (format!("{PROMPT},{EVENTS}"), format!("5c1e{number:04x}:{PROMPT}"));
     let headers = [
-        ("Host", HOST), ("Request-Id", id.as_str()), ("Model", "m"), ("Token-Counts", &counts),
-        ("Prompt-Prefix", &prefix), ("Deadline-Ms", "15000"), ("Api-Key", KEY),
+        ("Host", HOST),
+        ("Request-Id", id.as_str()),
+        ("Model", "m"),
+        ("Token-Counts", &counts),
+        ("Prompt-Prefix", &prefix),
+        ("Deadline-Ms", "15000"),
+        ("Api-Key", KEY),
     ];
     let answer = http::call(address, "POST", "/model/2f", &headers, b"question", DEADLINE);
     let whole = answer.body == stream_body().as_bytes();
--- a/review/standins-2/src/case8.rs
+++ b/review/standins-2/src/case8.rs
@@ -36,7 +36,8 @@
 const RESTART: Duration = Duration::from_millis(600);
 
 pub fn run() -> ! {
-    let out = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
+    let out =
+        PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
     let record = Record::open(&out.join("record.txt"));
     let folder = Folder::create("8");
     let broken = play(&record, &folder);
@@ -138,8 +139,12 @@
             return;
         }
         let id = format!("{number:04x}{index:012x}");
-        let headers =
-            [("Host", HOST), ("Request-Id", id.as_str()), ("Deadline-Ms", "1500"), ("Api-Key", REVOKED)];
+        let headers = [
+            ("Host", HOST),
+            ("Request-Id", id.as_str()),
+            ("Deadline-Ms", "1500"),
+            ("Api-Key", REVOKED),
+        ];
         let at = Instant::now();
         let limit = Duration::from_millis(1_500);
         let answer = http::call(address, "GET", "/safe/2f", &headers, b"", limit);
--- a/review/standins-2/src/case9.rs
+++ b/review/standins-2/src/case9.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        http,
+        http::{self, Answer},
         site::{self, Folder, HOST, KEY, Process, Record, WorkerSpec},
         store::Store,
     },
@@ -31,8 +31,17 @@
 const DOWNS: usize = 2;
 const DEADLINE: Duration = Duration::from_secs(5);
 
+/// What a client saw of a stream.
+struct Seen {
+    id: String,
+    status: u16,
+    complete: bool,
+    body: String,
+}
+
 pub fn run() -> ! {
-    let out = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
+    let out =
+        PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| site::cannot_run("no folder")));
     let record = Record::open(&out.join("record.txt"));
     let folder = Folder::create("9");
     let broken = play(&record, &folder);
@@ -70,7 +79,7 @@
     site::wait_ready(&instances);
     thread::sleep(Duration::from_secs(5));
     record.line("the instances are ready; the streams begin");
-    let bodies: Arc<Mutex<Vec<(String, u16, bool, String)>>> = Arc::default();
+    let bodies: Arc<Mutex<Vec<Seen>>> = Arc::default();
     let addresses: Vec<SocketAddr> = instances.iter().map(|i| i.listen).collect();
     let (sink, stop) = (bodies.clone(), Arc::new(Mutex::new(false)));
     let stopped = stop.clone();
@@ -85,8 +94,8 @@
                 let id = format!("{index:016x}");
                 let answer = ask(address, &id);
                 let body = String::from_utf8_lossy(&answer.body).into_owned();
-                let line = (id, answer.status, answer.complete, body);
-                sink.lock().expect("not poisoned").push(line);
+                let Answer { status, complete, .. } = answer;
+                sink.lock().expect("not poisoned").push(Seen { id, status, complete, body });
             }));
             thread::sleep(PAUSE);
         }
@@ -100,7 +109,10 @@
                 process.0.wait().expect("a worker");
                 spec.version = "v2".into();
                 *process = site::worker(folder, &store, spec, listener);
-                record.line(&format!("worker {} crashed and was started again, now of v2 ({down})", spec.name));
+                record.line(&format!(
+                    "worker {} crashed and was started again, now of v2 ({down})",
+                    spec.name
+                ));
             }
             thread::sleep(UP);
         }
@@ -110,14 +122,17 @@
     source.join().expect("the clients");
     let bodies = bodies.lock().expect("not poisoned");
     let (mut whole, mut mixed) = (0, 0);
-    for (id, status, complete, body) in bodies.iter() {
+    for Seen { id, status, complete, body } in bodies.iter() {
         let (first, second) = (body.contains("data: v1 "), body.contains("data: v2 "));
         mixed += usize::from(first && second);
         whole += usize::from(*complete && body.matches("id: ").count() == EVENTS);
         let text = if first && second { "EVENTS OF TWO VERSIONS" } else { "of one version" };
         let events: Vec<&str> =
             body.lines().filter_map(|l| l.strip_prefix("data: ")).map(|l| &l[..2]).collect();
-        record.line(&format!("stream {id} status {status} complete {complete} {}: {text}", events.concat()));
+        record.line(&format!(
+            "stream {id} status {status} complete {complete} {}: {text}",
+            events.concat()
+        ));
     }
     for (spec, ..) in &workers[..CRASHING] {
         for line in site::runs(folder, &spec.name) {
@@ -133,11 +148,16 @@
     mixed > 2
 }
 
-fn ask(address: SocketAddr, id: &str) -> http::Answer {
+fn ask(address: SocketAddr, id: &str) -> Answer {
     let prefix = format!("{}:220", &id[8..]);
     let headers = [
-        ("Host", HOST), ("Request-Id", id), ("Model", "m"), ("Token-Counts", "220,40"),
-        ("Prompt-Prefix", &prefix), ("Deadline-Ms", "5000"), ("Api-Key", KEY),
+        ("Host", HOST),
+        ("Request-Id", id),
+        ("Model", "m"),
+        ("Token-Counts", "220,40"),
+        ("Prompt-Prefix", &prefix),
+        ("Deadline-Ms", "5000"),
+        ("Api-Key", KEY),
     ];
     let path = format!("/model/2f?events={EVENTS}");
     http::call(address, "POST", &path, &headers, id.as_bytes(), DEADLINE)
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -158,7 +158,8 @@
     limit: Duration,
 ) -> Answer {
     let mut answer = Answer::default();
-    let _ = exchange(address, method, path, headers, body, limit, &mut answer);
+    let asked = (method, path, headers, body);
+    let _ = exchange(address, asked, limit, &mut answer);
     answer
 }
 
@@ -209,12 +210,12 @@
     }
 }
 
+/// Method, path, headers and body of a request.
+type Asked<'a> = (&'a str, &'a str, &'a [(&'a str, &'a str)], &'a [u8]);
+
 fn exchange(
     address: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
+    (method, path, headers, body): Asked<'_>,
     limit: Duration,
     answer: &mut Answer,
 ) -> io::Result<()> {
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -10,7 +10,7 @@
         net::{SocketAddr, TcpListener, UdpSocket},
         os::fd::OwnedFd,
         path::{Path, PathBuf},
-        process::{Child, Command, Stdio, exit},
+        process::{Child, Command, Stdio},
         sync::{Arc, Mutex},
         thread,
         time::{Duration, Instant},
@@ -49,8 +49,7 @@
 
 /// Ends a case that could not run.
 pub fn cannot_run(why: &str) -> ! {
-    eprintln!("the case could not run: {why}");
-    exit(2)
+    panic!("the case could not run: {why}")
 }
 
 /// A free address for TCP and UDP.
@@ -136,8 +135,7 @@
          log: {{ level: \"info\" }}\nterms: \"{terms}\"\n",
         store.address, store.orders
     );
-    let (file, log) =
-        (folder.0.join(format!("{name}.yaml")), folder.0.join(format!("{name}.log")));
+    let (file, log) = (folder.0.join(format!("{name}.yaml")), folder.0.join(format!("{name}.log")));
     fs::write(&file, text).expect("a writable folder");
     Instance { listen, monitor, process: spawn_instance(&file, &log), file, log }
 }
@@ -190,12 +188,18 @@
 }
 
 /// Starts a worker that serves on `listener`, which the caller keeps open across its restarts.
-pub fn worker(folder: &Folder, store: &Store, spec: &WorkerSpec, listener: &TcpListener) -> Process {
+pub fn worker(
+    folder: &Folder,
+    store: &Store,
+    spec: &WorkerSpec,
+    listener: &TcpListener,
+) -> Process {
     let own = env::current_exe().unwrap_or_else(|e| cannot_run(&e.to_string()));
     let path = folder.0.join(format!("{}.runs", spec.name));
     let log = fs::OpenOptions::new().create(true).append(true).open(path).expect("a log");
     let input = OwnedFd::from(listener.try_clone().expect("a listener"));
-    let WorkerSpec { name, service, version, stage, zone, token_us, boot_ms, chunked, slots } = spec;
+    let WorkerSpec { name, service, version, stage, zone, token_us, boot_ms, chunked, slots } =
+        spec;
     let mut command = Command::new(own);
     if *chunked {
         command.env("CHUNKED", "1");
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -70,22 +70,30 @@
         let orders = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = |l: &TcpListener| l.local_addr().expect("an address");
         let data = Data { revision: 100, era: 1, ..Data::default() };
-        let store =
-            Self { data: Arc::new(Mutex::new(data)), address: address(&listener), orders: address(&orders) };
+        let store = Self {
+            data: Arc::new(Mutex::new(data)),
+            address: address(&listener),
+            orders: address(&orders),
+        };
         let own = store.clone();
         thread::spawn(move || {
-            http::serve(listener, move |mut reader, mut writer| loop {
-                let request = http::read_request(&mut reader)?;
-                let Some((status, body, era)) = own.respond(&request) else { return Ok(()) };
-                let (body, era) = (body.to_string(), era.to_string());
-                let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
-                writer.write_all(&http::response(status, &headers, body.as_bytes()))?;
+            http::serve(listener, move |mut reader, mut writer| {
+                loop {
+                    let request = http::read_request(&mut reader)?;
+                    let Some((status, body, era)) = own.respond(&request) else { return Ok(()) };
+                    let (body, era) = (body.to_string(), era.to_string());
+                    let headers =
+                        [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+                    writer.write_all(&http::response(status, &headers, body.as_bytes()))?;
+                }
             })
         });
         thread::spawn(move || {
-            http::serve(orders, move |mut reader, mut writer| loop {
-                http::read_request(&mut reader)?;
-                writer.write_all(&http::response(200, &[], b""))?;
+            http::serve(orders, move |mut reader, mut writer| {
+                loop {
+                    http::read_request(&mut reader)?;
+                    writer.write_all(&http::response(200, &[], b""))?;
+                }
             })
         });
         store
@@ -143,56 +151,56 @@
 }
 
 fn answer(data: &mut Data, request: &Message) -> (u16, Value) {
-        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-        let path = request.path();
-        match path {
-            "/-/kv-key" => {
-                let key = request.query("key");
-                match data.items.get(&key) {
-                    Some(item) => {
-                        let mut shown = shown(&key, item);
-                        shown["at"] = data.revision.into();
-                        (200, shown)
-                    }
-                    None => (404, json!({})),
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let path = request.path();
+    match path {
+        "/-/kv-key" => {
+            let key = request.query("key");
+            match data.items.get(&key) {
+                Some(item) => {
+                    let mut shown = shown(&key, item);
+                    shown["at"] = data.revision.into();
+                    (200, shown)
                 }
+                None => (404, json!({})),
             }
-            "/-/kv-range" => {
-                let (prefix, after) = (request.query("prefix"), request.query("after"));
-                let fits = |key: &str| key.starts_with(&prefix) && (after.is_empty() || *key > *after);
-                let items = data.items.iter().filter(|(k, _)| fits(k));
-                let items: Vec<Value> = items.map(|(k, i)| shown(k, i)).collect();
-                (200, json!({"items": items, "truncated": false, "at": data.revision}))
-            }
-            "/-/kv-txn" => transact(data, &body),
-            "/-/kv-lease" => {
-                let ttl = Duration::from_millis(body["ttlMs"].as_u64().unwrap_or(1000).max(1000));
-                data.revision += 1;
-                let lease = data.revision;
-                data.leases.insert(lease, (ttl, Instant::now() + ttl));
-                (200, json!({"lease": lease, "ttlMs": ttl.as_millis() as u64}))
-            }
-            // What workers write of themselves.
-            _ if request.method() == "PUT" && path.starts_with("/servers/") => {
-                data.put(&path[1..], request.body.clone(), 0);
-                (200, json!({}))
+        }
+        "/-/kv-range" => {
+            let (prefix, after) = (request.query("prefix"), request.query("after"));
+            let fits = |key: &str| key.starts_with(&prefix) && (after.is_empty() || *key > *after);
+            let items = data.items.iter().filter(|(k, _)| fits(k));
+            let items: Vec<Value> = items.map(|(k, i)| shown(k, i)).collect();
+            (200, json!({"items": items, "truncated": false, "at": data.revision}))
+        }
+        "/-/kv-txn" => transact(data, &body),
+        "/-/kv-lease" => {
+            let ttl = Duration::from_millis(body["ttlMs"].as_u64().unwrap_or(1000).max(1000));
+            data.revision += 1;
+            let lease = data.revision;
+            data.leases.insert(lease, (ttl, Instant::now() + ttl));
+            (200, json!({"lease": lease, "ttlMs": ttl.as_millis() as u64}))
+        }
+        // What workers write of themselves.
+        _ if request.method() == "PUT" && path.starts_with("/servers/") => {
+            data.put(&path[1..], request.body.clone(), 0);
+            (200, json!({}))
+        }
+        _ => {
+            let lease = path.rsplit('/').next().and_then(|l| l.parse().ok()).unwrap_or(0);
+            if path.starts_with("/-/kv-lease-end/") {
+                data.leases.remove(&lease);
+                data.expire();
+                return (200, json!({}));
             }
-            _ => {
-                let lease = path.rsplit('/').next().and_then(|l| l.parse().ok()).unwrap_or(0);
-                if path.starts_with("/-/kv-lease-end/") {
-                    data.leases.remove(&lease);
-                    data.expire();
-                    return (200, json!({}));
-                }
-                match data.leases.get_mut(&lease) {
-                    Some((ttl, end)) => {
-                        *end = Instant::now() + *ttl;
-                        (200, json!({"ttlMs": ttl.as_millis() as u64}))
-                    }
-                    None => (404, json!({})),
+            match data.leases.get_mut(&lease) {
+                Some((ttl, end)) => {
+                    *end = Instant::now() + *ttl;
+                    (200, json!({"ttlMs": ttl.as_millis() as u64}))
                 }
+                None => (404, json!({})),
             }
         }
+    }
 }
 
 fn shown(key: &str, item: &Item) -> Value {
@@ -209,7 +217,8 @@
         row["revision"].as_u64() == Some(known)
     };
     if !expected.iter().all(holds) {
-        let items = expected.iter().filter_map(|r| data.items.get(&key(r)).map(|i| shown(&key(r), i)));
+        let items =
+            expected.iter().filter_map(|r| data.items.get(&key(r)).map(|i| shown(&key(r), i)));
         return (412, json!({"items": items.collect::<Vec<_>>()}));
     }
     let lease = |row: &Value| row["lease"].as_u64().unwrap_or(0);
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -144,10 +144,12 @@
     let beats = entry.clone();
     let own_name = name.clone();
     let beating = worker.clone();
-    thread::spawn(move || loop {
-        thread::sleep(Duration::from_millis(1_200));
-        if !*beating.draining.lock().expect("not poisoned") {
-            register(store, &own_name, &beats);
+    thread::spawn(move || {
+        loop {
+            thread::sleep(Duration::from_millis(1_200));
+            if !*beating.draining.lock().expect("not poisoned") {
+                register(store, &own_name, &beats);
+            }
         }
     });
     http::serve(listener, move |reader, writer| worker.serve(reader, writer, &entry, store));
@@ -219,7 +221,8 @@
                     return writer.write_all(&answer);
                 }
                 "/-/report" => {
-                    let report = json!({"stage": self.stage, "models": [], "busy": false, "seq": 0});
+                    let report =
+                        json!({"stage": self.stage, "models": [], "busy": false, "seq": 0});
                     writer.write_all(&http::response(200, &[], report.to_string().as_bytes()))?;
                 }
                 path if path.starts_with("/-/") => {
