Compare with endpoint entries read after the health check

Cause: the health check that proves the end was answered by the new process, under the name that it shares with the former one, and the endpoint list that should tell the two apart only had to be a second old. Evidence: each short response has a proof `named`, found while the list lacked the new start time.

The proof now waits for a read of the entries that was sent after the response to the health check. A process that writes its entry before it serves is on it, so the start time differs and the response is not complete. Requested reads are shared by all that wait, and bounded to 400 a second for all instances; without a read within 200 ms, as in a store outage, the former rule holds.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -35,8 +35,7 @@
 /// Maximum time that a request waits to learn whether its endpoint crashed; a few round trips to
 /// another availability zone.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
-/// Maximum time that a request waits for the proof that its response is complete; shorter than a restart takes,
-/// since a new process may have the endpoint's name.
+/// Maximum time that a request waits for the proof that its response is complete.
 const PROOF_WAIT: Duration = Duration::from_secs(1);
 /// Maximum time after a call without a response in which its endpoint may show that it is alive. No request
 /// waits for that, so the endpoint is left alone soon.
--- a/crates/relay/src/survival.rs
+++ b/crates/relay/src/survival.rs
@@ -4,17 +4,19 @@
 //! would, so a response that ends with its connection is complete only if the process lived on. Only a
 //! response to a request that was sent after the end, from the endpoint itself, proves that. An accepted
 //! connection does not: a forwarder, a gateway or another process at the address accepts connections too.
+//! A process that took its place under its name is told by its entry, read after the response.
 //! What cannot be told is whether the endpoint or a forwarder between ended the connection while both live.
 
 use {
     crate::{dialect::Responder, endpoint::Endpoint, proxy_state::ProxyState, serve::Job, signals},
+    agate_core::Mono,
     agate_route::health::ExchangeResult,
     agate_transport::{
         exchange::{self, Ending, EndpointResponse, TimeLimits},
         link::IDLE_LIMIT,
         proof::{Grant, Retryable},
     },
-    agate_view::table::Service,
+    agate_view::{clock, table::Service},
     bytes::Bytes,
     http::{Request, Uri, header::HOST},
     http_body_util::Full,
@@ -34,6 +36,8 @@
 const REUSED_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum time that a health check takes.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time that a read of the endpoint entries takes.
+const READ_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// What proves that a response is complete, or why nothing does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,8 +127,8 @@
     // A process that ends may close some connections before others.
     sleep(PROBE_INTERVAL).await;
     match check(state, endpoint, Instant::now()).await {
-        // A process that took its place may have its name, if this instance stood still.
-        proof if proof.is_complete() => match state.versions.confirm().await {
+        // A process that took its place may have its name.
+        proof if proof.is_complete() => match confirm_entries(state, clock::now()).await {
             false => Proof::EndpointsOld,
             true if state.is_replaced(endpoint) => Proof::Replaced,
             true => proof,
@@ -133,6 +137,14 @@
     }
 }
 
+/// Waits for endpoint entries that show a process which took the place of an endpoint, if one did before the
+/// endpoint `answered`; returns whether there are any.
+async fn confirm_entries(state: &ProxyState, answered: Mono) -> bool {
+    // While the store does not respond, other instances may know that nothing has changed.
+    timeout(READ_TIMEOUT, state.view.await_read(answered)).await.is_ok()
+        || state.versions.confirm().await
+}
+
 /// Sends health checks until one shows who listens at the endpoint's address, or returns what one sent after
 /// `since` has shown.
 async fn check(state: &ProxyState, endpoint: &Endpoint, since: Instant) -> Proof {
--- a/crates/view/src/local_view.rs
+++ b/crates/view/src/local_view.rs
@@ -28,6 +28,11 @@
 /// Added to a wait so that the limit has certainly passed when it ends.
 const WAKE_MARGIN: Duration = Duration::from_millis(1);
 
+/// Reads of the endpoints per second that all instances together may request for [`LocalView::await_read`].
+const REQUESTED_READS: u32 = 400;
+/// Time between two looks for a read.
+const READ_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Time between two confirmations from which the time between them counts as a gap.
 pub const MIN_GAP: Duration = Duration::from_secs(1);
 
@@ -125,6 +130,8 @@
     pub contact: LastConfirmed,
     /// Latest time at which entries that were replaced since were known to hold.
     replaced: Mutex<Option<Mono>>,
+    /// When a read was last requested by [`Self::await_read`].
+    read_requested: Mutex<Option<Mono>>,
     /// Entries sent by a coordinator, with the time of their confirmation; taken by the loop that
     /// follows the endpoints.
     offered: Mutex<Option<(Vec<Entry>, Mono)>>,
@@ -153,6 +160,7 @@
             agreed: LastConfirmed::default(),
             contact: LastConfirmed::default(),
             replaced: Mutex::default(),
+            read_requested: Mutex::default(),
             offered: Mutex::default(),
             peers: ArcSwap::default(),
             listed: LastConfirmed::default(),
@@ -231,6 +239,28 @@
         self.roster.at().max(self.agreed.at())
     }
 
+    /// Waits until the endpoint entries in force are those of a read of the store that was sent at `at` or
+    /// later. Never ends while the store does not respond.
+    pub async fn await_read(&self, at: Mono) {
+        while self.roster.at().is_none_or(|read| read < at) {
+            self.request_read();
+            sleep(READ_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Requests a read, unless this instance has used its part of [`REQUESTED_READS`].
+    fn request_read(&self) {
+        let now = clock::now();
+        let interval = Duration::from_secs(1) * self.instances().try_into().unwrap_or(u32::MAX)
+            / REQUESTED_READS;
+        let mut requested =
+            self.read_requested.lock().expect("the lock of the requested read is not poisoned");
+        if requested.is_none_or(|last| now >= last + interval) {
+            *requested = Some(now);
+            self.roster.request_refresh();
+        }
+    }
+
     /// Latest time at which the entries that were in force at the last call were known to hold; `None`
     /// if they still are in force.
     pub fn take_replaced(&self) -> Option<Mono> {
