Prove ends of responses without a slot, for as long as callers wait

Cause: a response that ends with its connection needs the proof that its endpoint lives, a health check, which queued for a slot behind the burst's requests and was given up after 1 s, though callers gave 15 s. Evidence: each such stream has `response_closed` with proof `late` after 1,000 or 1,001 ms, then `stream_broken`; endpoints admitted the checks later.

The check is now first sent with an expected name that no endpoint has, which endpoints reject with their own name without running it, so it needs no slot. Where that tells nothing, the former check follows, one at a time for an endpoint, shared by all that wait, and waited for as long as the request has time. Requests that can be repeated still go on elsewhere after 1 s or half of their time, but not if the retry budget allows no attempt: then they wait on. While it waits, a request does not count in its endpoint's load. A proof that comes later may come from a new process, so it needs a read of the entries after it; without one it has to come within a second, as before.

--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -12,7 +12,7 @@
 /// endpoint that is only slow for a while responds before that.
 const OVERDUE_FACTOR: u32 = 3;
 
-/// A request assigned to an endpoint; counted in the endpoint's load until dropped.
+/// A request assigned to an endpoint; counted in the endpoint's load until released or dropped.
 #[derive(Debug)]
 pub struct Assignment {
     /// Endpoint that the request is sent to.
@@ -21,6 +21,7 @@
     ahead: u64,
     since: Instant,
     prefilling: bool,
+    open: bool,
 }
 
 impl Assignment {
@@ -31,7 +32,7 @@
             endpoint.pool.touch();
         }
         endpoint.stats.lock_prefill_queue().own += u64::from(tokens);
-        Self { endpoint, tokens, ahead, since: Instant::now(), prefilling: true }
+        Self { endpoint, tokens, ahead, since: Instant::now(), prefilling: true, open: true }
     }
 
     /// Removes the prompt from the prefill queue and updates the latency model; later calls do
@@ -71,6 +72,14 @@
         self.since.elapsed()
     }
 
+    /// Removes the request from the endpoint's load, once its body has ended; later calls do nothing.
+    pub fn release(&mut self) {
+        self.end_prefill();
+        if std::mem::take(&mut self.open) {
+            self.endpoint.stats.open.fetch_sub(1, Relaxed);
+        }
+    }
+
     fn end_prefill(&mut self) -> bool {
         let reading = std::mem::take(&mut self.prefilling);
         if reading {
@@ -83,7 +92,6 @@
 
 impl Drop for Assignment {
     fn drop(&mut self) {
-        self.end_prefill();
-        self.endpoint.stats.open.fetch_sub(1, Relaxed);
+        self.release();
     }
 }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -26,6 +26,7 @@
     indexmap::IndexSet,
     std::{
         iter,
+        pin::pin,
         sync::{Arc, OnceLock},
         time::{Duration, Instant},
     },
@@ -35,8 +36,8 @@
 /// Maximum time that a request waits to learn whether its endpoint crashed; a few round trips to
 /// another availability zone.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
-/// Maximum time that a request waits for the proof that its response is complete.
-const PROOF_WAIT: Duration = Duration::from_secs(1);
+/// Maximum time that a request which can be repeated waits for the proof that its response is complete.
+const REPEATABLE_WAIT: Duration = Duration::from_secs(1);
 /// Maximum time after a call without a response in which its endpoint may show that it is alive. No request
 /// waits for that, so the endpoint is left alone soon.
 const SURVIVAL_WAIT: Duration = Duration::from_millis(300);
@@ -221,18 +222,19 @@
     /// complete, or why nothing does. A complete response with `status` clears the request of suspicion,
     /// unless the endpoint may have returned it before it ran the request.
     ///
-    /// If the request `may_repeat`, half of its time is left for that.
+    /// Waits as long as the request has time, but only for [`REPEATABLE_WAIT`] and half of its time if
+    /// `may_repeat` then returns true.
     pub async fn on_end(
         self,
         ending: Ending,
         status: StatusCode,
         since: Duration,
-        may_repeat: bool,
+        may_repeat: Option<impl FnOnce() -> bool>,
     ) -> Proof {
-        let sent = Instant::now() - since;
-        let left = self.job.remaining() / if may_repeat { 2 } else { 1 };
-        let limit = left.min(PROOF_WAIT);
-        let proof = survival::prove(&self.state, &self.job, &self.endpoint, ending, limit).await;
+        let ended_at = Instant::now();
+        let sent = ended_at - since;
+        let proof = self.prove_end(ending, may_repeat).await;
+        survival::record(&self.state, &self.job, &self.endpoint, proof, ended_at.elapsed());
         match proof {
             _ if proof.is_complete() && status.is_server_error() => self.on_error_response(),
             _ if proof.is_complete() => self.on_response(sent.elapsed()),
@@ -244,6 +246,20 @@
         proof
     }
 
+    /// Waits for the proof of [`Self::on_end`].
+    async fn prove_end(&self, ending: Ending, may_repeat: Option<impl FnOnce() -> bool>) -> Proof {
+        let mut proving = pin!(survival::prove(&self.state, &self.endpoint, ending));
+        if let Some(may_repeat) = may_repeat {
+            let limit = (self.job.remaining() / 2).min(REPEATABLE_WAIT);
+            match timeout(limit, &mut proving).await {
+                Ok(proof) => return proof,
+                Err(_) if may_repeat() => return Proof::Late,
+                Err(_) => {}
+            }
+        }
+        timeout(self.job.remaining(), proving).await.unwrap_or(Proof::Late)
+    }
+
     /// Ends the call without a response at an endpoint that crashed.
     fn on_crash(mut self) {
         self.open = false;
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -55,6 +55,15 @@
     pub handle: String,
 }
 
+/// Kind of a health check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    /// Meant for no endpoint, so that the endpoint rejects it at once and tells its name. It takes no slot.
+    Identity,
+    /// Meant for the endpoint. It may wait for a slot like any request.
+    Health,
+}
+
 /// Who returned a response, as far as it tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Responder {
@@ -115,10 +124,10 @@
     pub parse_request: fn(&HeaderMap) -> RequestInfo,
     /// Makes the headers sent to an endpoint from the caller's headers.
     pub request_headers: fn(&HeaderMap, &Outgoing<'_>) -> HeaderMap,
-    /// Makes the headers of a request that asks the endpoint with this name for its health.
-    pub health_headers: fn(&str) -> HeaderMap,
-    /// Tells who returned the response to such a request.
-    pub responder: fn(&Parts, &str) -> Responder,
+    /// Makes the headers of a health check of the endpoint with this name.
+    pub health_headers: fn(Check, &str) -> HeaderMap,
+    /// Tells who returned the response to such a check.
+    pub responder: fn(Check, &Parts, &str) -> Responder,
     /// Classifies an endpoint's response head.
     pub classify_response: fn(&Parts) -> Verdict,
     /// Reads what an endpoint states about itself in a response.
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -7,7 +7,7 @@
         load::{PrefillLoad, SpeedRatio},
         placement::Candidate,
         signal_store::SharedSignals,
-        survival::{Probe, Proof},
+        survival::{Checks, Probe},
     },
     agate_core::Mono,
     agate_path::Path,
@@ -82,8 +82,8 @@
     pub prefill_queue: Mutex<PrefillQueue>,
     /// Start time and result of the last connection probe.
     pub last_probe: AsyncMutex<Option<(Instant, Probe)>>,
-    /// Start time and result of the last health check that had one.
-    pub(crate) last_check: AsyncMutex<Option<(Instant, Proof)>>,
+    /// Health checks that prove responses complete.
+    pub(crate) checks: Checks,
 }
 
 impl EndpointStats {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -150,8 +150,7 @@
             log_taken_up(job, &call.assignment);
             return Ok(stream::forward(state.clone(), job.clone(), call, attempts, guard));
         }
-        let may_repeat = job.route.kind.retryable() && !last;
-        match collect(state, job, call, may_repeat).await {
+        match collect(state, job, &mut attempts, call).await {
             Ok(response) => return Ok(response),
             Err(cause) => retry(state, job, &mut attempts, cause)?,
         }
@@ -439,7 +438,7 @@
 }
 
 /// Reserves a retry permit for another attempt; returns whether the budget allows it.
-fn reserve_retry(state: &ProxyState, job: &Job, attempts: &mut Attempts) -> bool {
+pub fn reserve_retry(state: &ProxyState, job: &Job, attempts: &mut Attempts) -> bool {
     let needed = attempts.calls.permits_to_run();
     let held = state.reserve_permits(&job.service, &mut attempts.calls, needed);
     if !held {
@@ -507,10 +506,10 @@
 async fn collect(
     state: &ProxyState,
     job: &Job,
+    attempts: &mut Attempts,
     call: Call,
-    may_repeat: bool,
 ) -> Result<Response<Body>, Cause> {
-    let Call { response, assignment, guard } = call;
+    let Call { response, mut assignment, guard } = call;
     let (status, ending) = (response.head.status, response.ending());
     let (head, body) = match response.collect(MAX_BUFFERED, job.remaining()).await {
         Ok(whole) => whole,
@@ -520,6 +519,9 @@
             return Err(if failure.silent { Cause::Late } else { Cause::Lost });
         }
     };
+    assignment.release();
+    let may_repeat = job.route.kind.retryable() && may_continue(job, attempts);
+    let may_repeat = may_repeat.then_some(|| reserve_retry(state, job, attempts));
     let proof = guard.on_end(ending, status, assignment.elapsed(), may_repeat).await;
     if !proof.is_complete() {
         on_cut(state, job, &assignment, UNPROVEN_END, proof.result());
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -175,9 +175,13 @@
 
     /// Ends the stream after a complete event.
     async fn on_end(&mut self) -> Next {
-        let Some(Call { response, assignment, guard }) = self.call.take() else { return Next::End };
-        let may_repeat =
-            self.job.route.kind.retryable() && run::may_continue(&self.job, &self.attempts);
+        let Some(Call { response, mut assignment, guard }) = self.call.take() else {
+            return Next::End;
+        };
+        assignment.release();
+        let Self { state, job, attempts, .. } = self;
+        let may_repeat = job.route.kind.retryable() && run::may_continue(job, attempts);
+        let may_repeat = may_repeat.then_some(|| run::reserve_retry(state, job, attempts));
         let (ending, took) = (response.ending(), assignment.elapsed());
         let proof = guard.on_end(ending, self.status, took, may_repeat).await;
         if !proof.is_complete() {
@@ -191,14 +195,12 @@
         let class = requirements::prompt_class(&self.job).filter(|_| !self.moved);
         if let Some(class) = class {
             let slot_time = match class {
-                PromptClass::Short => demand::slot_time(
-                    assignment.elapsed(),
-                    assignment.prefill_time(),
-                    assignment.slots(),
-                ),
+                PromptClass::Short => {
+                    demand::slot_time(took, assignment.prefill_time(), assignment.slots())
+                }
                 // Its prompt should be prefilled by another engine, so the stall of other slots is
                 // left out even if this engine prefilled it.
-                PromptClass::Long => assignment.elapsed(),
+                PromptClass::Long => took,
             };
             let measured = self.state.settings.measured_demand;
             self.state.demand(&self.job.service, |d, _| match measured {
--- a/crates/relay/src/survival.rs
+++ b/crates/relay/src/survival.rs
@@ -8,7 +8,13 @@
 //! What cannot be told is whether the endpoint or a forwarder between ended the connection while both live.
 
 use {
-    crate::{dialect::Responder, endpoint::Endpoint, proxy_state::ProxyState, serve::Job, signals},
+    crate::{
+        dialect::{Check, Responder},
+        endpoint::Endpoint,
+        proxy_state::ProxyState,
+        serve::Job,
+        signals,
+    },
     agate_core::Mono,
     agate_route::health::ExchangeResult,
     agate_transport::{
@@ -21,11 +27,21 @@
     http::{Request, Uri, header::HOST},
     http_body_util::Full,
     std::{
+        future::pending,
         io,
-        sync::atomic::Ordering::Relaxed,
+        sync::{
+            Arc,
+            atomic::{
+                AtomicBool,
+                Ordering::{AcqRel, Relaxed, Release},
+            },
+        },
         time::{Duration, Instant},
     },
-    tokio::time::{sleep, timeout},
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
 };
 
 /// Time between two probes of an endpoint.
@@ -34,10 +50,13 @@
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(240);
 /// Maximum time that a health check takes on a reused connection, which may have been lost silently.
 const REUSED_TIMEOUT: Duration = Duration::from_millis(150);
-/// Maximum time that a health check takes.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time that a health check takes on a new connection. It may wait for a slot, and one that is sent
+/// instead takes another place in the queue.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum time that a read of the endpoint entries takes.
 const READ_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum time from the end of a response until the endpoint responds, without a read after that.
+const MAX_UNREAD_WAIT: Duration = Duration::from_secs(1);
 
 /// What proves that a response is complete, or why nothing does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,7 +77,7 @@
     Untold,
     /// The service has no health check.
     Unchecked,
-    /// No response from the endpoint within the time limit.
+    /// No response from the endpoint within the time that the request has.
     Late,
 }
 
@@ -95,75 +114,132 @@
     }
 }
 
-/// Looks, for at most `limit`, for what proves that a response whose body ended as `ending` says is complete.
-pub async fn prove(
-    state: &ProxyState,
-    job: &Job,
-    endpoint: &Endpoint,
-    ending: Ending,
-    limit: Duration,
-) -> Proof {
-    let ended_at = Instant::now();
-    let proof = match ending {
-        Ending::Marked => return Proof::Marked,
+/// Waits for what proves that a response whose body ended as `ending` says is complete. Never ends while the
+/// endpoint does not respond.
+pub async fn prove(state: &Arc<ProxyState>, endpoint: &Arc<Endpoint>, ending: Ending) -> Proof {
+    match ending {
+        Ending::Marked => Proof::Marked,
         Ending::Unknown => Proof::Untold,
-        Ending::Closed => {
-            timeout(limit, prove_survival(state, endpoint)).await.unwrap_or(Proof::Late)
-        }
-    };
+        Ending::Closed => prove_survival(state, endpoint).await,
+    }
+}
+
+/// Counts and logs what proved a response complete, or why nothing did, `took` after it had ended with its
+/// connection.
+pub fn record(state: &ProxyState, job: &Job, endpoint: &Endpoint, proof: Proof, took: Duration) {
+    if proof == Proof::Marked {
+        return;
+    }
     state.metrics.closed_ends.with_label_values(&[proof.label()]).inc();
     log::info!(
         event = "response_closed", request = job.info.id.as_str(), endpoint = &*endpoint.entry.name,
         proof = proof.label(), complete = proof.is_complete(),
-        after_ms = ended_at.elapsed().as_millis() as u64,
+        after_ms = took.as_millis() as u64, left_ms = job.remaining().as_millis() as u64,
         roster_age_ms = state.view.roster.age().map(|a| a.as_millis() as u64);
         "a response ended with its connection"
     );
-    proof
 }
 
 /// Waits until a health check that is sent from now on shows whether the endpoint's process lives.
-pub async fn prove_survival(state: &ProxyState, endpoint: &Endpoint) -> Proof {
+pub async fn prove_survival(state: &Arc<ProxyState>, endpoint: &Arc<Endpoint>) -> Proof {
     // A process that ends may close some connections before others.
     sleep(PROBE_INTERVAL).await;
-    match check(state, endpoint, Instant::now()).await {
+    let Some(uri) = &endpoint.health else { return Proof::Unchecked };
+    let since = clock::now();
+    let CheckResult { answered, proof, .. } = check(state, endpoint, uri, since).await;
+    if !proof.is_complete() {
+        return proof;
+    }
+    match confirm_entries(state, since, answered).await {
+        false => Proof::EndpointsOld,
         // A process that took its place may have its name.
-        proof if proof.is_complete() => match confirm_entries(state, clock::now()).await {
-            false => Proof::EndpointsOld,
-            true if state.is_replaced(endpoint) => Proof::Replaced,
-            true => proof,
-        },
-        proof => proof,
+        true if state.is_replaced(endpoint) => Proof::Replaced,
+        true => proof,
     }
 }
 
 /// Waits for endpoint entries that show a process which took the place of an endpoint, if one did before the
-/// endpoint `answered`; returns whether there are any.
-async fn confirm_entries(state: &ProxyState, answered: Mono) -> bool {
+/// endpoint `answered` a check sent after `since`; returns whether there are any.
+async fn confirm_entries(state: &ProxyState, since: Mono, answered: Mono) -> bool {
+    if timeout(READ_TIMEOUT, state.view.await_read(answered)).await.is_ok() {
+        return true;
+    }
     // While the store does not respond, other instances may know that nothing has changed.
-    timeout(READ_TIMEOUT, state.view.await_read(answered)).await.is_ok()
-        || state.versions.confirm().await
+    answered.saturating_sub(since) <= MAX_UNREAD_WAIT && state.versions.confirm().await
 }
 
-/// Sends health checks until one shows who listens at the endpoint's address, or returns what one sent after
-/// `since` has shown.
-async fn check(state: &ProxyState, endpoint: &Endpoint, since: Instant) -> Proof {
-    let Some(uri) = &endpoint.health else { return Proof::Unchecked };
-    let mut last = endpoint.stats.last_check.lock().await;
-    if let Some((_, proof)) = last.filter(|(at, _)| *at >= since) {
-        return proof;
+/// Health checks of one endpoint. At most one is in progress, so that they take few of the places in which
+/// requests wait for its slots; the result of each serves all that wait for one.
+#[derive(Debug, Default)]
+pub struct Checks {
+    /// Latest result.
+    latest: watch::Sender<Option<CheckResult>>,
+    running: AtomicBool,
+}
+
+/// What a health check has shown.
+#[derive(Clone, Copy, Debug)]
+struct CheckResult {
+    sent: Mono,
+    answered: Mono,
+    proof: Proof,
+}
+
+/// Waits for the result of a health check that was sent after `since`.
+async fn check(
+    state: &Arc<ProxyState>,
+    endpoint: &Arc<Endpoint>,
+    uri: &Uri,
+    since: Mono,
+) -> CheckResult {
+    let mut latest = endpoint.stats.checks.latest.subscribe();
+    loop {
+        let known = *latest.borrow_and_update();
+        if let Some(result) = known.filter(|result| result.sent >= since) {
+            return result;
+        }
+        start_checks(state, endpoint, uri);
+        if latest.changed().await.is_err() {
+            // The sender is dropped with the endpoint, so this is never reached.
+            pending::<()>().await;
+        }
+    }
+}
+
+/// Starts to send health checks until one has a result or nobody waits for it, unless that is in progress.
+fn start_checks(state: &Arc<ProxyState>, endpoint: &Arc<Endpoint>, uri: &Uri) {
+    if endpoint.stats.checks.running.swap(true, AcqRel) {
+        return;
     }
-    let (mut interval, mut max_idle) = (PROBE_INTERVAL, IDLE_LIMIT);
+    let (state, endpoint, uri) = (state.clone(), endpoint.clone(), uri.clone());
+    tokio::spawn(async move {
+        let Checks { latest, running } = &endpoint.stats.checks;
+        let result = tokio::select! {
+            result = run_checks(&state, &endpoint, &uri) => Some(result),
+            () = latest.closed() => None,
+        };
+        running.store(false, Release);
+        // Without a result, this wakes those who began to wait when the checks were about to end.
+        latest.send_modify(|known| *known = result.or(*known));
+    });
+}
+
+/// Sends health checks, one after another, until one shows who listens at the endpoint's address.
+async fn run_checks(state: &ProxyState, endpoint: &Endpoint, uri: &Uri) -> CheckResult {
+    let (mut check, mut interval, mut max_idle) = (Check::Identity, PROBE_INTERVAL, IDLE_LIMIT);
     loop {
-        let at = Instant::now();
-        match check_once(state, endpoint, uri, max_idle).await {
-            Checked::Shown(proof) => {
-                *last = Some((at, proof));
-                return proof;
+        let sent = clock::now();
+        match check_once(state, endpoint, uri, check, max_idle).await {
+            Checked::Shown(proof) => return CheckResult { sent, answered: clock::now(), proof },
+            // It does not tell its name in a rejection.
+            Checked::Untold if check == Check::Identity => {
+                check = Check::Health;
+                continue;
             }
+            Checked::Untold => check = Check::Identity,
             // Other idle connections may have been lost with it.
             Checked::Silent => max_idle = Duration::ZERO,
-            Checked::Nothing => {}
+            Checked::Failed => {}
         }
         sleep(interval).await;
         interval = (interval * 2).min(MAX_CHECK_INTERVAL);
@@ -183,10 +259,12 @@
 enum Checked {
     /// Who listens at the endpoint's address.
     Shown(Proof),
+    /// Nothing: the response does not tell who it is from.
+    Untold,
     /// Nothing, and the connection was silent.
     Silent,
-    /// Nothing.
-    Nothing,
+    /// Nothing: there was no response.
+    Failed,
 }
 
 /// Sends one health check. Its connection is not used again: a response that is sent twice could pass for one to
@@ -195,11 +273,12 @@
     state: &ProxyState,
     endpoint: &Endpoint,
     uri: &Uri,
+    check: Check,
     max_idle: Duration,
 ) -> Checked {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = uri.clone();
-    *request.headers_mut() = (state.dialect.health_headers)(&endpoint.entry.name);
+    *request.headers_mut() = (state.dialect.health_headers)(check, &endpoint.entry.name);
     let host = endpoint.entry.address.to_string();
     request.headers_mut().insert(HOST, host.parse().expect("an address is a valid header value"));
     let grant = Grant::Again(Retryable::idempotent(true).expect("a health check may be repeated"));
@@ -215,20 +294,23 @@
             Some(head) => head,
             None => {
                 log::debug!(event = "health_check_failed", endpoint = &*endpoint.entry.name, step:? = failure.step, cause = failure.cause.as_str(); "a health check failed");
-                return if failure.silent { Checked::Silent } else { Checked::Nothing };
+                return if failure.silent { Checked::Silent } else { Checked::Failed };
             }
         },
     };
-    let proof = match (state.dialect.responder)(head, &endpoint.entry.name) {
+    let proof = match (state.dialect.responder)(check, head, &endpoint.entry.name) {
         Responder::Named => Proof::Named,
         Responder::Rejecting => Proof::Rejecting,
         Responder::Other => {
             endpoint.stats.replaced.store(true, Relaxed);
             return Checked::Shown(Proof::Replaced);
         }
-        Responder::Unknown => return Checked::Nothing,
+        Responder::Unknown => return Checked::Untold,
     };
-    signals::read(state, "", endpoint, "health", head);
+    // That it rejects a check of its identity does not mean that another endpoint has its address.
+    if !(state.dialect.misdirected)(head) {
+        signals::read(state, "", endpoint, "health", head);
+    }
     Checked::Shown(proof)
 }
 
