Review case 12: streams of two software versions

A worker goes down and up by turns and is back under its id with another software version.

The stand-ins now carry out stage orders and reject requests beyond their slots; case 11 asks for a stream that may not be resumed, as its site's sheet says.

--- a/review/standins-3/src/drill.rs
+++ b/review/standins-3/src/drill.rs
@@ -4,7 +4,7 @@
     crate::{
         Outcome, Record,
         http::Reader,
-        instance::Instance,
+        instance::{Instance, SAVIKODA},
         platform::{Store, serve_duties},
         worker::{Copies, Proxy, Worker},
     },
@@ -78,14 +78,14 @@
     let proxies: Vec<Proxy> = (0..4).map(|_| Proxy::bind(record)).collect();
     let start = |i: usize| {
         let name = format!("i-7f3a91c{i}");
-        Worker::start(&name, "order-desk", ZONE, (&proxies[i], None), &copies, (&store, record))
+        Worker::start(&name, "order-desk", ZONE, (&proxies[i], None, "1.4.0", 6), &copies, (&store, record))
     };
     let workers: Vec<_> = (0..4).map(start).collect();
     let mut instances = Vec::new();
     for i in 1..=2 {
         let name = format!("front-{ZONE}-{i}");
         let at = (&*store_address, &*duties_address);
-        let Some(instance) = Instance::start(root, folder, (&name, ZONE), at, record) else {
+        let Some(instance) = Instance::start(root, folder, (&name, ZONE), at, &SAVIKODA, record) else {
             return Outcome::NotRun;
         };
         instances.push(instance);
