--- a/review/standins-3/src/drill.rs
+++ b/review/standins-3/src/drill.rs
@@ -6,7 +6,7 @@
         http::Reader,
         instance::{Instance, SAVIKODA},
         platform::{Store, serve_duties},
-        worker::{Copies, Proxy, Worker},
+        worker::Worker,
     },
     serde_json::json,
     std::{
@@ -55,7 +55,8 @@
 /// Sends `count` requests to the instances in turn, one each `pause`.
 fn traffic(instances: &[Instance], prefix: &str, count: usize, pause: Duration, record: &Record) {
     let send = |i: usize| {
-        let (listen, id) = (instances[i % instances.len()].listen.clone(), format!("{prefix}{i:03}"));
+        let (listen, id) =
+            (instances[i % instances.len()].listen.clone(), format!("{prefix}{i:03}"));
         thread::sleep(pause);
         thread::spawn(move || call(&listen, &id).unwrap_or(0))
     };
@@ -66,7 +67,7 @@
 }
 
 pub fn run(root: &Path, folder: &Path, trouble: bool, record: &Record) -> Outcome {
-    let store = Store::default();
+    let store = Store::with_era(1);
     let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
     let (listener, duties) = (bind(), bind());
     let address = |l: &TcpListener| l.local_addr().expect("bound").to_string();
@@ -74,18 +75,15 @@
     store.serve(listener);
     serve_duties(duties, record.clone());
     store.put("op/config", &config());
-    let copies = Copies::default();
-    let proxies: Vec<Proxy> = (0..4).map(|_| Proxy::bind(record)).collect();
-    let start = |i: usize| {
-        let name = format!("i-7f3a91c{i}");
-        Worker::start(&name, "order-desk", ZONE, (&proxies[i], None, "1.4.0", 6), &copies, (&store, record))
-    };
+    let start =
+        |i: usize| Worker::start(&format!("i-7f3a91c{i}"), "order-desk", ZONE, &store, record);
     let workers: Vec<_> = (0..4).map(start).collect();
     let mut instances = Vec::new();
     for i in 1..=2 {
         let name = format!("front-{ZONE}-{i}");
         let at = (&*store_address, &*duties_address);
-        let Some(instance) = Instance::start(root, folder, (&name, ZONE), at, &SAVIKODA, record) else {
+        let Some(instance) = Instance::start(root, folder, (&name, ZONE), at, &SAVIKODA, record)
+        else {
             return Outcome::NotRun;
         };
         instances.push(instance);
@@ -103,7 +101,7 @@
     thread::sleep(Duration::from_secs(1));
     let copy = store.copy();
     let left = Instant::now();
-    leaver.leave_unreported(Duration::from_secs(12));
+    leaver.leave_unreported();
     thread::sleep(BEFORE_DRILL);
     if trouble {
         record.line("the store is away");
@@ -113,7 +111,8 @@
     if trouble {
         store.come_back(&copy);
         let age = left.elapsed().as_millis();
-        record.line(&format!("the store is back from a copy that is {age} ms old, in its next era"));
+        record
+            .line(&format!("the store is back from a copy that is {age} ms old, in its next era"));
         let again = leaver.clone();
         thread::spawn(move || {
             thread::sleep(AGAIN);
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -17,10 +17,6 @@
 }
 
 impl Message {
-    pub fn method(&self) -> &str {
-        self.line.split(' ').next().unwrap_or_default()
-    }
-
     pub fn target(&self) -> &str {
         self.line.split(' ').nth(1).unwrap_or_default()
     }
@@ -143,7 +139,12 @@
 }
 
 /// Writes a response with a length.
-pub fn respond(io: &mut TcpStream, status: u16, fields: &[(&str, &str)], body: &str) -> io::Result<()> {
+pub fn respond(
+    io: &mut TcpStream,
+    status: u16,
+    fields: &[(&str, &str)],
+    body: &str,
+) -> io::Result<()> {
     let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
     for (name, value) in fields {
         text += &format!("{name}: {value}\r\n");
@@ -179,7 +180,10 @@
     let sent = || -> io::Result<u16> {
         let mut io = TcpStream::connect(address)?;
         io.set_read_timeout(Some(Duration::from_secs(1)))?;
-        io.write_all(format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n").as_bytes())?;
+        io.write_all(
+            format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n")
+                .as_bytes(),
+        )?;
         Ok(Reader::new(io).head()?.status())
     };
     sent().unwrap_or(0)
--- a/review/standins-3/src/instance.rs
+++ b/review/standins-3/src/instance.rs
@@ -7,7 +7,8 @@
         fs,
         net::{TcpListener, UdpSocket},
         path::{Path, PathBuf},
-        process::{Child, Command, Stdio},
+        process::{self, Child, Command, Stdio},
+        sync::atomic::{AtomicU32, Ordering::Relaxed},
         thread,
         time::{Duration, Instant},
     },
@@ -29,22 +30,6 @@
     contracts: "base,drain,config,cost,retry,recover,split,stream,engine,tenants,leader,platform",
 };
 
-/// `savikoda-route-large`.
-pub const SAVIKODA_LARGE: Site = Site {
-    share: "0.5",
-    memory: "512",
-    slack: "430",
-    contracts: "base,drain,config,cost,retry,recover,health,pool,split,stream,engine,tenants,leader,platform",
-};
-
-/// `tianguis-bajio-grown`.
-pub const TIANGUIS: Site = Site {
-    share: "0.5",
-    memory: "512",
-    slack: "194",
-    contracts: "base,drain,config,cost,retry,recover,health,pool,split,stream,engine,tenants,leader,pressure,platform",
-};
-
 /// A running instance, killed when dropped.
 pub struct Instance {
     pub name: String,
@@ -70,13 +55,14 @@
     command.stdout(log.try_clone().ok()?).stderr(log).spawn().ok()
 }
 
-/// A port that is free for TCP and UDP.
+/// A port that is free for TCP and UDP, below the range that the system gives to connections.
 fn free_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let port = tcp.local_addr().expect("bound").port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
-            return port;
+        let port = 12_000 + (process::id() * 61 + NEXT.fetch_add(1, Relaxed)) % 18_000;
+        let address = ("127.0.0.1", port as u16);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return port as u16;
         }
     }
 }
@@ -90,7 +76,11 @@
         let close = format!("{{{{/{name}}}}}");
         let stop = text.find(&close).expect("an end of the section");
         let inner = text[end + 2..stop].to_owned();
-        let kept = if values.contains_key(&*name) || values.keys().any(|k| *k == name) { inner } else { String::new() };
+        let kept = if values.contains_key(&*name) || values.keys().any(|k| *k == name) {
+            inner
+        } else {
+            String::new()
+        };
         text = format!("{}{kept}{}", &text[..begin], &text[stop + close.len()..]);
     }
     for (name, value) in values {
@@ -100,11 +90,14 @@
 }
 
 impl Instance {
-    /// Kills the process with SIGKILL and starts it again; returns whether it was started.
-    pub fn restart(&mut self, record: &Record) -> bool {
+    /// Kills the process with SIGKILL.
+    pub fn kill(&mut self, record: &Record) {
         let _ = (self.child.kill(), self.child.wait());
         record.line(&format!("instance {} is killed", self.name));
-        thread::sleep(Duration::from_millis(200));
+    }
+
+    /// Starts the process again that was killed; returns whether it was started.
+    pub fn start_again(&mut self, record: &Record) -> bool {
         let Some(child) = spawn(&self.root, &self.file, &self.log) else { return false };
         self.child = child;
         record.line(&format!("instance {} is started again", self.name));
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -5,10 +5,7 @@
 mod drill;
 mod http;
 mod instance;
-mod moved;
 mod platform;
-mod revoked;
-mod upgraded;
 mod worker;
 
 use std::{
@@ -49,9 +46,6 @@
     record.line(if trouble { "with the disruption" } else { "without the disruption" });
     let outcome = match case.as_str() {
         "drill" => drill::run(&root, &folder, trouble, &record),
-        "revoked" => revoked::run(&root, &folder, trouble, &record),
-        "upgraded" => upgraded::run(&root, &folder, trouble, &record),
-        "moved" => moved::run(&root, &folder, trouble, &record),
         _ => Outcome::NotRun,
     };
     let (code, text) = match outcome {
--- a/review/standins-3/src/platform.rs
+++ b/review/standins-3/src/platform.rs
@@ -32,6 +32,8 @@
     returns: u64,
     /// While set, calls get no answer.
     away: bool,
+    /// Era before the first return.
+    first_era: u64,
 }
 
 /// Copy of the store, from which it can come back.
@@ -59,10 +61,8 @@
     fn lock(&self) -> MutexGuard<'_, State> {
         let mut state = self.0.lock().expect("not poisoned");
         let now = Instant::now();
-        let ended: Vec<u64> = (state.leases.iter())
-            .filter(|(_, (end, _))| *end <= now)
-            .map(|(id, _)| *id)
-            .collect();
+        let ended: Vec<u64> =
+            (state.leases.iter()).filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
         for id in ended {
             end_lease(&mut state, id);
         }
@@ -81,6 +81,19 @@
         state.items.remove(key);
     }
 
+    /// A store whose era is `first` until it comes back from a copy.
+    pub fn with_era(first: u64) -> Self {
+        let store = Self::default();
+        store.lock().first_era = first;
+        store
+    }
+
+    /// Present era.
+    pub fn era(&self) -> u64 {
+        let state = self.lock();
+        state.first_era + state.returns
+    }
+
     /// Copies the store.
     pub fn copy(&self) -> StoreCopy {
         StoreCopy(self.lock().clone())
@@ -114,7 +127,7 @@
             return Ok(false);
         }
         let (status, answer) = self.call(request, &body);
-        let era = (1 + self.lock().returns).to_string();
+        let era = self.era().to_string();
         let fields = [("content-type", "application/json"), ("store-era", &era)];
         respond(&mut reader.io, status, &fields, &answer.to_string())?;
         Ok(true)
@@ -135,7 +148,8 @@
             },
             "/-/kv-range" => {
                 let (prefix, after) = (request.query("prefix"), request.query("after"));
-                let found = state.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+                let found =
+                    state.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
                 let items: Vec<Value> = found.map(|(k, i)| row(k, i)).collect();
                 (200, json!({"items": items, "truncated": false, "at": state.revision}))
             }
@@ -204,7 +218,12 @@
         return (404, json!({}));
     }
     for write in list("writes") {
-        put(state, &key(&write), write["value"].as_str().unwrap_or_default().to_owned(), lease(&write));
+        put(
+            state,
+            &key(&write),
+            write["value"].as_str().unwrap_or_default().to_owned(),
+            lease(&write),
+        );
     }
     for removed in list("remove") {
         state.revision += 1;
@@ -213,9 +232,19 @@
     (200, json!({"revision": state.revision}))
 }
 
+/// Usage reports, by window.
+pub type Reports = Arc<Mutex<BTreeMap<u64, Vec<Value>>>>;
+
 /// Serves the API for duties; each call is recorded.
-pub fn serve_duties(listener: TcpListener, record: Record) {
+pub fn serve_duties(listener: TcpListener, record: Record) -> Reports {
+    let reports = Reports::default();
+    let kept = reports.clone();
     serve(listener, move |reader, request| {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        if let (true, Some(window)) = (request.path() == "/usage", body["windowId"].as_u64()) {
+            let mut reports = kept.lock().expect("not poisoned");
+            reports.entry(window).or_default().push(body["counts"].clone());
+        }
         record.line(&format!(
             "duty {} holder={} fence={} {}",
             request.path(),
@@ -226,4 +255,5 @@
         respond(&mut reader.io, 200, &[("content-type", "application/json")], "{}")?;
         Ok(true)
     });
+    reports
 }
