--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod instance;
 mod platform;
+mod usage;
 mod worker;
 
 use std::{
@@ -45,6 +46,7 @@
     let trouble = env::var("TROUBLE").as_deref() != Ok("0");
     record.line(if trouble { "with the disruption" } else { "without the disruption" });
     let outcome = match case.as_str() {
+        "usage" => usage::run(&root, &folder, trouble, &record),
         "drill" => drill::run(&root, &folder, trouble, &record),
         _ => Outcome::NotRun,
     };
