--- a/review/standins-3/src/drill.rs
+++ b/review/standins-3/src/drill.rs
@@ -103,6 +103,14 @@
     let left = Instant::now();
     leaver.leave_unreported();
     thread::sleep(BEFORE_DRILL);
+    let key = format!("servers/{}", leaver.name);
+    let reads = store.reads_since(left);
+    let without = reads.iter().filter(|(_, keys)| !keys.contains(&key)).count();
+    record.line(&format!(
+        "since then the store has answered {} reads of the workers to the instances, {without} of them without it, the first after {} ms",
+        reads.len(),
+        reads.first().map_or(0, |(at, _)| (*at - left).as_millis())
+    ));
     if trouble {
         record.line("the store is away");
         store.go_away();
--- a/review/standins-3/src/platform.rs
+++ b/review/standins-3/src/platform.rs
@@ -34,6 +34,8 @@
     away: bool,
     /// Era before the first return.
     first_era: u64,
+    /// Times of the linearizable reads of the workers, and which entries were answered.
+    reads: Vec<(Instant, Vec<String>)>,
 }
 
 /// Copy of the store, from which it can come back.
@@ -88,6 +90,12 @@
         store
     }
 
+    /// Reads of the workers since `time`, with the entries that were answered.
+    pub fn reads_since(&self, time: Instant) -> Vec<(Instant, Vec<String>)> {
+        let state = self.lock();
+        state.reads.iter().filter(|(at, _)| *at >= time).cloned().collect()
+    }
+
     /// Present era.
     pub fn era(&self) -> u64 {
         let state = self.lock();
@@ -107,8 +115,9 @@
     /// Comes back from `copy`: what was acknowledged since is gone, leases too. The era rises.
     pub fn come_back(&self, copy: &StoreCopy) {
         let mut state = self.lock();
-        let returns = state.returns + 1;
+        let (returns, reads) = (state.returns + 1, std::mem::take(&mut state.reads));
         *state = copy.0.clone();
+        state.reads = reads;
         let leased = |i: &Item| i.lease != 0;
         state.items.retain(|_, i| !leased(i));
         state.leases.clear();
@@ -151,6 +160,11 @@
                 let found =
                     state.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
                 let items: Vec<Value> = found.map(|(k, i)| row(k, i)).collect();
+                if prefix == "servers/" && request.query("allowStale") != "1" {
+                    let key = |i: &Value| i["key"].as_str().unwrap_or_default().to_owned();
+                    let keys = items.iter().map(key).collect();
+                    state.reads.push((Instant::now(), keys));
+                }
                 (200, json!({"items": items, "truncated": false, "at": state.revision}))
             }
             "/-/kv-txn" => transact(&mut state, body),
