--- a/review/standins-3/src/platform.rs
+++ b/review/standins-3/src/platform.rs
@@ -246,8 +246,8 @@
     (200, json!({"revision": state.revision}))
 }
 
-/// Usage reports, by window.
-pub type Reports = Arc<Mutex<BTreeMap<u64, Vec<Value>>>>;
+/// Usage reports by window: the holder and the counts of each.
+pub type Reports = Arc<Mutex<BTreeMap<u64, Vec<(String, Value)>>>>;
 
 /// Serves the API for duties; each call is recorded.
 pub fn serve_duties(listener: TcpListener, record: Record) -> Reports {
@@ -257,7 +257,8 @@
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         if let (true, Some(window)) = (request.path() == "/usage", body["windowId"].as_u64()) {
             let mut reports = kept.lock().expect("not poisoned");
-            reports.entry(window).or_default().push(body["counts"].clone());
+            let holder = request.header("duty-holder").to_owned();
+            reports.entry(window).or_default().push((holder, body["counts"].clone()));
         }
         record.line(&format!(
             "duty {} holder={} fence={} {}",
--- a/review/standins-3/src/usage.rs
+++ b/review/standins-3/src/usage.rs
@@ -1,4 +1,4 @@
-//! The store comes back from a copy of before a usage window was sealed, and all processes are killed.
+//! The store comes back from a copy of before a usage window was sealed, and the process that reported it is killed.
 
 use {
     crate::{
@@ -60,7 +60,8 @@
 }
 
 pub fn run(root: &Path, folder: &Path, trouble: bool, record: &Record) -> Outcome {
-    // For trials: one of the two disruptions alone, and another first era.
+    // For trials: one of the two disruptions alone, all processes killed, and another first era.
+    let all = env::var("KILL").is_ok_and(|which| which == "all");
     let only = env::var("ONLY").unwrap_or_default();
     let first = env::var("FIRST_ERA").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
     let store = Store::with_era(first);
@@ -122,8 +123,10 @@
         store.go_away();
         record.line(&format!("the store is away; its era is {}", store.era()));
     }
+    let holder = reports.lock().expect("not poisoned")[&window][0].0.clone();
+    let mut killed: Vec<_> = instances.iter_mut().filter(|i| all || i.name == holder).collect();
     if kill {
-        instances.iter_mut().for_each(|i| i.kill(record));
+        killed.iter_mut().for_each(|i| i.kill(record));
     }
     thread::sleep(AWAY);
     if drill {
@@ -134,7 +137,7 @@
             store.era()
         ));
     }
-    if kill && !instances.iter_mut().all(|i| i.start_again(record)) {
+    if kill && !killed.iter_mut().all(|i| i.start_again(record)) {
         return Outcome::NotRun;
     }
     wait_until(end + 11_000);
@@ -144,9 +147,14 @@
     record.line(&format!("clients: {} requests were served", served.load(SeqCst)));
     let mut broken = false;
     for (window, counts) in reports.lock().expect("not poisoned").iter() {
-        let differ = counts.iter().any(|c| *c != counts[0]);
+        let differ = counts.iter().any(|(_, c)| *c != counts[0].1);
         if differ {
-            record.line(&format!("window {window} was reported with different counts: {counts:?}"));
+            let texts: Vec<String> =
+                counts.iter().map(|(holder, c)| format!("{c} by {holder}")).collect();
+            record.line(&format!(
+                "window {window} was reported with different counts: {}",
+                texts.join(", ")
+            ));
         }
         broken |= differ;
     }
